--- /dev/null
+++ b/crates/config/src/record.rs
@@ -0,0 +1,69 @@
+//! What operators append to the log.
+
+use std::collections::BTreeMap;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::fold::Fold;
+use crate::fold::Version;
+use crate::item::Item;
+use crate::item::Name;
+
+/// A group of changes that come into force together or not at all.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Record {
+    /// A random number by which the author finds the record again when the answer to the append
+    /// was lost. A second record with the same number is skipped.
+    pub nonce: u64,
+    /// Who published it.
+    pub author: String,
+    /// The changes.
+    pub changes: Vec<Change>,
+}
+
+/// A change of one item.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Change {
+    /// The item's name.
+    pub name: Name,
+    /// The version that this change replaces; zero for an item that never existed.
+    pub replaces: Version,
+    /// The new value; absent to remove the item.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub value: Option<Item>,
+}
+
+impl Record {
+    /// Returns the record that turns the state of `fold` into `wanted`.
+    pub fn between(
+        fold: &Fold,
+        wanted: &BTreeMap<Name, Item>,
+        nonce: u64,
+        author: impl Into<String>,
+    ) -> Self {
+        let mut changes = Vec::new();
+        for (name, item) in wanted {
+            if fold.item(name) != Some(item) {
+                let replaces = fold.version(name);
+                changes.push(Change {
+                    name: name.clone(),
+                    replaces,
+                    value: Some(item.clone()),
+                });
+            }
+        }
+        for (name, _) in fold.items().filter(|(name, _)| !wanted.contains_key(*name)) {
+            changes.push(Change {
+                name: name.clone(),
+                replaces: fold.version(name),
+                value: None,
+            });
+        }
+        Self {
+            nonce,
+            author: author.into(),
+            changes,
+        }
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/ask.rs
@@ -0,0 +1,83 @@
+//! Questions to the log and to entry instances.
+
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use anyhow::Context;
+use anyhow::Result;
+use config::Fold;
+use config::fold::Outcome;
+use config::item;
+use platform::Platform;
+use web::Client;
+use web::client::Call;
+
+use crate::state;
+
+/// The time for one question.
+const TIMEOUT: Duration = Duration::from_secs(5);
+/// The time for which a read of the log waits for new records.
+const READ_WAIT: Duration = Duration::from_secs(10);
+
+/// Prints a configuration with its version.
+pub async fn show(platform: Option<SocketAddr>, entry: Option<SocketAddr>) -> Result<ExitCode> {
+    let fold: Fold = match (platform, entry) {
+        (Some(address), _) => state::read(&Platform::new(address, Client::default())).await?,
+        (None, Some(entry)) => Client::default()
+            .fetch(&Call::get(entry, "/config"), TIMEOUT)
+            .await
+            .context("the entry instance does not answer: check its operators' address")?,
+        (None, None) => anyhow::bail!("name --platform or --entry"),
+    };
+    let fleet = item::join(fold.items().map(|(_, item)| item));
+    println!("// version {}", fold.next());
+    println!("{}", serde_json::to_string_pretty(&fleet)?);
+    Ok(ExitCode::SUCCESS)
+}
+
+/// Prints each change as it comes into force.
+pub async fn watch(address: SocketAddr) -> Result<ExitCode> {
+    let platform = Platform::new(address, Client::default());
+    let mut fold = state::read(&platform).await?;
+    println!("at version {}", fold.next());
+    loop {
+        let _ = platform.read(config::STREAM, fold.next(), READ_WAIT).await;
+        let known = fold.next();
+        state::catch_up(&platform, &mut fold).await?;
+        for verdict in fold.verdicts().iter().filter(|it| it.offset >= known) {
+            let outcome = match &verdict.outcome {
+                Outcome::Accepted => "in force".to_owned(),
+                Outcome::Lost { name, .. } => format!("refused: `{name}` had changed"),
+                Outcome::Malformed => "refused: malformed".to_owned(),
+            };
+            println!(
+                "version {} by {}: {outcome}",
+                verdict.offset + 1,
+                verdict.author
+            );
+        }
+    }
+}
+
+/// Prints the trail of a request.
+pub async fn explain(entry: SocketAddr, request: &str) -> Result<ExitCode> {
+    let call = Call::get(entry, format!("/explain/{request}"));
+    let trail: serde_json::Value = Client::default()
+        .fetch(&call, TIMEOUT)
+        .await
+        .context("no trail: ask the instance that took the request, soon after")?;
+    println!("{}", serde_json::to_string_pretty(&trail)?);
+    Ok(ExitCode::SUCCESS)
+}
+
+/// Begins a planned stop.
+pub async fn drain(entry: SocketAddr) -> Result<ExitCode> {
+    let call = Call::post(entry, "/drain", Vec::new());
+    let _: serde_json::Value = Client::default()
+        .fetch(&call, TIMEOUT)
+        .await
+        .context("the entry instance does not answer: check its operators' address")?;
+    println!("draining");
+    Ok(ExitCode::SUCCESS)
+}
--- /dev/null
+++ b/crates/domain/src/fleet.rs
@@ -0,0 +1,127 @@
+//! The fleet and those who share it: firms, data centres, backend servers, models, contracts.
+
+use std::net::SocketAddr;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::contract::Contract;
+
+mod check;
+
+pub use check::Complaint;
+
+/// A whole configuration, as operators write it.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Fleet {
+    /// The member firms.
+    pub firms: Vec<Firm>,
+    /// The data centres.
+    pub data_centres: Vec<DataCentre>,
+    /// The models that engines may serve.
+    pub models: Vec<Model>,
+    /// The backend servers.
+    pub backend_servers: Vec<BackendServer>,
+    /// One contract per customer.
+    pub contracts: Vec<Contract>,
+}
+
+/// A member firm of the co-operative.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Firm {
+    /// The firm's name.
+    pub name: String,
+    /// The weight of the firm in the shared fleet.
+    pub share: u64,
+}
+
+/// A data centre of a region.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct DataCentre {
+    /// The data centre's name.
+    pub name: String,
+    /// The region that it lies in.
+    pub region: String,
+}
+
+/// A language model.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Model {
+    /// The name that callers send.
+    pub name: String,
+    /// The version that engines should run.
+    pub version: u64,
+    /// The objective for the first token, in milliseconds, for short prompts.
+    pub first_token_ms: u64,
+}
+
+/// A backend server: one model runner, or one server of a plain service.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct BackendServer {
+    /// The backend server's name.
+    pub name: String,
+    /// The address of its HTTP interface.
+    pub address: SocketAddr,
+    /// The data centre that it stands in.
+    pub data_centre: String,
+    /// What it does.
+    pub kind: Kind,
+}
+
+/// What a backend server does.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(tag = "type", rename_all = "snake_case", deny_unknown_fields)]
+pub enum Kind {
+    /// A model engine.
+    Engine(Engine),
+    /// A plain service.
+    Service(Service),
+}
+
+/// A model engine.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Engine {
+    /// The models that it may serve.
+    pub models: Vec<String>,
+    /// KV cache memory, in tokens.
+    pub memory_tokens: u64,
+    /// Whether it refuses an order that carries an old fencing number.
+    pub checks_fencing: bool,
+}
+
+/// A plain service.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Service {
+    /// The name in the path `/v1/services/{service}/…`.
+    pub service: String,
+}
+
+impl BackendServer {
+    /// Returns the engine, or `None` for a plain service.
+    pub fn engine(&self) -> Option<&Engine> {
+        match &self.kind {
+            Kind::Engine(engine) => Some(engine),
+            Kind::Service(_) => None,
+        }
+    }
+
+    /// Returns the plain service, or `None` for an engine.
+    pub fn service(&self) -> Option<&Service> {
+        match &self.kind {
+            Kind::Engine(_) => None,
+            Kind::Service(service) => Some(service),
+        }
+    }
+}
+
+impl Fleet {
+    /// Returns everything that is wrong with the configuration as a whole.
+    pub fn complaints(&self) -> Vec<Complaint> {
+        check::fleet(self)
+    }
+}
--- /dev/null
+++ b/crates/domain/src/length.rs
@@ -0,0 +1,69 @@
+//! Prompt lengths and the classes in which they are reported.
+
+use std::fmt;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Characters of English or Romanian text that make up one token, as the engines count them.
+pub const BYTES_PER_TOKEN: u64 = 4;
+
+/// The class of a prompt by its length in tokens.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(rename_all = "snake_case")]
+pub enum Length {
+    /// Up to 4,000 tokens: a thread of the forum, a rider's message.
+    #[default]
+    Short,
+    /// Up to 32,000 tokens: a route review, a tank journal.
+    Medium,
+    /// Up to 200,000 tokens: a year of journals.
+    Long,
+    /// Above 200,000 tokens: an archived care guide, up to a million tokens.
+    Huge,
+}
+
+impl Length {
+    /// Every class, the shortest first.
+    pub const ALL: [Self; 4] = [Self::Short, Self::Medium, Self::Long, Self::Huge];
+
+    /// The longest prompt of the short class, in tokens.
+    pub const SHORT_LIMIT: u64 = 4_000;
+    /// The longest prompt of the medium class, in tokens.
+    pub const MEDIUM_LIMIT: u64 = 32_000;
+    /// The longest prompt of the long class, in tokens.
+    pub const LONG_LIMIT: u64 = 200_000;
+
+    /// Returns the class of a prompt of `tokens` tokens.
+    pub fn of(tokens: u64) -> Self {
+        match tokens {
+            0..=Self::SHORT_LIMIT => Self::Short,
+            0..=Self::MEDIUM_LIMIT => Self::Medium,
+            0..=Self::LONG_LIMIT => Self::Long,
+            _ => Self::Huge,
+        }
+    }
+
+    /// Returns the name that reports and metrics use.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Short => "short",
+            Self::Medium => "medium",
+            Self::Long => "long",
+            Self::Huge => "huge",
+        }
+    }
+}
+
+impl fmt::Display for Length {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.pad(self.name())
+    }
+}
+
+/// Returns the number of tokens in a prompt of `bytes` bytes, rounded up.
+pub fn tokens(bytes: usize) -> u64 {
+    (bytes as u64).div_ceil(BYTES_PER_TOKEN)
+}
--- /dev/null
+++ b/crates/domain/src/lib.rs
@@ -0,0 +1,21 @@
+//! The things that the whole project talks about: firms, contracts, backend servers, requests and
+//! the ways in which they end.
+//!
+//! Architecture invariant: this crate does no I/O and never reads a clock. The present time is an
+//! argument of every function that needs it.
+
+pub mod contract;
+pub mod digest;
+pub mod failure;
+pub mod fleet;
+pub mod key;
+pub mod length;
+pub mod moment;
+pub mod rendezvous;
+
+pub use contract::Contract;
+pub use failure::Failure;
+pub use fleet::Fleet;
+pub use key::Key;
+pub use length::Length;
+pub use moment::Moment;
--- /dev/null
+++ b/crates/domain/src/moment.rs
@@ -0,0 +1,46 @@
+//! Time as the deciding functions see it: microseconds on one process's monotonic clock.
+//!
+//! A moment means nothing to another process. What travels is the time remaining.
+
+use std::ops::Add;
+use std::time::Duration;
+
+/// A point on the monotonic clock of the process that made it, in microseconds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Moment(u64);
+
+impl Moment {
+    /// Returns the moment that lies `micros` microseconds after the clock's origin.
+    pub const fn from_micros(micros: u64) -> Self {
+        Self(micros)
+    }
+
+    /// Returns the moment that lies `millis` milliseconds after the clock's origin.
+    pub const fn from_millis(millis: u64) -> Self {
+        Self(millis * 1_000)
+    }
+
+    /// Returns the microseconds since the clock's origin.
+    pub const fn as_micros(self) -> u64 {
+        self.0
+    }
+
+    /// Returns the time from `earlier` to this moment, or zero if `earlier` is the later one.
+    pub fn since(self, earlier: Self) -> Duration {
+        Duration::from_micros(self.0.saturating_sub(earlier.0))
+    }
+
+    /// Returns the time left until `deadline`, or zero once it has passed.
+    pub fn until(self, deadline: Self) -> Duration {
+        deadline.since(self)
+    }
+}
+
+impl Add<Duration> for Moment {
+    type Output = Self;
+
+    fn add(self, duration: Duration) -> Self {
+        let micros = u64::try_from(duration.as_micros()).unwrap_or(u64::MAX);
+        Self(self.0.saturating_add(micros))
+    }
+}
--- /dev/null
+++ b/crates/entry/src/dispatch.rs
@@ -0,0 +1,110 @@
+//! Dispatch: hands the router's decisions to the requests that wait for them.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_channel::Receiver;
+use async_io::Timer;
+use routing::Job;
+use routing::job;
+use routing::router::End;
+use routing::router::Placement;
+use routing::router::Refusal;
+
+use crate::clock;
+use crate::node::Node;
+
+/// How often waiting requests are looked at while nothing else happens.
+const TICK: Duration = Duration::from_millis(2);
+
+/// A decision about a request that waits.
+#[derive(Clone, Debug)]
+pub enum Notice {
+    /// An engine has room.
+    Placed(Box<Placement>),
+    /// The deadline passed first.
+    Expired,
+}
+
+/// A request that waits for an engine. Dropping it withdraws the request.
+pub struct Waiting {
+    node: Rc<Node>,
+    id: job::Id,
+    receiver: Receiver<Notice>,
+}
+
+impl Waiting {
+    /// Admits a new request.
+    pub fn admit(node: &Rc<Node>, job: Job) -> Result<Self, Refusal> {
+        let waiting = Self::new(node, job.id);
+        let admitted = node.core.borrow_mut().router.admit(clock::now(), job);
+        admitted?;
+        pump(node);
+        Ok(waiting)
+    }
+
+    /// Puts a request back after a failed attempt.
+    pub fn requeue(node: &Rc<Node>, job: Job) -> Self {
+        let waiting = Self::new(node, job.id);
+        node.core.borrow_mut().router.requeue(job);
+        pump(node);
+        waiting
+    }
+
+    /// Waits for the decision.
+    pub async fn decision(&self) -> Notice {
+        self.receiver.recv().await.unwrap_or(Notice::Expired)
+    }
+
+    fn new(node: &Rc<Node>, id: job::Id) -> Self {
+        let (sender, receiver) = async_channel::bounded(1);
+        node.core.borrow_mut().waiting.insert(id, sender);
+        Self {
+            node: node.clone(),
+            id,
+            receiver,
+        }
+    }
+}
+
+impl Drop for Waiting {
+    fn drop(&mut self) {
+        let mut core = self.node.core.borrow_mut();
+        core.waiting.remove(&self.id);
+        core.router.withdraw(self.id);
+        if let Ok(Notice::Placed(placement)) = self.receiver.try_recv() {
+            core.router.ended(clock::now(), &placement, End::Neutral);
+        }
+    }
+}
+
+/// Hands out decisions until there are none.
+pub fn pump(node: &Node) {
+    let now = clock::now();
+    let mut core = node.core.borrow_mut();
+    while let Some(job) = core.router.expire(now) {
+        if let Some(sender) = core.waiting.remove(&job.id) {
+            let _ = sender.try_send(Notice::Expired);
+        }
+    }
+    while let Some(placement) = core.router.next(now) {
+        let sender = core.waiting.remove(&placement.job.id);
+        let notice = Notice::Placed(Box::new(placement.clone()));
+        let is_taken = sender.is_some_and(|it| it.try_send(notice).is_ok());
+        if !is_taken {
+            core.router.ended(now, &placement, End::Neutral);
+        }
+    }
+    node.metrics.waiting.set(core.router.waiting() as i64);
+}
+
+/// Looks at the waiting requests again and again: room appears as time passes.
+pub async fn tick(node: Rc<Node>) {
+    loop {
+        Timer::after(TICK).await;
+        let is_waiting = node.core.borrow().router.waiting() > 0;
+        if is_waiting {
+            pump(&node);
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/operators.rs
@@ -0,0 +1,43 @@
+//! The interface for operators: metrics, health, explanations.
+
+use std::rc::Rc;
+
+use web::Exchange;
+use web::Method;
+use web::Reply;
+
+use crate::node::Node;
+use crate::trail;
+
+/// Handles one request of an operator.
+pub async fn handle(node: Rc<Node>, exchange: Exchange) -> Reply {
+    let path = exchange.path().to_owned();
+    match (
+        exchange.method(),
+        path.split('/').skip(1).collect::<Vec<_>>().as_slice(),
+    ) {
+        (Method::Get, ["metrics"]) => {
+            let kind = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+            Reply::bytes(200, kind, node.metrics.encode())
+        }
+        (Method::Get, ["healthz"]) => Reply::text("ok\n"),
+        (Method::Get, ["readyz"]) if node.is_ready() => Reply::text("ready\n"),
+        (Method::Get, ["readyz"]) => Reply::text("not ready\n").with_status(503),
+        (Method::Post, ["drain"]) => {
+            node.core.borrow_mut().is_stopping = true;
+            Reply::json(&serde_json::json!({}))
+        }
+        (Method::Get, ["config"]) => Reply::json(&node.core.borrow().fold),
+        (Method::Get, ["explain", id]) => explain(&node, id),
+        _ => Reply::text("not found\n").with_status(404),
+    }
+}
+
+fn explain(node: &Node, id: &str) -> Reply {
+    let core = node.core.borrow();
+    let id = trail::Id::parse(id).filter(|it| it.owner == node.incarnation);
+    match id.and_then(|it| core.trails.get(it.number)) {
+        Some(trail) => Reply::json(trail),
+        None => Reply::text("this instance has no trail of that request\n").with_status(404),
+    }
+}
--- /dev/null
+++ b/crates/entry/src/request.rs
@@ -0,0 +1,98 @@
+//! What every request has in common: its contract, its time limit and its idempotency key.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use domain::Contract;
+use domain::Failure;
+use domain::Key;
+use domain::Moment;
+use domain::digest;
+use domain::failure::Kind;
+use web::Exchange;
+
+use crate::clock;
+use crate::node::Node;
+
+/// Bytes that a body may have beyond the longest prompt.
+const BODY_ALLOWANCE: u64 = 64 * 1024;
+/// Bytes of JSON that one byte of a prompt may take when it is escaped.
+const ESCAPE_FACTOR: u64 = 2;
+
+/// What the head of a request says.
+#[derive(Clone, Debug)]
+pub struct Head {
+    /// The contract of the customer who sends it.
+    pub contract: Rc<Contract>,
+    /// When the request has to be finished.
+    pub deadline: Moment,
+    /// Marks the request as non-idempotent.
+    pub key: Option<Key>,
+}
+
+impl Head {
+    /// Reads the head of a request that arrived at `now`.
+    pub fn read(node: &Node, exchange: &Exchange, now: Moment) -> Result<Self, Failure> {
+        let contract = contract(node, exchange)?;
+        let limit = time_limit(exchange, &contract)?;
+        let key = exchange
+            .header("Idempotency-Key")
+            .map(Key::parse)
+            .transpose();
+        let key = key.map_err(|error| {
+            Failure::refused(Kind::Malformed, format!("Idempotency-Key {error}"))
+        })?;
+        Ok(Self {
+            contract,
+            deadline: now + limit,
+            key,
+        })
+    }
+
+    /// Returns the longest body that the contract allows, in bytes.
+    pub fn body_limit(&self) -> u64 {
+        let prompt = self.contract.longest_prompt_tokens * domain::length::BYTES_PER_TOKEN;
+        prompt * ESCAPE_FACTOR + BODY_ALLOWANCE
+    }
+}
+
+/// Returns the contract that the caller's bearer key selects.
+pub fn contract(node: &Node, exchange: &Exchange) -> Result<Rc<Contract>, Failure> {
+    let header = exchange.header("Authorization").ok_or_else(|| {
+        let message = "the Authorization header is missing: send `Authorization: Bearer KEY`";
+        Failure::refused(Kind::KeyMissing, message)
+    })?;
+    let secret = header.strip_prefix("Bearer ").ok_or_else(|| {
+        let message = "the Authorization header has another scheme: send `Bearer KEY`";
+        Failure::refused(Kind::KeyMissing, message)
+    })?;
+    let hash = digest::secret(secret.trim());
+    let core = node.core.borrow();
+    let contract = core.view.contract_by_key_hash(&hash).ok_or_else(|| {
+        let message = "the bearer key belongs to no contract: ask your firm for a valid key";
+        Failure::refused(Kind::KeyUnknown, message)
+    })?;
+    if !contract.is_valid(clock::since_epoch()) {
+        let message = "the contract is not valid at this time: ask your firm to renew it";
+        return Err(Failure::refused(Kind::ContractExpired, message));
+    }
+    Ok(contract.clone())
+}
+
+fn time_limit(exchange: &Exchange, contract: &Contract) -> Result<Duration, Failure> {
+    let Some(text) = exchange.header("Request-Timeout") else {
+        return Ok(contract.time_limit());
+    };
+    let seconds = text
+        .trim()
+        .parse::<f64>()
+        .ok()
+        .filter(|it| it.is_finite() && *it > 0.0);
+    let seconds = seconds.ok_or_else(|| {
+        let message = "Request-Timeout is no positive number of seconds: correct or remove it";
+        Failure::refused(Kind::Malformed, message)
+    })?;
+    Ok(contract
+        .time_limit()
+        .min(Duration::from_secs_f64(seconds.min(1e9))))
+}
--- /dev/null
+++ b/crates/fakes/src/engine.rs
@@ -0,0 +1,377 @@
+//! A model engine: continuous batching, bounded KV memory, a prefix cache, load reports that lag,
+//! and faults on command.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use anyhow::Result;
+use async_executor::LocalExecutor;
+use async_io::Timer;
+use domain::Moment;
+use domain::digest;
+use domain::key::Incarnation;
+use domain::length;
+use serde::Deserialize;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use web::Exchange;
+use web::Method;
+use web::Reply;
+use web::server::Switch;
+
+use crate::clock;
+
+pub mod batch;
+pub mod cache;
+pub mod memory;
+pub mod order;
+
+use batch::Batch;
+use batch::Stream;
+use memory::Hold;
+use memory::Memory;
+use order::Order;
+use order::Orders;
+
+/// The longest body: a prompt of more than a million tokens.
+const BODY_LIMIT: u64 = 16 * 1024 * 1024;
+/// The time between two steps of the batch.
+const STEP: Duration = Duration::from_millis(1);
+
+/// Options of a model engine.
+#[derive(Clone, Debug, clap::Args)]
+pub struct Options {
+    /// KV memory, in tokens.
+    #[arg(long, default_value_t = 400_000)]
+    pub memory_tokens: u64,
+    /// How much faster than one accelerator the engine works.
+    #[arg(long, default_value_t = 1.0)]
+    pub speed: f64,
+    /// The time between two tokens of a stream, in microseconds.
+    #[arg(long, default_value_t = 20_000)]
+    pub token_us: u64,
+    /// How far load reports lag behind, in milliseconds.
+    #[arg(long, default_value_t = 100)]
+    pub report_lag_ms: u64,
+    /// Refuse orders with an old fencing number.
+    #[arg(long)]
+    pub checks_fencing: bool,
+}
+
+/// Faults on command.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Faults {
+    /// Ends the process at once.
+    pub crash: bool,
+    /// Does nothing for this long, in milliseconds.
+    pub freeze_ms: u64,
+    /// Works so many times slower; zero means as usual.
+    pub slow: f64,
+    /// Refuses new work, as before a planned stop.
+    pub leaving: bool,
+    /// Ends the process when it starts a prompt that contains this text.
+    pub crash_on: String,
+    /// Sends chunks twice and out of order.
+    pub shuffle: bool,
+    /// Leaves out every chunk whose index is a multiple of this number, once.
+    pub drop_every: u64,
+}
+
+/// A request for an answer.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Generate {
+    /// The request's number, unique with the owner.
+    pub request: u64,
+    /// The attempt.
+    pub attempt: u32,
+    /// The entry that asks.
+    pub owner: Incarnation,
+    /// The prompt.
+    pub prompt: String,
+    /// The index of the first token wanted.
+    #[serde(default)]
+    pub offset: u64,
+    /// The number of tokens in the whole answer.
+    pub answer_tokens: u64,
+    /// Higher goes first.
+    #[serde(default)]
+    pub priority: u8,
+    /// The time left, in milliseconds.
+    pub time_left_ms: u64,
+    /// KV memory that other engines lend, in tokens.
+    #[serde(default)]
+    pub lent_tokens: u64,
+    /// The number of engines that lend memory and time.
+    #[serde(default)]
+    pub lenders: u32,
+}
+
+/// Names one attempt.
+#[derive(Clone, Copy, Debug, Deserialize)]
+pub struct Attempt {
+    /// The request's number.
+    pub request: u64,
+    /// The attempt.
+    pub attempt: u32,
+    /// The entry that asked.
+    pub owner: Incarnation,
+}
+
+/// A request to set memory aside.
+#[derive(Clone, Copy, Debug, Deserialize)]
+pub struct Reserve {
+    /// The request's number.
+    pub request: u64,
+    /// The attempt.
+    pub attempt: u32,
+    /// The entry that asks.
+    pub owner: Incarnation,
+    /// How much, in tokens.
+    pub tokens: u64,
+    /// The time after which nobody needs it, in milliseconds.
+    pub time_left_ms: u64,
+}
+
+/// The load that an engine reports.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Report {
+    /// Drawn at random when the engine started.
+    pub incarnation: u64,
+    /// The age of this report, in milliseconds.
+    pub age_ms: u64,
+    /// Prefill work that waits, by priority from the highest, in microseconds of engine time.
+    pub backlog_us: Vec<u64>,
+    /// Streams in progress.
+    pub running: u32,
+    /// KV memory in use, in tokens.
+    pub memory_used: u64,
+    /// All KV memory, in tokens.
+    pub memory_tokens: u64,
+    /// Whether new work is refused.
+    pub is_leaving: bool,
+}
+
+struct State {
+    options: Options,
+    incarnation: u64,
+    batch: Batch,
+    memory: Memory,
+    orders: Orders,
+    faults: Faults,
+    frozen_until: Moment,
+    reports: Vec<(Moment, Report)>,
+}
+
+type Shared = Rc<RefCell<State>>;
+
+/// Runs an engine until the process ends.
+pub fn run(listen: SocketAddr, options: Options) -> Result<()> {
+    let executor = Rc::new(LocalExecutor::new());
+    let (listener, address) = web::server::bind(listen)?;
+    println!("listening {address}");
+    let state = Rc::new(RefCell::new(State {
+        batch: Batch::new(options.speed, Duration::from_micros(options.token_us)),
+        memory: Memory::new(options.memory_tokens),
+        orders: Orders::new(options.checks_fencing),
+        faults: Faults::default(),
+        frozen_until: Moment::default(),
+        reports: Vec::new(),
+        incarnation: rand::random(),
+        options,
+    }));
+    executor.spawn(work(state.clone())).detach();
+    let handler = move |exchange| handle(state.clone(), exchange);
+    let server = web::server::serve(executor.clone(), listener, Switch::default(), handler);
+    async_io::block_on(executor.run(server));
+    Ok(())
+}
+
+async fn work(state: Shared) {
+    loop {
+        Timer::after(STEP).await;
+        let now = clock::now();
+        let mut state = state.borrow_mut();
+        let state = &mut *state;
+        if now < state.frozen_until {
+            state.batch.skip(now);
+            continue;
+        }
+        for finished in state.batch.step(now, &state.faults) {
+            state.memory.release(finished);
+        }
+        state.report(now);
+    }
+}
+
+impl State {
+    fn report(&mut self, now: Moment) {
+        let report = Report {
+            incarnation: self.incarnation,
+            age_ms: 0,
+            backlog_us: self.batch.backlog(),
+            running: self.batch.len() as u32,
+            memory_used: self.memory.used(),
+            memory_tokens: self.options.memory_tokens,
+            is_leaving: self.faults.leaving,
+        };
+        self.reports.push((now, report));
+        let lag = Duration::from_millis(self.options.report_lag_ms);
+        let old = self
+            .reports
+            .iter()
+            .take_while(|(at, _)| now.since(*at) >= lag)
+            .count();
+        self.reports.drain(..old.saturating_sub(1));
+    }
+}
+
+async fn handle(state: Shared, mut exchange: Exchange) -> Reply {
+    while clock::now() < state.borrow().frozen_until {
+        Timer::after(STEP).await;
+    }
+    let path = exchange.path().to_owned();
+    match (exchange.method(), path.as_str()) {
+        (Method::Post, "/generate") => generate(&state, exchange).await,
+        (Method::Post, "/cancel") => {
+            with(&mut exchange, |it: Attempt| {
+                let mut state = state.borrow_mut();
+                state.batch.cancel(it.owner, it.request, it.attempt);
+                state
+                    .memory
+                    .release_attempt(it.owner, it.request, it.attempt);
+                Reply::json(&serde_json::json!({}))
+            })
+            .await
+        }
+        (Method::Post, "/reserve") => {
+            with(&mut exchange, |it: Reserve| {
+                let mut state = state.borrow_mut();
+                if state.faults.leaving {
+                    return leaving();
+                }
+                let hold = Hold {
+                    owner: it.owner,
+                    request: it.request,
+                    attempt: it.attempt,
+                    tokens: it.tokens,
+                    deadline: clock::now() + Duration::from_millis(it.time_left_ms),
+                };
+                match state.memory.hold(hold) {
+                    Some(_) => Reply::json(&serde_json::json!({})),
+                    None => no_memory(),
+                }
+            })
+            .await
+        }
+        (Method::Get, "/holds") => Reply::json(&state.borrow().memory.list(clock::now())),
+        (Method::Get, "/events") => {
+            let from = exchange.query_number("from", 0);
+            Reply::json(&state.borrow().batch.cache().events(clock::now(), from))
+        }
+        (Method::Get, "/load") => {
+            let state = state.borrow();
+            let Some((at, report)) = state.reports.first() else {
+                return Reply::json(&Report::default());
+            };
+            let age_ms = clock::now().since(*at).as_millis() as u64;
+            Reply::json(&Report {
+                age_ms,
+                ..report.clone()
+            })
+        }
+        (Method::Get, "/orders") => Reply::json(&state.borrow().orders),
+        (Method::Post, "/orders") => {
+            with(&mut exchange, |it: Order| {
+                match state.borrow_mut().orders.take(it) {
+                    Ok(()) => Reply::json(&serde_json::json!({})),
+                    Err(message) => Reply::text(message).with_status(409),
+                }
+            })
+            .await
+        }
+        (Method::Post, "/faults") => {
+            with(&mut exchange, |it: Faults| {
+                if it.crash {
+                    std::process::exit(1);
+                }
+                let mut state = state.borrow_mut();
+                state.frozen_until = clock::now() + Duration::from_millis(it.freeze_ms);
+                state.faults = it;
+                Reply::text("")
+            })
+            .await
+        }
+        _ => Reply::text("not found").with_status(404),
+    }
+}
+
+async fn with<T: DeserializeOwned>(
+    exchange: &mut Exchange,
+    answer: impl FnOnce(T) -> Reply,
+) -> Reply {
+    match exchange.json(BODY_LIMIT).await {
+        Ok(value) => answer(value),
+        Err(failure) => failure.into(),
+    }
+}
+
+async fn generate(state: &Shared, mut exchange: Exchange) -> Reply {
+    let generate: Generate = match exchange.json(BODY_LIMIT).await {
+        Ok(generate) => generate,
+        Err(failure) => return failure.into(),
+    };
+    let now = clock::now();
+    let mut state = state.borrow_mut();
+    let state = &mut *state;
+    if state.faults.leaving {
+        return leaving();
+    }
+    if !state.faults.crash_on.is_empty() && generate.prompt.contains(&state.faults.crash_on) {
+        std::process::exit(1);
+    }
+    let prompt_tokens = length::tokens(generate.prompt.len());
+    let needed = prompt_tokens + generate.answer_tokens;
+    let deadline = now + Duration::from_millis(generate.time_left_ms);
+    let hold = Hold {
+        owner: generate.owner,
+        request: generate.request,
+        attempt: generate.attempt,
+        tokens: needed.saturating_sub(generate.lent_tokens),
+        deadline,
+    };
+    let Some(hold) = state.memory.hold(hold) else {
+        return no_memory();
+    };
+    let (writer, body) = web::body::channel();
+    state.batch.add(
+        now,
+        Stream {
+            owner: generate.owner,
+            request: generate.request,
+            attempt: generate.attempt,
+            prompt: digest::fast(generate.prompt.as_bytes()),
+            prefixes: cache::prefixes(&generate.prompt),
+            prompt_tokens,
+            priority: generate.priority,
+            lenders: generate.lenders,
+            next: generate.offset,
+            answer_tokens: generate.answer_tokens,
+            hold,
+            writer,
+        },
+    );
+    Reply::stream("application/x-ndjson", body)
+}
+
+fn leaving() -> Reply {
+    Reply::text("leaving")
+        .with_status(503)
+        .with_header("Coriander-Leaving", "yes")
+}
+
+fn no_memory() -> Reply {
+    Reply::text("no memory").with_status(409)
+}
--- /dev/null
+++ b/crates/fakes/src/platform.rs
@@ -0,0 +1,175 @@
+//! The platform: a log, a list of instances and a weight store, with faults on command.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use anyhow::Result;
+use async_executor::LocalExecutor;
+use async_io::Timer;
+use domain::Failure;
+use domain::failure::Kind;
+use platform::Batch;
+use serde::Deserialize;
+use web::Exchange;
+use web::Method;
+use web::Reply;
+use web::server::Switch;
+
+use crate::clock;
+
+pub mod list;
+pub mod log;
+
+use list::List;
+use log::Log;
+
+/// The longest record, in bytes.
+const RECORD_LIMIT: u64 = 1024 * 1024;
+/// How often a waiting read looks again.
+const POLL: Duration = Duration::from_millis(2);
+
+/// Options of the platform.
+#[derive(Clone, Debug, clap::Args)]
+pub struct Options {
+    /// How long the log keeps records, in milliseconds.
+    #[arg(long, default_value_t = 86_400_000)]
+    pub retention_ms: u64,
+    /// How many appends a second the log takes.
+    #[arg(long, default_value_t = 300)]
+    pub appends_per_second: u32,
+    /// How far the list of instances lags behind, in milliseconds.
+    #[arg(long, default_value_t = 1_000)]
+    pub list_lag_ms: u64,
+    /// How many loads a second the weight store serves.
+    #[arg(long, default_value_t = 5)]
+    pub weights_per_second: u32,
+}
+
+/// Faults, each for the time or number that it names.
+#[derive(Clone, Copy, Debug, Default, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Faults {
+    /// The log and the list fail for this long, in milliseconds.
+    pub outage_ms: u64,
+    /// Each call to the log takes this much longer, in milliseconds.
+    pub delay_ms: u64,
+    /// So many appends take effect without an answer.
+    pub lose_answers: u32,
+}
+
+struct State {
+    log: Log,
+    list: List,
+    weights: log::Rate,
+    faults: Faults,
+    outage_until: domain::Moment,
+}
+
+type Shared = Rc<RefCell<State>>;
+
+/// Runs the platform until the process ends.
+pub fn run(listen: SocketAddr, options: Options) -> Result<()> {
+    let executor = Rc::new(LocalExecutor::new());
+    let (listener, address) = web::server::bind(listen)?;
+    println!("listening {address}");
+    let state = Rc::new(RefCell::new(State {
+        log: Log::new(
+            Duration::from_millis(options.retention_ms),
+            options.appends_per_second,
+        ),
+        list: List::new(Duration::from_millis(options.list_lag_ms)),
+        weights: log::Rate::new(options.weights_per_second),
+        faults: Faults::default(),
+        outage_until: domain::Moment::default(),
+    }));
+    let handler = move |exchange| handle(state.clone(), exchange);
+    let server = web::server::serve(executor.clone(), listener, Switch::default(), handler);
+    async_io::block_on(executor.run(server));
+    Ok(())
+}
+
+async fn handle(state: Shared, mut exchange: Exchange) -> Reply {
+    let path = exchange.path().to_owned();
+    match (
+        exchange.method(),
+        path.split('/').collect::<Vec<_>>().as_slice(),
+    ) {
+        (Method::Post, ["", "faults"]) => match exchange.json::<Faults>(RECORD_LIMIT).await {
+            Ok(faults) => {
+                let mut state = state.borrow_mut();
+                state.outage_until = clock::now() + Duration::from_millis(faults.outage_ms);
+                state.faults = faults;
+                Reply::text("")
+            }
+            Err(failure) => failure.into(),
+        },
+        (Method::Post, ["", "instances"]) => match exchange.json(RECORD_LIMIT).await {
+            Ok(instances) => {
+                state.borrow_mut().list.replace(clock::now(), instances);
+                Reply::text("")
+            }
+            Err(failure) => failure.into(),
+        },
+        _ if clock::now() < state.borrow().outage_until => unavailable("an outage"),
+        (Method::Get, ["", "instances"]) => Reply::json(&state.borrow().list.visible(clock::now())),
+        (Method::Post, ["", "log", stream]) => append(&state, stream, exchange).await,
+        (Method::Get, ["", "log", stream]) => read(&state, stream, &exchange).await,
+        (Method::Get, ["", "weights", _]) => {
+            if state.borrow_mut().weights.take(clock::now()) {
+                Reply::text("weights")
+            } else {
+                Reply::text("slow down").with_status(429)
+            }
+        }
+        _ => Reply::text("not found").with_status(404),
+    }
+}
+
+async fn append(state: &Shared, stream: &str, mut exchange: Exchange) -> Reply {
+    let delay = Duration::from_millis(state.borrow().faults.delay_ms);
+    Timer::after(delay).await;
+    let data = match exchange.body(RECORD_LIMIT).await {
+        Ok(data) => String::from_utf8_lossy(&data).into_owned(),
+        Err(failure) => return failure.into(),
+    };
+    let mut state = state.borrow_mut();
+    let appended = state
+        .log
+        .append(clock::now(), clock::since_epoch(), stream, data);
+    let Some(appended) = appended else {
+        return Reply::text("too many appends: slow down").with_status(429);
+    };
+    if state.faults.lose_answers > 0 {
+        state.faults.lose_answers -= 1;
+        return unavailable("a lost answer");
+    }
+    Reply::json(&appended)
+}
+
+async fn read(state: &Shared, stream: &str, exchange: &Exchange) -> Reply {
+    let from = exchange.query_number("from", 0);
+    let wait = Duration::from_millis(exchange.query_number("wait_ms", 0));
+    let delay = Duration::from_millis(state.borrow().faults.delay_ms);
+    Timer::after(delay).await;
+    let end = clock::now() + wait;
+    loop {
+        if clock::now() < state.borrow().outage_until {
+            return unavailable("an outage");
+        }
+        let batch: Batch = state
+            .borrow_mut()
+            .log
+            .read(clock::since_epoch(), stream, from);
+        if !batch.records.is_empty() || batch.head < from || clock::now() >= end {
+            return Reply::json(&batch);
+        }
+        Timer::after(POLL).await;
+    }
+}
+
+fn unavailable(reason: &str) -> Reply {
+    let message = format!("the platform has {reason}: come back later");
+    Failure::refused(Kind::LogUnavailable, message).into()
+}
--- /dev/null
+++ b/crates/harness/src/process.rs
@@ -0,0 +1,111 @@
+//! One process, ended when it is dropped.
+
+use std::io::BufRead;
+use std::io::BufReader;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::ExitStatus;
+use std::process::Output;
+use std::process::Stdio;
+use std::time::Duration;
+use std::time::Instant;
+
+use anyhow::Context;
+use anyhow::Result;
+use anyhow::bail;
+
+/// A running program that has printed its addresses.
+#[derive(Debug)]
+pub struct Process {
+    child: Child,
+    /// The first line that it printed.
+    pub greeting: String,
+}
+
+impl Process {
+    /// Starts a program of the project and waits for the line with its addresses.
+    pub fn start(program: &str, arguments: &[&str]) -> Result<Self> {
+        let mut child = command(program)?
+            .args(arguments)
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .spawn()
+            .with_context(|| format!("{program} can't be started: run `cargo build` first"))?;
+        let stdout = child.stdout.take().context("no standard output")?;
+        let mut greeting = String::new();
+        BufReader::new(stdout).read_line(&mut greeting)?;
+        if !greeting.starts_with("listening") {
+            let _ = child.kill();
+            bail!("{program} did not start: {greeting:?}");
+        }
+        Ok(Self {
+            child,
+            greeting: greeting.trim().to_owned(),
+        })
+    }
+
+    /// Returns the process's number.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Sends a signal, for example `STOP`.
+    pub fn signal(&self, signal: &str) -> Result<()> {
+        let id = self.child.id().to_string();
+        let status = Command::new("kill")
+            .args([&format!("-{signal}"), &id])
+            .status()?;
+        anyhow::ensure!(status.success(), "signal {signal} to {id} failed");
+        Ok(())
+    }
+
+    /// Ends the process at once, without warning.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Tells whether the process has ended.
+    pub fn has_ended(&mut self) -> bool {
+        self.child.try_wait().is_ok_and(|it| it.is_some())
+    }
+
+    /// Waits for the process to end.
+    pub fn wait(&mut self, limit: Duration) -> Result<ExitStatus> {
+        let start = Instant::now();
+        loop {
+            if let Some(status) = self.child.try_wait()? {
+                return Ok(status);
+            }
+            if start.elapsed() > limit {
+                bail!("the process did not end within {limit:?}");
+            }
+            std::thread::sleep(Duration::from_millis(5));
+        }
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// Runs a program of the project to its end.
+pub fn output(program: &str, arguments: &[&str]) -> Result<Output> {
+    Ok(command(program)?
+        .args(arguments)
+        .stdin(Stdio::null())
+        .output()?)
+}
+
+/// Returns the command of a program that the same build has made.
+fn command(program: &str) -> Result<Command> {
+    let mut folder: PathBuf = std::env::current_exe()?;
+    folder.pop();
+    if folder.ends_with("deps") {
+        folder.pop();
+    }
+    Ok(Command::new(folder.join(program)))
+}
--- /dev/null
+++ b/crates/routing/src/lib.rs
@@ -0,0 +1,25 @@
+//! Routing: which request goes next, and to which engine.
+//!
+//! Requests wait in fair queues, one lane for each model and length class, and leave them when an
+//! engine is estimated to have room. Costs are estimated engine time, never a count of requests.
+//! [`Router`] ties the pieces together; the baselines of [`Policy`] skip them, for comparison.
+//!
+//! Architecture invariant: this crate does no I/O and never reads a clock. Random numbers come from
+//! a generator that the caller seeds.
+
+pub mod curve;
+pub mod engine;
+pub mod health;
+pub mod job;
+pub mod pool;
+pub mod quarantine;
+pub mod queue;
+pub mod router;
+pub mod share;
+
+pub use curve::Curve;
+pub use engine::Engine;
+pub use job::Job;
+pub use quarantine::Quarantine;
+pub use router::Policy;
+pub use router::Router;
--- /dev/null
+++ b/crates/routing/src/queue.rs
@@ -0,0 +1,192 @@
+//! Fair queues: two levels, firms and their customers, by start-time fair queueing.
+//!
+//! Each level advances a virtual time by cost over share. Whoever has used the least goes next, and
+//! whoever comes back after a pause starts at the present virtual time, so that a pause saves up no
+//! claim.
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+
+use domain::Moment;
+
+use crate::job;
+use crate::job::Job;
+
+/// Jobs of one lane in fair order.
+#[derive(Clone, Debug, Default)]
+pub struct Queue {
+    firms: BTreeMap<String, Firm>,
+    clock: f64,
+    len: usize,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Firm {
+    used: f64,
+    clock: f64,
+    customers: BTreeMap<String, Customer>,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Customer {
+    used: f64,
+    jobs: VecDeque<Waiting>,
+}
+
+#[derive(Clone, Debug)]
+struct Waiting {
+    job: Job,
+    /// Engine time in microseconds.
+    cost: f64,
+}
+
+impl Queue {
+    /// Adds a job that costs `cost_micros` of engine time.
+    pub fn push(&mut self, job: Job, cost_micros: u64) {
+        let clock = self.clock;
+        let firm = self.firms.entry(job.tenant.firm.clone()).or_default();
+        if firm.is_idle() {
+            firm.used = firm.used.max(clock);
+        }
+        let firm_clock = firm.clock;
+        let customer = firm
+            .customers
+            .entry(job.tenant.customer.clone())
+            .or_default();
+        if customer.jobs.is_empty() {
+            customer.used = customer.used.max(firm_clock);
+        }
+        // Even a free job counts, so that no customer goes first for ever.
+        customer.jobs.push_back(Waiting {
+            job,
+            cost: cost_micros.max(1) as f64,
+        });
+        self.len += 1;
+    }
+
+    /// Returns the job that goes next.
+    pub fn peek(&self) -> Option<&Job> {
+        let (_, firm) = self.next_firm()?;
+        let (_, customer) = firm.next_customer()?;
+        customer.jobs.front().map(|it| &it.job)
+    }
+
+    /// Takes the job that goes next.
+    pub fn pop(&mut self) -> Option<Job> {
+        let name = self.next_firm()?.0.clone();
+        let firm = self.firms.get_mut(&name)?;
+        let customer_name = firm.next_customer()?.0.clone();
+        let customer = firm.customers.get_mut(&customer_name)?;
+        let Waiting { job, cost } = customer.jobs.pop_front()?;
+        self.len -= 1;
+        firm.clock = customer.used;
+        customer.used += cost / job.tenant.customer_share.max(1) as f64;
+        self.clock = firm.used;
+        firm.used += cost / job.tenant.firm_share.max(1) as f64;
+        self.forget_idle();
+        Some(job)
+    }
+
+    /// Removes a job, for example because its caller has left.
+    pub fn remove(&mut self, id: job::Id) -> Option<Job> {
+        self.take_first(|it| it.id == id)
+    }
+
+    /// Removes a job whose deadline has passed.
+    pub fn expire(&mut self, now: Moment) -> Option<Job> {
+        self.take_first(|it| it.deadline <= now)
+    }
+
+    /// Returns the number of jobs.
+    pub fn len(&self) -> usize {
+        self.len
+    }
+
+    /// Tells whether there are no jobs.
+    pub fn is_empty(&self) -> bool {
+        self.len == 0
+    }
+
+    /// Returns the cost of all jobs that go before a new one of this tenant, in microseconds of
+    /// engine time, if each firm and customer is served by its share.
+    pub fn cost_ahead(&self, tenant: &job::Tenant) -> u64 {
+        let own_firm = self.firms.get(&tenant.firm);
+        let own = own_firm.map_or(0.0, |firm| {
+            let ahead = firm
+                .customers
+                .get(&tenant.customer)
+                .map_or(0.0, Customer::cost);
+            let others = firm
+                .customers
+                .iter()
+                .filter(|(name, _)| **name != tenant.customer);
+            let each = ahead.max(firm.mean_cost());
+            ahead + others.map(|(_, it)| it.cost().min(each)).sum::<f64>()
+        });
+        let each = own.max(own_firm.map_or(0.0, Firm::mean_cost));
+        let others = self.firms.iter().filter(|(name, _)| **name != tenant.firm);
+        let others: f64 = others.map(|(_, firm)| firm.cost().min(each)).sum();
+        (own + others) as u64
+    }
+
+    fn next_firm(&self) -> Option<(&String, &Firm)> {
+        let waiting = self.firms.iter().filter(|(_, firm)| !firm.is_idle());
+        waiting.min_by(|(_, a), (_, b)| a.used.total_cmp(&b.used))
+    }
+
+    fn take_first(&mut self, wanted: impl Fn(&Job) -> bool) -> Option<Job> {
+        let customers = self
+            .firms
+            .values_mut()
+            .flat_map(|firm| firm.customers.values_mut());
+        for customer in customers {
+            if let Some(index) = customer.jobs.iter().position(|it| wanted(&it.job)) {
+                self.len -= 1;
+                return customer.jobs.remove(index).map(|it| it.job);
+            }
+        }
+        None
+    }
+
+    /// Forgets customers and firms whose claim lies in the past anyway.
+    fn forget_idle(&mut self) {
+        for firm in self.firms.values_mut() {
+            let clock = firm.clock;
+            firm.customers
+                .retain(|_, it| !it.jobs.is_empty() || it.used > clock);
+        }
+        let clock = self.clock;
+        self.firms
+            .retain(|_, firm| !firm.is_idle() || firm.used > clock);
+    }
+}
+
+impl Firm {
+    fn is_idle(&self) -> bool {
+        self.customers.values().all(|it| it.jobs.is_empty())
+    }
+
+    fn next_customer(&self) -> Option<(&String, &Customer)> {
+        let waiting = self.customers.iter().filter(|(_, it)| !it.jobs.is_empty());
+        waiting.min_by(|(_, a), (_, b)| a.used.total_cmp(&b.used))
+    }
+
+    fn cost(&self) -> f64 {
+        self.customers.values().map(Customer::cost).sum()
+    }
+
+    fn mean_cost(&self) -> f64 {
+        let count: usize = self.customers.values().map(|it| it.jobs.len()).sum();
+        if count == 0 {
+            0.0
+        } else {
+            self.cost() / count as f64
+        }
+    }
+}
+
+impl Customer {
+    fn cost(&self) -> f64 {
+        self.jobs.iter().map(|it| it.cost).sum()
+    }
+}
--- /dev/null
+++ b/crates/settings/src/locate.rs
@@ -0,0 +1,42 @@
+//! Finds the line on which a value stands in a JSON text.
+
+use jsonc_parser::CollectOptions;
+use jsonc_parser::ParseOptions;
+use jsonc_parser::ast::Value;
+use jsonc_parser::common::Ranged;
+
+/// Returns the line, from one, of the value at `path`, for example `contracts[3].firm`. A path that
+/// leads nowhere gives the line of the last value on the way.
+pub(crate) fn line(text: &str, path: &str) -> usize {
+    let parsed =
+        jsonc_parser::parse_to_ast(text, &CollectOptions::default(), &ParseOptions::default());
+    let Ok(parsed) = parsed else { return 1 };
+    let Some(mut value) = parsed.value.as_ref() else {
+        return 1;
+    };
+    let mut start = value.start();
+    for step in path
+        .replace('[', ".")
+        .replace(']', "")
+        .split('.')
+        .filter(|it| !it.is_empty())
+    {
+        let next = match value {
+            Value::Object(object) => object.get(step).map(|property| {
+                start = property.start();
+                &property.value
+            }),
+            Value::Array(array) => step.parse().ok().and_then(|index: usize| {
+                let element = array.elements.get(index)?;
+                start = element.start();
+                Some(element)
+            }),
+            _ => None,
+        };
+        match next {
+            Some(next) => value = next,
+            None => break,
+        }
+    }
+    text[..start].matches('\n').count() + 1
+}
--- /dev/null
+++ b/crates/web/src/client.rs
@@ -0,0 +1,298 @@
+//! The client: requests with a time limit over pooled connections.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures_lite::AsyncBufReadExt;
+use futures_lite::AsyncReadExt;
+use http_types::Body;
+use http_types::Method;
+use http_types::Request;
+use http_types::Response;
+use http_types::Url;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::stream::Stream;
+use crate::stream::within;
+
+/// The number of idle connections kept for each address.
+const IDLE_LIMIT: usize = 32;
+/// The longest answer that is read as a whole, in bytes.
+const ANSWER_LIMIT: u64 = 64 * 1024 * 1024;
+
+/// A client with a pool of connections.
+#[derive(Clone, Debug, Default)]
+pub struct Client {
+    idle: Rc<RefCell<HashMap<SocketAddr, Vec<Stream>>>>,
+}
+
+/// A failed exchange.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// No connection came about: the request was certainly not received.
+    #[error("no connection to {address} ({reason}): check that it runs and is reachable")]
+    Unreachable {
+        /// Whom the request was for.
+        address: SocketAddr,
+        /// Why.
+        reason: String,
+    },
+    /// The request may have been received, but no answer came.
+    #[error("no answer from {address} ({reason})")]
+    Unanswered {
+        /// Whom the request was for.
+        address: SocketAddr,
+        /// Why.
+        reason: String,
+    },
+    /// The answer has another status than success.
+    #[error("status {status} from {address}: {body}")]
+    Status {
+        /// Who answered.
+        address: SocketAddr,
+        /// The status code.
+        status: u16,
+        /// The start of the body.
+        body: String,
+    },
+}
+
+impl Error {
+    /// Tells whether the request was certainly not received.
+    pub fn is_unreachable(&self) -> bool {
+        matches!(self, Self::Unreachable { .. })
+    }
+
+    /// Returns the status code of the answer, if there was one.
+    pub fn status(&self) -> Option<u16> {
+        match self {
+            Self::Status { status, .. } => Some(*status),
+            _ => None,
+        }
+    }
+}
+
+/// A request before it is sent.
+#[derive(Debug)]
+pub struct Call {
+    address: SocketAddr,
+    method: Method,
+    path: String,
+    headers: Vec<(String, String)>,
+    body: Vec<u8>,
+}
+
+impl Call {
+    /// Returns a request without a body.
+    pub fn get(address: SocketAddr, path: impl Into<String>) -> Self {
+        Self::new(address, Method::Get, path, Vec::new())
+    }
+
+    /// Returns a request with the given body.
+    pub fn post(address: SocketAddr, path: impl Into<String>, body: impl Into<Vec<u8>>) -> Self {
+        Self::new(address, Method::Post, path, body.into())
+    }
+
+    /// Returns a request with a body in JSON.
+    pub fn json(address: SocketAddr, path: impl Into<String>, value: &impl Serialize) -> Self {
+        let body = serde_json::to_vec(value).unwrap_or_default();
+        Self::post(address, path, body).header("Content-Type", "application/json")
+    }
+
+    /// Returns a request with the given method.
+    pub fn new(
+        address: SocketAddr,
+        method: Method,
+        path: impl Into<String>,
+        body: Vec<u8>,
+    ) -> Self {
+        Self {
+            address,
+            method,
+            path: path.into(),
+            headers: Vec::new(),
+            body,
+        }
+    }
+
+    /// Adds a header.
+    pub fn header(mut self, name: &str, value: impl Into<String>) -> Self {
+        self.headers.push((name.to_owned(), value.into()));
+        self
+    }
+
+    fn request(&self) -> Result<Request, Error> {
+        let url = Url::parse(&format!("http://{}{}", self.address, self.path));
+        let url = url.map_err(|error| Error::Unreachable {
+            address: self.address,
+            reason: format!("bad path `{}`: {error}", self.path),
+        })?;
+        let mut request = Request::new(self.method, url);
+        for (name, value) in &self.headers {
+            request.insert_header(name.as_str(), value.as_str());
+        }
+        if self.method != Method::Get {
+            request.set_body(Body::from_bytes(self.body.clone()));
+        }
+        Ok(request)
+    }
+}
+
+impl Client {
+    /// Sends a request on a pooled connection, or a new one. The answer has to start in `limit`.
+    pub async fn send(&self, call: &Call, limit: Duration) -> Result<Answer, Error> {
+        if let Some(stream) = self.take(call.address) {
+            return self.exchange(stream, call, limit).await;
+        }
+        self.send_fresh(call, limit).await
+    }
+
+    /// Sends a request on a new connection, so that a refused one was certainly not received.
+    pub async fn send_fresh(&self, call: &Call, limit: Duration) -> Result<Answer, Error> {
+        let address = call.address;
+        let unreachable = |reason| Error::Unreachable { address, reason };
+        let stream = within(limit, Stream::connect(address)).await;
+        let stream = stream.ok_or_else(|| unreachable(format!("not within {limit:?}")))?;
+        let stream = stream.map_err(|error| unreachable(error.to_string()))?;
+        self.exchange(stream, call, limit).await
+    }
+
+    /// Sends a request and reads the whole answer as JSON.
+    pub async fn fetch<T: DeserializeOwned>(
+        &self,
+        call: &Call,
+        limit: Duration,
+    ) -> Result<T, Error> {
+        let address = call.address;
+        let unanswered = |reason| Error::Unanswered { address, reason };
+        let work = async {
+            let mut answer = self.send(call, limit).await?;
+            let body = answer.bytes().await?;
+            if !answer.is_success() {
+                let body = String::from_utf8_lossy(&body[..body.len().min(500)]).into_owned();
+                return Err(Error::Status {
+                    address,
+                    status: answer.status(),
+                    body,
+                });
+            }
+            serde_json::from_slice(&body).map_err(|error| unanswered(error.to_string()))
+        };
+        let fetched = within(limit, work).await;
+        fetched.unwrap_or_else(|| Err(unanswered(format!("not within {limit:?}"))))
+    }
+
+    async fn exchange(
+        &self,
+        stream: Stream,
+        call: &Call,
+        limit: Duration,
+    ) -> Result<Answer, Error> {
+        let address = call.address;
+        let unanswered = |reason| Error::Unanswered { address, reason };
+        let request = call.request()?;
+        let response = within(limit, async_h1::connect(stream.clone(), request)).await;
+        let response = response.ok_or_else(|| unanswered(format!("not within {limit:?}")))?;
+        let response = response.map_err(|error| unanswered(error.to_string()))?;
+        Ok(Answer {
+            response,
+            stream,
+            address,
+            client: self.clone(),
+            is_done: false,
+        })
+    }
+
+    fn take(&self, address: SocketAddr) -> Option<Stream> {
+        let mut idle = self.idle.borrow_mut();
+        let streams = idle.get_mut(&address)?;
+        while let Some(stream) = streams.pop() {
+            if stream.is_idle() {
+                return Some(stream);
+            }
+        }
+        None
+    }
+
+    fn give_back(&self, address: SocketAddr, stream: Stream) {
+        let mut idle = self.idle.borrow_mut();
+        let streams = idle.entry(address).or_default();
+        if streams.len() < IDLE_LIMIT {
+            streams.push(stream);
+        }
+    }
+}
+
+/// The answer to a request, with a body still to be read.
+#[derive(Debug)]
+pub struct Answer {
+    response: Response,
+    stream: Stream,
+    address: SocketAddr,
+    client: Client,
+    is_done: bool,
+}
+
+impl Answer {
+    /// Returns the status code.
+    pub fn status(&self) -> u16 {
+        self.response.status().into()
+    }
+
+    /// Tells whether the status code means success.
+    pub fn is_success(&self) -> bool {
+        self.response.status().is_success()
+    }
+
+    /// Returns the first value of a header.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.response
+            .header(name)
+            .map(|values| values.last().as_str())
+    }
+
+    /// Reads the next line of the body, without its end. Returns `None` after the last one.
+    pub async fn line(&mut self) -> Result<Option<String>, Error> {
+        let mut line = String::new();
+        let read = self.response.read_line(&mut line).await;
+        if read.map_err(|error| self.unanswered(error.to_string()))? == 0 {
+            self.finish();
+            return Ok(None);
+        }
+        line.truncate(line.trim_end_matches(['\r', '\n']).len());
+        Ok(Some(line))
+    }
+
+    /// Reads the whole body.
+    pub async fn bytes(&mut self) -> Result<Vec<u8>, Error> {
+        let mut body = Vec::new();
+        let announced = self.response.len();
+        let reader = self.response.take_body();
+        let read = reader.take(ANSWER_LIMIT).read_to_end(&mut body).await;
+        read.map_err(|error| self.unanswered(error.to_string()))?;
+        if announced.is_some_and(|length| length != body.len()) {
+            return Err(self.unanswered("the body was cut".to_owned()));
+        }
+        self.finish();
+        Ok(body)
+    }
+
+    fn unanswered(&self, reason: String) -> Error {
+        Error::Unanswered {
+            address: self.address,
+            reason,
+        }
+    }
+
+    fn finish(&mut self) {
+        let is_closing = self.header("Connection").is_some_and(|it| it == "close");
+        if !self.is_done && !is_closing {
+            self.client.give_back(self.address, self.stream.clone());
+        }
+        self.is_done = true;
+    }
+}
--- /dev/null
+++ b/crates/web/src/server.rs
@@ -0,0 +1,254 @@
+//! The server: one task per connection, one request at a time on each.
+
+use std::cell::Cell;
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_executor::LocalExecutor;
+use async_h1::server::ConnectionStatus;
+use async_h1::server::Server as Connection;
+use async_io::Async;
+use async_io::Timer;
+use domain::Failure;
+use domain::failure::Kind;
+use futures_lite::AsyncReadExt;
+use futures_lite::AsyncWriteExt;
+use http_types::Method;
+use http_types::Request;
+use serde::de::DeserializeOwned;
+
+use crate::reply::Reply;
+use crate::stream::Stream;
+use crate::stream::within;
+
+/// The time in which a caller has to send a whole body.
+const BODY_TIMEOUT: Duration = Duration::from_secs(20);
+/// The time in which a caller has to send the head of its next request.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
+/// The time spent on reading what a refused caller still sends.
+const LINGER: Duration = Duration::from_millis(500);
+/// The pause after a failed accept, for example when file descriptors are used up.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// A server's switch: tells its connections to close after their present request.
+#[derive(Clone, Debug, Default)]
+pub struct Switch {
+    is_stopping: Rc<Cell<bool>>,
+    busy: Rc<Cell<usize>>,
+}
+
+impl Switch {
+    /// Closes idle connections, and busy ones after their present request.
+    pub fn stop(&self) {
+        self.is_stopping.set(true);
+    }
+
+    /// Returns the number of requests in progress.
+    pub fn busy(&self) -> usize {
+        self.busy.get()
+    }
+}
+
+/// One request with the connection that it came on.
+#[derive(Debug)]
+pub struct Exchange {
+    request: Request,
+    is_body_read: Rc<Cell<bool>>,
+}
+
+impl Exchange {
+    /// Returns the request's method.
+    pub fn method(&self) -> Method {
+        self.request.method()
+    }
+
+    /// Returns the path, starting with a slash.
+    pub fn path(&self) -> &str {
+        self.request.url().path()
+    }
+
+    /// Returns the first value of a query parameter.
+    pub fn query(&self, name: &str) -> Option<String> {
+        let mut pairs = self.request.url().query_pairs();
+        pairs
+            .find(|(key, _)| key == name)
+            .map(|(_, value)| value.into_owned())
+    }
+
+    /// Returns a whole number from the query, or `default`.
+    pub fn query_number(&self, name: &str, default: u64) -> u64 {
+        self.query(name)
+            .and_then(|it| it.parse().ok())
+            .unwrap_or(default)
+    }
+
+    /// Returns the first value of a header.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.request
+            .header(name)
+            .map(|values| values.last().as_str())
+    }
+
+    /// Reads the whole body, which may have at most `limit` bytes.
+    pub async fn body(&mut self, limit: u64) -> Result<Vec<u8>, Failure> {
+        let announced = self.request.len().map(|it| it as u64);
+        if announced.is_some_and(|length| length > limit) {
+            return Err(too_long(limit));
+        }
+        let mut body = Vec::with_capacity(announced.unwrap_or(0) as usize);
+        let reader = self.request.take_body();
+        let read = within(BODY_TIMEOUT, reader.take(limit + 1).read_to_end(&mut body)).await;
+        match read {
+            None => Err(Failure::refused(
+                Kind::SlowCaller,
+                format!("the body did not come within {BODY_TIMEOUT:?}: send it faster"),
+            )),
+            Some(Err(error)) => Err(Failure::refused(
+                Kind::Malformed,
+                format!("the body can't be read ({error}): send it whole"),
+            )),
+            Some(Ok(_)) if body.len() as u64 > limit => Err(too_long(limit)),
+            Some(Ok(_)) if announced.is_some_and(|length| length != body.len() as u64) => {
+                Err(Failure::refused(
+                    Kind::Malformed,
+                    "the body ended before its announced length: send it whole",
+                ))
+            }
+            Some(Ok(_)) => {
+                self.is_body_read.set(true);
+                Ok(body)
+            }
+        }
+    }
+
+    /// Reads a body in JSON.
+    pub async fn json<T: DeserializeOwned>(&mut self, limit: u64) -> Result<T, Failure> {
+        let body = self.body(limit).await?;
+        serde_json::from_slice(&body).map_err(|error| {
+            let message = format!("the body is not the expected JSON ({error}): correct it");
+            Failure::refused(Kind::Malformed, message)
+        })
+    }
+}
+
+fn too_long(limit: u64) -> Failure {
+    let message = format!("the body has more than {limit} bytes: shorten it");
+    Failure::refused(Kind::TooLong, message)
+}
+
+/// Binds a listening socket and returns it with its address.
+pub fn bind(address: SocketAddr) -> io::Result<(Async<TcpListener>, SocketAddr)> {
+    let listener = Async::<TcpListener>::bind(address)?;
+    let address = listener.get_ref().local_addr()?;
+    Ok((listener, address))
+}
+
+/// Accepts connections for as long as it is polled and answers their requests with `handler`.
+pub async fn serve<F, Fut>(
+    executor: Rc<LocalExecutor<'static>>,
+    listener: Async<TcpListener>,
+    switch: Switch,
+    handler: F,
+) where
+    F: Fn(Exchange) -> Fut + Clone + 'static,
+    Fut: Future<Output = Reply> + 'static,
+{
+    loop {
+        match listener.accept().await {
+            Ok((io, _)) => {
+                let connection = converse(Stream::new(io), switch.clone(), handler.clone());
+                executor.spawn(connection).detach();
+            }
+            Err(error) => {
+                log::warn!("web: accept failed: {error}. Retrying.");
+                Timer::after(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn converse<F, Fut>(stream: Stream, switch: Switch, handler: F)
+where
+    F: Fn(Exchange) -> Fut,
+    Fut: Future<Output = Reply>,
+{
+    let is_body_read = Rc::new(Cell::new(false));
+    let is_busy = Rc::new(Cell::new(false));
+    let endpoint = |request: Request| {
+        let exchange = Exchange {
+            request,
+            is_body_read: is_body_read.clone(),
+        };
+        is_busy.set(true);
+        switch.busy.set(switch.busy.get() + 1);
+        let reply = handler(exchange);
+        let stream = stream.clone();
+        let switch = switch.clone();
+        async move {
+            let mut reply = reply.await;
+            if switch.is_stopping.get() {
+                reply = reply.closing();
+            }
+            if reply.is_last() {
+                stream.close_read();
+            }
+            Ok(reply.into_response())
+        }
+    };
+    let mut connection = Connection::new(stream.clone(), endpoint);
+    loop {
+        let left = async {
+            loop {
+                Timer::after(Duration::from_millis(100)).await;
+                if is_busy.get() && is_body_read.get() {
+                    stream.closed().await;
+                    return None;
+                }
+                if !is_busy.get() && switch.is_stopping.get() && stream.is_idle() {
+                    return None;
+                }
+            }
+        };
+        let outcome = futures_lite::future::or(async { Some(connection.accept_one().await) }, left);
+        let outcome = outcome.await;
+        if is_busy.replace(false) {
+            switch.busy.set(switch.busy.get() - 1);
+        }
+        is_body_read.set(false);
+        match outcome {
+            Some(Ok(ConnectionStatus::KeepAlive)) if !stream.is_read_closed() => {}
+            Some(Ok(_)) => break,
+            Some(Err(error)) => {
+                if !stream.is_read_closed() {
+                    refuse(&stream, &error).await;
+                }
+                break;
+            }
+            None => return,
+        }
+    }
+    stream.linger(LINGER).await;
+}
+
+/// Answers a request whose head can't be understood.
+async fn refuse(stream: &Stream, error: &http_types::Error) {
+    let message =
+        format!("the request can't be understood ({error}): send HTTP/1.1 with a short head");
+    let failure = Failure::refused(Kind::Malformed, message);
+    let body = serde_json::json!({ "error": failure }).to_string();
+    let head = format!(
+        "HTTP/1.1 400 Bad Request\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\
+         Connection: close\r\n\r\n",
+        body.len()
+    );
+    let mut stream = stream.clone();
+    let _ = within(
+        IDLE_TIMEOUT,
+        stream.write_all(format!("{head}{body}").as_bytes()),
+    )
+    .await;
+}
