--- a/crates/domain/src/key.rs
+++ b/crates/domain/src/key.rs
@@ -110,6 +110,14 @@
         Authority::Issuer(Incarnation(issuer))
     }
 
+    /// Returns the sequence number of a ticket.
+    pub fn sequence(self) -> u64 {
+        let bits = self.0.as_u128();
+        let high = (bits >> SEQUENCE_HIGH_SHIFT) & 0xfff;
+        let low = bits & ((1 << SEQUENCE_LOW_BITS) - 1);
+        (high << SEQUENCE_LOW_BITS | low) as u64
+    }
+
     /// Returns the time between the Unix epoch and the moment at which the key was made.
     pub fn minted(self) -> Duration {
         Duration::from_millis((self.0.as_u128() >> TIME_SHIFT) as u64)
--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -4,9 +4,9 @@
 use std::time::Duration;
 
 use assembly::Chunk;
-use async_channel::Sender;
 use domain::Moment;
 use domain::fleet::BackendServer;
+use membership::message::Rumour;
 use routing::router::End;
 use routing::router::Placement;
 use serde::Deserialize;
@@ -16,13 +16,15 @@
 use web::client::Call;
 use web::stream::within;
 
-use crate::chat::Event;
+use crate::chat::Output;
 use crate::chat::Prompt;
 use crate::clock;
 use crate::dispatch;
 use crate::engines;
 use crate::metrics::Class;
 use crate::node::Node;
+use crate::peers;
+use crate::suspect;
 use crate::trail;
 
 /// The silence after which a running stream counts as broken.
@@ -155,12 +157,12 @@
 }
 
 impl Attempt<'_> {
-    /// Runs the attempt. Pieces of the answer go to `events` in order, each once.
+    /// Runs the attempt. Pieces of the answer go to `output` in order, each once.
     pub async fn run(
         &self,
         node: &Rc<Node>,
         stream: &mut assembly::Stream,
-        events: &Sender<Event>,
+        output: &Output<'_>,
     ) -> Result<(), Error> {
         let mut guard = Guard {
             node,
@@ -168,13 +170,14 @@
             servers: Vec::new(),
             end: End::Neutral,
         };
-        let result = self.run_guarded(node, &mut guard, stream, events).await;
+        let result = self.run_guarded(node, &mut guard, stream, output).await;
         guard.end = result.as_ref().err().map_or(End::Done, Error::end);
-        if let Err(Error::Leaving) = result {
-            node.core
-                .borrow_mut()
-                .router
-                .leaving(&self.placement.engine);
+        match result {
+            Err(Error::Leaving) => self.tell_leaving(node),
+            Err(Error::Broken(_) | Error::Cut) => {
+                suspect::check(node, self.prompt.fingerprint, &guard.servers).await;
+            }
+            _ => {}
         }
         result
     }
@@ -184,7 +187,7 @@
         node: &Rc<Node>,
         guard: &mut Guard<'_>,
         stream: &mut assembly::Stream,
-        events: &Sender<Event>,
+        output: &Output<'_>,
     ) -> Result<(), Error> {
         let leader = server(node, &self.placement.engine)?;
         let address = leader.address;
@@ -214,7 +217,7 @@
         let answer = node.client.send_fresh(&call, self.time_left()).await;
         let answer = answer.map_err(unreached)?;
         refusal(&answer)?;
-        self.read(node, answer, stream, events).await
+        self.read(node, answer, stream, output).await
     }
 
     async fn reserve(&self, node: &Node, member: &BackendServer) -> Result<(), Error> {
@@ -242,7 +245,7 @@
         node: &Node,
         mut answer: Answer,
         stream: &mut assembly::Stream,
-        events: &Sender<Event>,
+        output: &Output<'_>,
     ) -> Result<(), Error> {
         let cost = node.core.borrow().router.cost(self.prompt.tokens);
         let estimate = (self.placement.wait + cost) * ESTIMATE_FACTOR;
@@ -274,8 +277,7 @@
                         text,
                     })?;
                     if !ready.is_empty() {
-                        // A failed send means that the caller has left, which ends the request.
-                        let _ = events.send(Event::Text(ready.concat())).await;
+                        output.send(ready.concat()).await;
                     }
                 }
                 Line::End { attempt, count } => stream.end(assembly::End { attempt, count })?,
@@ -305,6 +307,13 @@
         }
     }
 
+    fn tell_leaving(&self, node: &Node) {
+        let server = self.placement.engine.clone();
+        if node.core.borrow_mut().mark_leaving(&server) {
+            peers::tell(node, Rumour::ServerLeaving { server });
+        }
+    }
+
     fn time_left(&self) -> Duration {
         self.placement.job.time_left(clock::now())
     }
--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -1,11 +1,11 @@
 //! The interface for callers.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use domain::Failure;
+use domain::Key;
 use domain::failure::Kind;
-use platform::Role;
-use platform::Status;
 use serde::Deserialize;
 use serde::Serialize;
 use web::Exchange;
@@ -13,11 +13,17 @@
 use web::Reply;
 
 use crate::chat;
+use crate::clock;
 use crate::node::Node;
 use crate::request;
 use crate::services;
 use crate::trail;
 
+/// The most keys in one answer.
+const KEYS_LIMIT: u64 = 100;
+/// The wait that a caller is told when too many keys are in use.
+const KEYS_RETRY_AFTER: Duration = Duration::from_secs(60);
+
 /// The answer of `GET /v1/entries`.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Entries {
@@ -27,6 +33,15 @@
     pub keep_ms: u64,
 }
 
+/// The answer of `POST /v1/keys`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Keys {
+    /// The keys. Each may be used for one request, on any entry, also while the log is out.
+    pub keys: Vec<Key>,
+    /// How long they may be used, in milliseconds.
+    pub keep_ms: u64,
+}
+
 /// An instance that callers may use.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Address {
@@ -46,12 +61,11 @@
     if is_work && !node.core.borrow().is_configured {
         let message = "the instance has no configuration yet: ask another one";
         let failure = Failure::refused(Kind::Stopping, message);
-        return failure
-            .retry_after(std::time::Duration::from_secs(1))
-            .into();
+        return failure.retry_after(Duration::from_secs(1)).into();
     }
     match (exchange.method(), steps.as_slice()) {
         (Method::Get, ["v1", "entries"]) => Reply::json(&entries(&node)),
+        (Method::Post, ["v1", "keys"]) => keys(&node, &exchange),
         (Method::Post, ["v1", "chat", "completions"]) => chat::handle(node, exchange).await,
         (Method::Post, ["v1", "services", service, rest @ ..]) => {
             services::handle(node, exchange, service, &rest.join("/")).await
@@ -64,16 +78,13 @@
     }
 }
 
+/// Returns the entries to use: those that answer probes and are not leaving.
 fn entries(node: &Node) -> Entries {
     let core = node.core.borrow();
-    let listed = core.instances.iter().filter(|it| it.status == Status::Live);
-    let entries = listed.filter_map(|it| match it.role {
-        Role::Entry { callers, .. } => Some(Address {
-            name: it.name.clone(),
-            data_centre: it.data_centre.clone(),
-            address: callers,
-        }),
-        Role::BackendServer => None,
+    let entries = core.members.ready().map(|it| Address {
+        name: it.name.clone(),
+        data_centre: it.data_centre.clone(),
+        address: it.callers,
     });
     Entries {
         entries: entries.collect(),
@@ -81,6 +92,35 @@
     }
 }
 
+/// Issues tickets: keys that need no log.
+fn keys(node: &Node, exchange: &Exchange) -> Reply {
+    let contract = match request::contract(node, exchange) {
+        Ok(contract) => contract,
+        Err(failure) => return failure.into(),
+    };
+    let count = exchange.query_number("count", 1).clamp(1, KEYS_LIMIT);
+    let mut core = node.core.borrow_mut();
+    if core.is_stopping {
+        let message = "the instance is stopping: ask another one";
+        return Failure::refused(Kind::Stopping, message).into();
+    }
+    let now = clock::now();
+    let issue = |_| {
+        core.book
+            .issue(now, clock::since_epoch(), &contract.customer)
+    };
+    let keys: Vec<Key> = (0..count).filter_map(issue).collect();
+    if keys.is_empty() {
+        let message = "too many keys are in use: use those you have, or come back";
+        let failure = Failure::refused(Kind::Overloaded, message);
+        return failure.retry_after(KEYS_RETRY_AFTER).into();
+    }
+    Reply::json(&Keys {
+        keys,
+        keep_ms: claim::book::LIFETIME.as_millis() as u64,
+    })
+}
+
 fn outcome(node: &Node, exchange: &Exchange, id: &str) -> Reply {
     let contract = match request::contract(node, exchange) {
         Ok(contract) => contract,
--- a/crates/entry/src/chat.rs
+++ b/crates/entry/src/chat.rs
@@ -1,10 +1,12 @@
 //! `POST /v1/chat/completions`: from an admitted prompt to a whole answer or an honest failure.
 
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
 
 use async_channel::Receiver;
 use async_channel::Sender;
+use async_io::Timer;
 use domain::Failure;
 use domain::Length;
 use domain::Moment;
@@ -17,6 +19,7 @@
 use routing::job::Tenant;
 use routing::router::Refusal;
 use serde::Deserialize;
+use serde::Serialize;
 use serde_json::json;
 use web::Exchange;
 use web::Reply;
@@ -27,6 +30,9 @@
 use crate::clock;
 use crate::dispatch::Notice;
 use crate::dispatch::Waiting;
+use crate::held::Denied;
+use crate::held::Held;
+use crate::limits;
 use crate::metrics;
 use crate::node::Node;
 use crate::request::Head;
@@ -39,8 +45,12 @@
 const ANSWER_TOKENS_LIMIT: u64 = 16_384;
 /// The start of a prompt by which equal starts are recognised, in bytes.
 const PREFIX_BYTES: usize = 4_096;
-/// Attempts on engines for one request.
-const ATTEMPT_LIMIT: u32 = 4;
+/// Engines that may fail one request.
+const FAILURE_LIMIT: u32 = 4;
+/// The first pause before engines are asked for memory again.
+const MEMORY_PAUSE: Duration = Duration::from_millis(20);
+/// The pause grows up to so many times its first length.
+const MEMORY_PAUSE_FACTOR_LIMIT: u32 = 10;
 /// Pieces of an answer that may wait for a slow caller.
 const EVENT_LIMIT: usize = 1_024;
 /// The wait that a caller is told when no better estimate is known.
@@ -85,6 +95,43 @@
     pub fingerprint: u64,
 }
 
+/// What is kept of the answer to a request with a key.
+#[derive(Debug, Deserialize, Serialize)]
+struct Record {
+    text: String,
+    tokens: u64,
+}
+
+/// Where the answer goes: to the caller and, for a request with a key, into its record.
+pub struct Output<'a> {
+    events: &'a Sender<Event>,
+    text: Option<RefCell<String>>,
+}
+
+impl<'a> Output<'a> {
+    fn new(events: &'a Sender<Event>, is_recorded: bool) -> Self {
+        Self {
+            events,
+            text: is_recorded.then(RefCell::default),
+        }
+    }
+
+    /// Sends the next piece of the answer.
+    pub async fn send(&self, text: String) {
+        if let Some(record) = &self.text {
+            record.borrow_mut().push_str(&text);
+        }
+        // A failed send means that the caller has left, which ends the request.
+        let _ = self.events.send(Event::Text(text)).await;
+    }
+
+    fn record(&self, tokens: u64) -> claim::Answer {
+        let text = self.text.as_ref().map(RefCell::take).unwrap_or_default();
+        let body = serde_json::to_vec(&Record { text, tokens }).unwrap_or_default();
+        claim::Answer::new(200, "application/json", &body)
+    }
+}
+
 /// What happens to a request on its way.
 #[derive(Clone, Debug)]
 pub enum Event {
@@ -260,13 +307,57 @@
     arrived: Moment,
     events: &Sender<Event>,
 ) -> Result<u64, Failure> {
+    let mut held = match Held::claim(node, head).await {
+        Ok(held) => held,
+        Err(Denied::Refused(failure)) => return Err(failure),
+        Err(Denied::Repeat(answer)) => return repeat(answer, events).await,
+    };
+    if held.is_some() {
+        node.step(id.number, "claimed its key");
+    }
+    let output = Output::new(events, held.is_some());
+    let result = run(node, id, head, prompt, arrived, &output, &mut held).await;
+    if let Some(held) = held {
+        match &result {
+            Ok(tokens) => held.done(output.record(*tokens)),
+            Err(failure) => held.failed(failure),
+        }
+    }
+    result
+}
+
+/// Sends the recorded answer of an earlier request with the same key.
+async fn repeat(answer: claim::Answer, events: &Sender<Event>) -> Result<u64, Failure> {
+    let body = answer.body.unwrap_or_default();
+    let Ok(record) = serde_json::from_str::<Record>(&body) else {
+        let message = "a request with this key was done, and was no prompt: use another key";
+        return Err(Failure::uncertain(Kind::KeyUsed, message).with_ran(Ran::Yes));
+    };
+    let _ = events.send(Event::Text(record.text)).await;
+    Ok(record.tokens)
+}
+
+async fn run(
+    node: &Rc<Node>,
+    id: trail::Id,
+    head: &Head,
+    prompt: &Prompt,
+    arrived: Moment,
+    output: &Output<'_>,
+    held: &mut Option<Held>,
+) -> Result<u64, Failure> {
+    let _admission = limits::admit(node, &head.contract, prompt.tokens).await?;
+    quarantined(node, prompt, Ran::No)?;
+    node.core.borrow_mut().budget.earn();
     let mut job = prompt.job(node, id, head, arrived);
     let mut stream = assembly::Stream::default();
     let mut waiting = Waiting::admit(node, job.clone()).map_err(refused)?;
-    for number in 1..=ATTEMPT_LIMIT {
+    let mut ran = Ran::No;
+    let mut failures = 0;
+    for number in 1.. {
         let placement = match waiting.decision().await {
             Notice::Placed(placement) => *placement,
-            Notice::Expired => return Err(timed_out(number > 1)),
+            Notice::Expired => return Err(timed_out(ran)),
         };
         node.step(
             id.number,
@@ -275,6 +366,9 @@
                 placement.engine, placement.gang, placement.wait
             ),
         );
+        if let Some(held) = held {
+            held.sent();
+        }
         let attempt = Attempt {
             id,
             number,
@@ -286,7 +380,7 @@
             clock::wait_until(head.deadline).await;
             Err(attempt::Error::TimedOut)
         };
-        let run = attempt.run(node, &mut stream, events);
+        let run = attempt.run(node, &mut stream, output);
         let error = match future::or(run, deadline).await {
             Ok(()) => return Ok(stream.sent()),
             Err(error) => error,
@@ -295,31 +389,64 @@
             id.number,
             format!("attempt {number} on {}: {error}", placement.engine),
         );
+        if !error.is_certainly_not_run() {
+            ran = Ran::Maybe;
+        }
         if matches!(error, attempt::Error::TimedOut) {
-            return Err(timed_out(true));
+            return Err(timed_out(ran));
         }
-        if !error.is_certainly_not_run() && head.key.is_some() {
+        quarantined(node, prompt, ran)?;
+        if ran == Ran::Maybe && held.is_some() {
             let message = format!(
-                "the backend server failed while it ran this ({error}): check \
-                                   the outcome before you send it again with a new key"
+                "the backend server failed while it ran this ({error}): check the outcome before \
+                 you send it again with a new key"
             );
             return Err(Failure::uncertain(Kind::BackendFailed, message));
         }
-        if number == ATTEMPT_LIMIT {
-            break;
+        if let Some(held) = held {
+            held.not_taken();
+        }
+        if matches!(error, attempt::Error::NoMemory) {
+            // Estimates of free memory lag, so the same engine may have room soon.
+            Timer::after(memory_pause(number)).await;
+        } else {
+            failures += 1;
+            job.avoid.push(placement.engine);
+        }
+        let is_affordable = error.is_certainly_not_run() || node.core.borrow_mut().budget.spend();
+        if failures == FAILURE_LIMIT || !is_affordable {
+            let message = format!("{failures} backend servers failed this: come back later");
+            let failure = Failure::refused(Kind::BackendFailed, message).with_ran(ran);
+            return Err(failure.retry_after(DEFAULT_RETRY_AFTER));
         }
         node.metrics.retries.inc();
-        job.avoid.push(placement.engine);
         waiting = Waiting::requeue(node, job.clone());
     }
-    let message = format!("{ATTEMPT_LIMIT} backend servers failed this: come back later");
-    let failure = Failure::uncertain(Kind::BackendFailed, message);
-    Err(failure.retry_after(DEFAULT_RETRY_AFTER))
+    Err(internal())
+}
+
+/// Returns the pause before engines are asked for memory again: longer each time, and random so
+/// that two gangs do not meet again.
+fn memory_pause(number: u32) -> Duration {
+    let longest = MEMORY_PAUSE * number.min(MEMORY_PAUSE_FACTOR_LIMIT);
+    longest.mul_f64(0.5 + 0.5 * rand::random::<f64>())
+}
+
+fn quarantined(node: &Node, prompt: &Prompt, ran: Ran) -> Result<(), Failure> {
+    if !node
+        .core
+        .borrow()
+        .quarantine
+        .is_refused(clock::now(), prompt.fingerprint)
+    {
+        return Ok(());
+    }
+    let message = "backend servers went down each time they ran this prompt: change the prompt";
+    Err(Failure::refused(Kind::Quarantined, message).with_ran(ran))
 }
 
-fn timed_out(was_sent: bool) -> Failure {
+fn timed_out(ran: Ran) -> Failure {
     let message = "the time limit passed: raise Request-Timeout or come back when load is lower";
-    let ran = if was_sent { Ran::Maybe } else { Ran::No };
     let failure = Failure::refused(Kind::TimedOut, message).with_ran(ran);
     failure.retry_after(DEFAULT_RETRY_AFTER)
 }
@@ -331,7 +458,7 @@
             Failure::refused(Kind::NotFound, message).retry_after(DEFAULT_RETRY_AFTER)
         }
         Refusal::TooLong { .. } => Failure::refused(Kind::TooLongForFleet, message),
-        Refusal::Full(wait) | Refusal::TooLate(wait) => {
+        Refusal::Down(wait) | Refusal::Full(wait) | Refusal::TooLate(wait) => {
             Failure::refused(Kind::Overloaded, message).retry_after(wait)
         }
     }
--- a/crates/entry/src/engines.rs
+++ b/crates/entry/src/engines.rs
@@ -1,21 +1,25 @@
 //! Engines: load reports and the sweep of memory that nobody needs any more.
 
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use async_io::Timer;
+use domain::Moment;
 use domain::fleet::BackendServer;
 use domain::key::Incarnation;
 use routing::engine::LEVELS;
-use routing::engine::Load;
 use serde::Deserialize;
 use serde_json::json;
 use web::client::Call;
+use wire::Frame;
+use wire::frame::Load;
 
 use crate::clock;
 use crate::dispatch;
 use crate::node::Node;
+use crate::peers;
 use crate::trail;
 
 /// The time between two load reports.
@@ -54,24 +58,38 @@
     overdue_ms: u64,
 }
 
-/// Reads the load of all backend servers again and again.
+/// Reads the load of the backend servers that this entry is home to, again and again, and tells
+/// the other entries.
 pub async fn watch(node: Rc<Node>) {
+    let collected = Rc::new(RefCell::new(Vec::new()));
     loop {
-        for server in servers(&node) {
-            let report = report(node.clone(), server);
+        for server in own_servers(&node) {
+            let report = report(node.clone(), server, collected.clone());
             node.executor.spawn(report).detach();
         }
         Timer::after(REPORT_INTERVAL).await;
+        spread(&node, collected.take());
     }
 }
 
+/// Takes load reports that another entry has read.
+pub fn take_reports(node: &Node, loads: Vec<Load>) {
+    let now = clock::now();
+    for load in loads {
+        let of = Moment::default() + now.since(Moment::default() + load.age);
+        apply(node, &load.server, of, load.report);
+    }
+    dispatch::pump(node);
+}
+
 /// Sweeps all engines again and again.
 pub async fn sweep(node: Rc<Node>) {
     loop {
-        for server in servers(&node) {
-            if server.engine().is_some() {
-                sweep_engine(&node, server.address).await;
-            }
+        for server in own_servers(&node)
+            .into_iter()
+            .filter(|it| it.engine().is_some())
+        {
+            sweep_engine(&node, server.address).await;
         }
         Timer::after(SWEEP_INTERVAL).await;
     }
@@ -97,47 +115,97 @@
     Call::json(address, "/cancel", &body)
 }
 
-fn servers(node: &Node) -> Vec<Rc<BackendServer>> {
-    node.core
-        .borrow()
-        .view
+/// Returns the backend servers that this entry is home to.
+fn own_servers(node: &Node) -> Vec<Rc<BackendServer>> {
+    let core = node.core.borrow();
+    let is_own = |it: &&Rc<BackendServer>| {
+        core.members.home(it.name.as_bytes()).incarnation == node.incarnation
+    };
+    core.view
         .backend_servers
         .values()
+        .filter(is_own)
         .cloned()
         .collect()
 }
 
-async fn report(node: Rc<Node>, server: Rc<BackendServer>) {
+/// A report that the others still have to be told.
+struct Collected {
+    server: String,
+    of: Moment,
+    report: Option<routing::engine::Load>,
+}
+
+async fn report(node: Rc<Node>, server: Rc<BackendServer>, collected: Rc<RefCell<Vec<Collected>>>) {
     let call = Call::get(server.address, "/load");
     let asked = clock::now();
-    let report = node.client.fetch::<Report>(&call, CALL_TIMEOUT).await;
-    let now = clock::now();
+    let report = match node.client.fetch::<Report>(&call, CALL_TIMEOUT).await {
+        Ok(report) => Some(report),
+        Err(error) if error.is_unreachable() => None,
+        Err(error) => {
+            log::debug!(target: "engines", "No load from {}: {error}.", server.name);
+            return;
+        }
+    };
+    // A report can't describe a later moment than the one at which it was asked for.
+    let age = Duration::from_millis(report.as_ref().map_or(0, |it| it.age_ms));
+    let of = Moment::default() + asked.since(Moment::default() + age);
+    let report = report.map(|it| it.load());
+    apply(&node, &server.name, of, report.clone());
+    dispatch::pump(&node);
+    collected.borrow_mut().push(Collected {
+        server: server.name.clone(),
+        of,
+        report,
+    });
+}
+
+fn apply(node: &Node, server: &str, of: Moment, report: Option<routing::engine::Load>) {
     let mut core = node.core.borrow_mut();
     match report {
-        Ok(report) if server.engine().is_some() => {
-            // The report can't describe a later moment than the one at which it was asked for.
-            let of = asked.since(domain::Moment::from_millis(report.age_ms));
-            let of = domain::Moment::default() + of;
-            core.router.report(&server.name, of, report.load());
+        Some(load) => {
+            core.servers.report(server, &load);
+            core.router.report(server, of, load);
         }
-        Ok(report) => core.servers.report(&server.name, report.is_leaving),
-        Err(error) if error.is_unreachable() => {
-            core.router.lost(now, &server.name);
-            core.servers.lost(now, &server.name);
+        None => {
+            core.router.lost(clock::now(), server);
+            core.servers.lost(clock::now(), server);
         }
-        Err(error) => log::debug!(target: "engines", "No load from {}: {error}.", server.name),
     }
-    drop(core);
-    dispatch::pump(&node);
+}
+
+/// Tells the other entries what was read.
+fn spread(node: &Node, collected: Vec<Collected>) {
+    if collected.is_empty() {
+        return;
+    }
+    let now = clock::now();
+    let loads = collected.into_iter().map(|it| Load {
+        server: it.server,
+        age: now.since(it.of),
+        report: it.report,
+    });
+    let frame = Frame::Loads(loads.collect());
+    let peers: Vec<SocketAddr> = node
+        .core
+        .borrow()
+        .members
+        .alive()
+        .skip(1)
+        .map(|it| it.peers)
+        .collect();
+    for peer in peers {
+        peers::push(node, peer, &frame);
+    }
 }
 
 impl Report {
-    fn load(&self) -> Load {
+    fn load(&self) -> routing::engine::Load {
         let mut backlog_micros = [0; LEVELS];
         for (level, micros) in backlog_micros.iter_mut().zip(&self.backlog_us) {
             *level = *micros;
         }
-        Load {
+        routing::engine::Load {
             incarnation: self.incarnation,
             backlog_micros,
             running: self.running,
--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -1,5 +1,6 @@
 //! The follower: folds the configuration as it is appended to the log.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -13,18 +14,23 @@
 
 use crate::clock;
 use crate::node::Node;
+use crate::peers::caller;
 
 /// The time for which a read waits for new records.
 const READ_WAIT: Duration = Duration::from_secs(5);
 /// The pause after a failed read.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
+/// The time for a peer to send its state.
+const FETCH_TIMEOUT: Duration = Duration::from_secs(5);
 /// Snapshots are written so many times while the log keeps a record.
 const SNAPSHOTS_PER_RETENTION: u32 = 4;
 
 /// Follows the configuration until the process ends.
 pub async fn run(node: Rc<Node>) {
     loop {
-        if let Err(error) = follow(&node).await {
+        let followed = follow(&node).await;
+        node.is_log_failing.set(followed.is_err());
+        if let Err(error) = followed {
             node.metrics.log_errors.inc();
             log::warn!(target: "config", "Reading failed: {error}. Retrying.");
             Timer::after(RETRY_PAUSE).await;
@@ -32,6 +38,41 @@
     }
 }
 
+/// Takes word that a peer has read further. While the log is out, its state is taken over.
+pub fn hint(node: &Rc<Node>, peer: SocketAddr, next: u64) {
+    let core = node.core.borrow();
+    let is_wanted = !core.is_configured || node.is_log_failing.get();
+    if !is_wanted || core.fold.next() >= next || node.is_fetching.replace(true) {
+        return;
+    }
+    let node = node.clone();
+    let executor = node.executor.clone();
+    let fetch = async move {
+        if let Err(error) = fetch(&node, peer).await {
+            log::warn!(target: "config", "No state from {peer}: {error}.");
+        }
+        node.is_fetching.set(false);
+    };
+    executor.spawn(fetch).detach();
+}
+
+async fn fetch(node: &Node, peer: SocketAddr) -> Result<(), caller::Error> {
+    let next = node.core.borrow().fold.next();
+    let fold = node
+        .pool
+        .configuration(&node.executor, peer, next, FETCH_TIMEOUT)
+        .await?;
+    let Ok(fold) = serde_json::from_slice::<Fold>(&fold) else {
+        return Ok(());
+    };
+    let is_news = node.core.borrow_mut().fold.merge(fold);
+    if is_news {
+        node.apply_configuration();
+        log::info!(target: "config", "In force up to {} by {peer}.", node.core.borrow().fold.next());
+    }
+    Ok(())
+}
+
 /// Reads one stretch of the log and folds it.
 async fn follow(node: &Node) -> Result<(), Error> {
     let next = node.core.borrow().fold.next();
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -1,18 +1,27 @@
 //! The node: all state of an entry instance, on one thread.
 
 use std::cell::Cell;
+use std::cell::OnceCell;
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::net::UdpSocket;
 use std::rc::Rc;
 
 use async_channel::Sender;
 use async_executor::LocalExecutor;
+use async_io::Async;
+use claim::Book;
 use config::Fold;
 use config::View;
 use domain::key::Incarnation;
-use platform::Instance;
+use limit::Home;
+use limit::Purse;
+use membership::Member;
+use membership::Members;
+use membership::member::Phase;
 use platform::Platform;
+use routing::Budget;
 use routing::Engine;
 use routing::Quarantine;
 use routing::Router;
@@ -21,8 +30,10 @@
 use web::Client;
 use web::server::Switch;
 
+use crate::claims::Claims;
 use crate::dispatch::Notice;
 use crate::metrics::Metrics;
+use crate::peers::Pool;
 use crate::services::Servers;
 use crate::trail;
 use crate::trail::Trails;
@@ -52,12 +63,22 @@
     pub client: Client,
     /// The platform.
     pub platform: Platform,
+    /// Connections to other entries.
+    pub pool: Pool,
+    /// For datagrams to other entries, once it is bound.
+    pub datagrams: OnceCell<Rc<Async<UdpSocket>>>,
+    /// Claim streams of the log.
+    pub claims: Claims,
     /// Metrics.
     pub metrics: Metrics,
     /// Closes callers' connections on a planned stop.
     pub switch: Switch,
     /// What the decision crates hold.
     pub core: RefCell<Core>,
+    /// Whether the log did not answer the last time.
+    pub is_log_failing: Cell<bool>,
+    /// Whether the state of a peer is being taken over.
+    pub is_fetching: Cell<bool>,
     next_request: Cell<u64>,
 }
 
@@ -71,18 +92,42 @@
     pub is_configured: bool,
     /// Whether a planned stop has begun.
     pub is_stopping: bool,
+    /// The other entries.
+    pub members: Members,
+    /// The tickets that this incarnation has issued.
+    pub book: Book,
+    /// The contracts that this entry is home to.
+    pub home: Home,
+    /// What this entry was given for each customer.
+    pub purses: HashMap<String, Purse>,
     /// Which request goes where.
     pub router: Router,
     /// Who waits for a decision of the router.
     pub waiting: HashMap<job::Id, Sender<Notice>>,
+    /// Retries that may still be made.
+    pub budget: Budget,
     /// Prompts that crash engines.
     pub quarantine: Quarantine,
     /// The servers of plain services.
     pub servers: Servers,
     /// What was decided about requests.
     pub trails: Trails,
-    /// The platform's list of instances, as last read.
-    pub instances: Vec<Instance>,
+}
+
+impl Core {
+    /// Returns what the instance is ready for.
+    pub fn phase(&self) -> Phase {
+        match (self.is_stopping, self.is_configured) {
+            (true, _) => Phase::Leaving,
+            (false, true) => Phase::Ready,
+            (false, false) => Phase::Starting,
+        }
+    }
+
+    /// Marks a backend server as leaving. Returns whether that is news.
+    pub fn mark_leaving(&mut self, server: &str) -> bool {
+        self.router.mark_leaving(server) | self.servers.mark_leaving(server)
+    }
 }
 
 impl Node {
@@ -98,9 +143,22 @@
             settings::Routing::RoundRobin => routing::Policy::RoundRobin,
             settings::Routing::LeastLoaded => routing::Policy::LeastLoaded,
         };
+        let incarnation = Incarnation::from_random(rand::random());
+        let me = Member {
+            incarnation,
+            name: settings.name.clone(),
+            data_centre: settings.data_centre.clone(),
+            callers: addresses.callers,
+            peers: addresses.peers,
+            phase: Phase::Starting,
+            beat: 0,
+        };
         Rc::new(Self {
             addresses,
-            incarnation: Incarnation::from_random(rand::random()),
+            incarnation,
+            pool: Pool::default(),
+            datagrams: OnceCell::new(),
+            claims: Claims::default(),
             executor,
             platform: Platform::new(settings.platform, client.clone()),
             client,
@@ -111,14 +169,20 @@
                 view: Rc::default(),
                 is_configured: false,
                 is_stopping: false,
+                members: Members::new(me),
+                book: Book::new(incarnation),
+                home: Home::default(),
+                purses: HashMap::new(),
                 router: Router::new(policy, rand::random()),
                 waiting: HashMap::new(),
+                budget: Budget::default(),
                 quarantine: Quarantine::default(),
                 servers: Servers::default(),
                 trails: Trails::default(),
-                instances: Vec::new(),
             }),
             settings,
+            is_log_failing: Cell::new(false),
+            is_fetching: Cell::new(false),
             next_request: Cell::new(1),
         })
     }
--- /dev/null
+++ b/crates/entry/src/peers/caller.rs
@@ -0,0 +1,199 @@
+//! The asking side of calls between entries.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use async_executor::LocalExecutor;
+use capnp::message::ReaderOptions;
+use capnp_rpc::RpcSystem;
+use capnp_rpc::rpc_twoparty_capnp::Side;
+use capnp_rpc::twoparty::VatNetwork;
+use claim::Nonce;
+use claim::Outcome;
+use domain::Key;
+use limit::Ask;
+use limit::Grant;
+use web::Stream;
+use web::stream::within;
+use wire::call;
+use wire::call::Decision;
+use wire::peer_capnp::peer;
+
+/// The time in which a connection has to come about.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Connections to other entries.
+#[derive(Default)]
+pub struct Pool {
+    clients: RefCell<HashMap<SocketAddr, peer::Client>>,
+}
+
+/// A failed call.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// No connection came about: the peer certainly did not receive the call.
+    #[error("the peer can't be reached")]
+    Unreachable,
+    /// The call may have been received, but no answer came.
+    #[error("the peer did not answer ({0})")]
+    Unanswered(String),
+}
+
+impl Pool {
+    /// Claims a key at a peer.
+    pub async fn claim(
+        &self,
+        executor: &LocalExecutor<'static>,
+        peer: SocketAddr,
+        key: Key,
+        nonce: Nonce,
+        customer: &str,
+        limit: Duration,
+    ) -> Result<Decision, Error> {
+        let client = self.client(executor, peer).await?;
+        let mut request = client.claim_request();
+        let mut params = request.get();
+        call::write_key(key, params.reborrow().init_key());
+        params.set_nonce(nonce);
+        params.set_customer(customer);
+        let response = within(limit, request.send().promise).await;
+        let response = self.checked(peer, response)?;
+        let verdict = response
+            .get()
+            .and_then(|it| it.get_verdict())
+            .map_err(broken)?;
+        call::read_decision(verdict).map_err(broken)
+    }
+
+    /// Gives a claim back at a peer.
+    pub async fn release(
+        &self,
+        executor: &LocalExecutor<'static>,
+        peer: SocketAddr,
+        key: Key,
+        nonce: Nonce,
+        limit: Duration,
+    ) -> Result<(), Error> {
+        let client = self.client(executor, peer).await?;
+        let mut request = client.release_request();
+        call::write_key(key, request.get().init_key());
+        request.get().set_nonce(nonce);
+        let response = within(limit, request.send().promise).await;
+        self.checked(peer, response).map(|_| ())
+    }
+
+    /// Tells a peer how a claimed request ended.
+    pub async fn settle(
+        &self,
+        executor: &LocalExecutor<'static>,
+        peer: SocketAddr,
+        key: Key,
+        nonce: Nonce,
+        outcome: &Outcome,
+        limit: Duration,
+    ) -> Result<(), Error> {
+        let client = self.client(executor, peer).await?;
+        let mut request = client.settle_request();
+        call::write_key(key, request.get().init_key());
+        request.get().set_nonce(nonce);
+        call::write_outcome(outcome, request.get().init_outcome());
+        let response = within(limit, request.send().promise).await;
+        self.checked(peer, response).map(|_| ())
+    }
+
+    /// Asks a peer for an allotment.
+    pub async fn allot(
+        &self,
+        executor: &LocalExecutor<'static>,
+        peer: SocketAddr,
+        ask: &Ask,
+        limit: Duration,
+    ) -> Result<Grant, Error> {
+        let client = self.client(executor, peer).await?;
+        let mut request = client.allot_request();
+        call::write_ask(ask, request.get().init_ask());
+        let response = within(limit, request.send().promise).await;
+        let response = self.checked(peer, response)?;
+        let grant = response
+            .get()
+            .and_then(|it| it.get_grant())
+            .map_err(broken)?;
+        call::read_grant(grant).map_err(broken)
+    }
+
+    /// Asks a peer for the folded configuration, if it has read beyond `next`.
+    pub async fn configuration(
+        &self,
+        executor: &LocalExecutor<'static>,
+        peer: SocketAddr,
+        next: u64,
+        limit: Duration,
+    ) -> Result<Vec<u8>, Error> {
+        let client = self.client(executor, peer).await?;
+        let mut request = client.configuration_request();
+        request.get().set_next(next);
+        let response = within(limit, request.send().promise).await;
+        let response = self.checked(peer, response)?;
+        let fold = response
+            .get()
+            .and_then(|it| it.get_fold())
+            .map_err(broken)?;
+        Ok(fold.to_vec())
+    }
+
+    /// Forgets the connection to a peer after a failed call.
+    fn checked<T>(
+        &self,
+        peer: SocketAddr,
+        response: Option<Result<T, capnp::Error>>,
+    ) -> Result<T, Error> {
+        let error = match response {
+            Some(Ok(response)) => return Ok(response),
+            Some(Err(error)) => error.to_string(),
+            None => "too late".to_owned(),
+        };
+        self.clients.borrow_mut().remove(&peer);
+        Err(Error::Unanswered(error))
+    }
+
+    async fn client(
+        &self,
+        executor: &LocalExecutor<'static>,
+        peer: SocketAddr,
+    ) -> Result<peer::Client, Error> {
+        if let Some(client) = self.clients.borrow().get(&peer) {
+            return Ok(client.clone());
+        }
+        let stream = within(CONNECT_TIMEOUT, Stream::connect(peer)).await;
+        let stream = stream.and_then(Result::ok).ok_or(Error::Unreachable)?;
+        let network = VatNetwork::new(stream.clone(), stream, Side::Client, ReaderOptions::new());
+        let mut system = RpcSystem::new(Box::new(network), None);
+        let client: peer::Client = system.bootstrap(Side::Server);
+        let run = async move {
+            if let Err(error) = system.await {
+                log::debug!(target: "peers", "Connection to {peer} ended: {error}.");
+            }
+        };
+        executor.spawn(run).detach();
+        self.clients.borrow_mut().insert(peer, client.clone());
+        Ok(client)
+    }
+}
+
+fn broken(error: impl std::fmt::Display) -> Error {
+    Error::Unanswered(error.to_string())
+}
+
+/// Runs a call again after a connection broke that was opened before, for example because the
+/// peer was restarted.
+pub async fn twice<T, F>(mut attempt: impl FnMut() -> F) -> Result<T, Error>
+where
+    F: Future<Output = Result<T, Error>>,
+{
+    match attempt().await {
+        Err(Error::Unanswered(_)) => attempt().await,
+        other => other,
+    }
+}
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -7,6 +7,9 @@
 use anyhow::Result;
 use async_executor::LocalExecutor;
 use async_io::Timer;
+use platform::Instance;
+use platform::Role;
+use platform::Status;
 use settings::Entry as Settings;
 use web::server;
 use web::server::Switch;
@@ -16,9 +19,12 @@
 use crate::dispatch;
 use crate::engines;
 use crate::follow;
+use crate::limits;
 use crate::node::Addresses;
 use crate::node::Node;
 use crate::operators;
+use crate::peers;
+use crate::peers::Sockets;
 
 /// The time between two readings of the instance list.
 const LIST_INTERVAL: Duration = Duration::from_millis(500);
@@ -30,8 +36,8 @@
     let executor = Rc::new(LocalExecutor::new());
     let (callers, callers_at) =
         server::bind(settings.callers).context("`callers` can't be bound: choose another")?;
-    let (peers, peers_at) =
-        server::bind(settings.peers).context("`peers` can't be bound: choose another")?;
+    let peers = Sockets::bind(settings.peers).context("`peers` can't be bound: choose another")?;
+    let peers_at = peers.address;
     let (operators, operators_at) =
         server::bind(settings.operators).context("`operators` can't be bound: choose another")?;
     let addresses = Addresses {
@@ -41,7 +47,8 @@
     };
     println!("listening callers={callers_at} peers={peers_at} operators={operators_at}");
     let node = Node::new(settings, addresses, executor.clone());
-    drop(peers);
+    let datagrams = Rc::new(peers.datagrams);
+    let _ = node.datagrams.set(datagrams.clone());
     log::info!(target: "run", "Started as incarnation {}.", node.incarnation);
 
     let caller_node = node.clone();
@@ -53,6 +60,13 @@
     let serve = server::serve(executor.clone(), operators, Switch::default(), handler);
     executor.spawn(serve).detach();
 
+    executor
+        .spawn(peers::gossip(node.clone(), datagrams))
+        .detach();
+    executor
+        .spawn(peers::server::serve(node.clone(), peers.listener))
+        .detach();
+    executor.spawn(limits::renew(node.clone())).detach();
     executor.spawn(follow::run(node.clone())).detach();
     executor
         .spawn(follow::keep_snapshots(node.clone()))
@@ -68,13 +82,30 @@
 async fn list(node: Rc<Node>) {
     loop {
         match node.platform.instances().await {
-            Ok(instances) => node.core.borrow_mut().instances = instances,
+            Ok(instances) => take_list(&node, &instances),
             Err(error) => log::debug!(target: "list", "No instance list: {error}."),
         }
         Timer::after(LIST_INTERVAL).await;
     }
 }
 
+fn take_list(node: &Node, instances: &[Instance]) {
+    let entries = instances.iter().filter_map(|it| match it.role {
+        Role::Entry { peers, .. } => Some(peers),
+        Role::BackendServer => None,
+    });
+    let mut core = node.core.borrow_mut();
+    core.members.list(&entries.collect::<Vec<_>>());
+    let is_leaving = |it: &&Instance| it.status == Status::Leaving;
+    let leaving = instances
+        .iter()
+        .filter(is_leaving)
+        .filter(|it| it.role == Role::BackendServer);
+    for instance in leaving {
+        core.mark_leaving(&instance.name);
+    }
+}
+
 /// Waits for a signal, then stops without cutting off a request.
 async fn stop(node: Rc<Node>) -> Result<()> {
     use std::sync::Arc;
@@ -89,6 +120,7 @@
         Timer::after(STOP_CHECK).await;
     }
     node.core.borrow_mut().is_stopping = true;
+    peers::announce(&node);
     // Callers may keep an answer that names this instance, and others may give out such answers
     // for as long as the list lags behind.
     let settings = &node.settings;
--- a/crates/entry/src/services.rs
+++ b/crates/entry/src/services.rs
@@ -1,5 +1,6 @@
 //! Plain services: `POST /v1/services/{service}/{path}`.
 
+use std::cell::Cell;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -11,15 +12,24 @@
 use domain::failure::Ran;
 use domain::fleet::BackendServer;
 use futures_lite::future;
+use membership::message::Rumour;
+use routing::engine::Load;
 use routing::health::Health;
+use routing::leaving::Leaving;
+use routing::router::End;
 use web::Exchange;
 use web::Reply;
 use web::client::Call;
 
+use crate::attempt::Error;
 use crate::attempt::LEAVING_HEADER;
 use crate::clock;
+use crate::held::Denied;
+use crate::held::Held;
+use crate::limits;
 use crate::metrics;
 use crate::node::Node;
+use crate::peers;
 use crate::request::Head;
 use crate::trail;
 use crate::trail::Outcome;
@@ -41,7 +51,7 @@
     service: String,
     address: SocketAddr,
     health: Health,
-    is_leaving: bool,
+    leaving: Leaving,
 }
 
 impl Servers {
@@ -59,7 +69,7 @@
                 service: String::new(),
                 address: server.address,
                 health: Health::default(),
-                is_leaving: false,
+                leaving: Leaving::default(),
             });
             let server_state = Server {
                 service: service.service.clone(),
@@ -70,15 +80,16 @@
     }
 
     /// Takes a server's own word on whether it is leaving.
-    pub fn report(&mut self, name: &str, is_leaving: bool) {
+    pub fn report(&mut self, name: &str, load: &Load) {
         if let Some(server) = self.servers.get_mut(name) {
-            server.is_leaving = is_leaving;
+            server.leaving.report(load.incarnation, load.is_leaving);
         }
     }
 
-    /// Notes that some source says that a server is leaving.
-    pub fn leaving(&mut self, name: &str) {
-        self.report(name, true);
+    /// Notes that some source says that a server is leaving. Returns whether that is news.
+    pub fn mark_leaving(&mut self, name: &str) -> bool {
+        let server = self.servers.get_mut(name);
+        server.is_some_and(|it| it.leaving.mark())
     }
 
     /// Notes that a server can't be reached.
@@ -96,7 +107,7 @@
     fn next(&mut self, now: Moment, service: &str, avoid: &[String]) -> Option<Choice> {
         self.turn = self.turn.wrapping_add(1);
         let usable = self.servers.iter_mut().filter(|(name, it)| {
-            let is_usable = !it.is_leaving && it.health.is_usable(now);
+            let is_usable = !it.leaving.is_marked() && it.health.is_usable(now);
             it.service == service && is_usable && !avoid.contains(name)
         });
         let mut usable: Vec<_> = usable.collect();
@@ -111,13 +122,15 @@
         })
     }
 
-    fn ended(&mut self, now: Moment, name: &str, is_good: bool) {
-        if let Some(server) = self.servers.get_mut(name) {
-            if is_good {
-                server.health.succeeded()
-            } else {
-                server.health.failed(now)
-            }
+    fn ended(&mut self, now: Moment, name: &str, end: End) {
+        let Some(server) = self.servers.get_mut(name) else {
+            return;
+        };
+        match end {
+            End::Done => server.health.succeeded(),
+            End::Neutral => {}
+            End::Failed => server.health.failed(now),
+            End::Lost => server.health.lost(now),
         }
     }
 }
@@ -174,6 +187,11 @@
         return Err(Failure::refused(Kind::NotFound, message));
     }
     let body = exchange.body(BODY_LIMIT).await?;
+    let mut held = match Held::claim(node, &head).await {
+        Ok(held) => held,
+        Err(Denied::Refused(failure)) => return Err(failure),
+        Err(Denied::Repeat(answer)) => return Ok(repeat(answer)),
+    };
     let call = Service {
         id,
         head: &head,
@@ -181,85 +199,144 @@
         path,
         body: &body,
     };
-    let mut was_sent = false;
-    let deadline = async {
-        clock::wait_until(head.deadline).await;
-        None
-    };
-    let run = async { Some(call.run(node, &mut was_sent).await) };
-    let result = future::or(run, deadline).await;
-    result.unwrap_or_else(|| {
-        let message = "the time limit passed: raise Request-Timeout or come back later";
-        let ran = if was_sent { Ran::Maybe } else { Ran::No };
-        Err(Failure::refused(Kind::TimedOut, message)
-            .with_ran(ran)
-            .retry_after(RETRY_AFTER))
-    })
+    let result = call.run_in_time(node, &mut held).await;
+    if let Some(held) = held {
+        match &result {
+            Ok(answer) => held.done(answer.record()),
+            Err(failure) => held.failed(failure),
+        }
+    }
+    result.map(|answer| Reply::bytes(answer.status, &answer.content_type, answer.body))
+}
+
+/// Returns the recorded answer of an earlier request with the same key.
+fn repeat(answer: claim::Answer) -> Reply {
+    let body = answer.body.unwrap_or_default();
+    Reply::bytes(answer.status, &answer.content_type, body).with_header("Coriander-Repeat", "yes")
+}
+
+/// The answer of a backend server.
+#[derive(Clone, Debug)]
+struct Answer {
+    status: u16,
+    content_type: String,
+    body: Vec<u8>,
+}
+
+impl Answer {
+    fn record(&self) -> claim::Answer {
+        claim::Answer::new(self.status, &self.content_type, &self.body)
+    }
 }
 
 impl Service<'_> {
-    async fn run(&self, node: &Rc<Node>, was_sent: &mut bool) -> Result<Reply, Failure> {
+    async fn run_in_time(
+        &self,
+        node: &Rc<Node>,
+        held: &mut Option<Held>,
+    ) -> Result<Answer, Failure> {
+        let _admission = limits::admit(node, &self.head.contract, 0).await?;
+        let ran = Cell::new(Ran::No);
+        let deadline = async {
+            clock::wait_until(self.head.deadline).await;
+            let message = "the time limit passed: raise Request-Timeout or come back later";
+            let failure = Failure::refused(Kind::TimedOut, message).with_ran(ran.get());
+            Err(failure.retry_after(RETRY_AFTER))
+        };
+        future::or(self.run(node, held, &ran), deadline).await
+    }
+
+    async fn run(
+        &self,
+        node: &Rc<Node>,
+        held: &mut Option<Held>,
+        ran: &Cell<Ran>,
+    ) -> Result<Answer, Failure> {
         let mut avoid = Vec::new();
         loop {
             let now = clock::now();
+            let left = now.until(self.head.deadline);
             let choice = node
                 .core
                 .borrow_mut()
                 .servers
                 .next(now, self.service, &avoid);
             let Some(choice) = choice else {
-                return Err(self.all_out(*was_sent));
+                return Err(self.all_out(ran.get()));
             };
             node.step(self.id.number, format!("sent to {}", choice.name));
-            let call = self.call(&choice);
-            *was_sent = true;
-            let left = clock::now().until(self.head.deadline);
-            let answer = node.client.send_fresh(&call, left).await;
-            let is_refusal = |it: &web::client::Answer| {
-                it.status() == 503 && it.header(LEAVING_HEADER).is_some()
+            let earlier = ran.replace(Ran::Maybe);
+            if let Some(held) = held {
+                held.sent();
+            }
+            let error = match self.send(node, &choice, left).await {
+                Ok(answer) => return Ok(answer),
+                Err(error) => error,
             };
-            match answer {
-                Ok(answer) if is_refusal(&answer) => {
-                    *was_sent = false;
-                    node.step(self.id.number, format!("{} is leaving", choice.name));
-                    node.core.borrow_mut().servers.leaving(&choice.name);
-                }
-                Ok(mut answer) => {
-                    let body = answer.bytes().await;
-                    node.core
-                        .borrow_mut()
-                        .servers
-                        .ended(clock::now(), &choice.name, body.is_ok());
-                    let kind = answer
-                        .header("Content-Type")
-                        .unwrap_or("application/octet-stream");
-                    let kind = kind.to_owned();
-                    match body {
-                        Ok(body) => return Ok(Reply::bytes(answer.status(), &kind, body)),
-                        Err(error) => self.broken(&error.to_string())?,
-                    }
-                }
-                Err(error) if error.is_unreachable() => {
-                    *was_sent = false;
-                    node.step(self.id.number, format!("{}: {error}", choice.name));
-                    node.core
-                        .borrow_mut()
-                        .servers
-                        .lost(clock::now(), &choice.name);
-                }
-                Err(error) => {
-                    node.step(self.id.number, format!("{}: {error}", choice.name));
-                    node.core
-                        .borrow_mut()
-                        .servers
-                        .ended(clock::now(), &choice.name, false);
-                    self.broken(&error.to_string())?;
+            node.step(self.id.number, format!("{}: {error}", choice.name));
+            if error.is_certainly_not_run() {
+                ran.set(earlier);
+                if let Some(held) = held {
+                    held.not_taken();
                 }
+            } else if held.is_some() {
+                let message = format!(
+                    "the answer was lost ({error}): check whether it was done before you send it \
+                     again with a new key"
+                );
+                return Err(Failure::uncertain(Kind::BackendFailed, message));
             }
             avoid.push(choice.name);
         }
     }
 
+    async fn send(&self, node: &Node, choice: &Choice, left: Duration) -> Result<Answer, Error> {
+        let answer = node.client.send_fresh(&self.call(choice), left).await;
+        let broken = |error: web::client::Error| {
+            node.core
+                .borrow_mut()
+                .servers
+                .ended(clock::now(), &choice.name, End::Failed);
+            Error::Broken(error.to_string())
+        };
+        let mut answer = match answer {
+            Ok(answer) => answer,
+            Err(error) if error.is_unreachable() => {
+                node.core
+                    .borrow_mut()
+                    .servers
+                    .lost(clock::now(), &choice.name);
+                return Err(Error::Unreachable);
+            }
+            Err(error) => return Err(broken(error)),
+        };
+        if answer.status() == 503 && answer.header(LEAVING_HEADER).is_some() {
+            if node.core.borrow_mut().mark_leaving(&choice.name) {
+                peers::tell(
+                    node,
+                    Rumour::ServerLeaving {
+                        server: choice.name.clone(),
+                    },
+                );
+            }
+            return Err(Error::Leaving);
+        }
+        let content_type = answer
+            .header("Content-Type")
+            .unwrap_or("application/octet-stream");
+        let content_type = content_type.to_owned();
+        let body = answer.bytes().await.map_err(broken)?;
+        node.core
+            .borrow_mut()
+            .servers
+            .ended(clock::now(), &choice.name, End::Done);
+        Ok(Answer {
+            status: answer.status(),
+            content_type,
+            body,
+        })
+    }
+
     fn call(&self, choice: &Choice) -> Call {
         let mut call = Call::post(choice.address, format!("/{}", self.path), self.body);
         if let Some(key) = self.head.key {
@@ -268,24 +345,12 @@
         call.header("Request-Id", self.id.to_string())
     }
 
-    /// A call whose answer was lost may be repeated only if the caller did not mark it.
-    fn broken(&self, reason: &str) -> Result<(), Failure> {
-        if self.head.key.is_none() {
-            return Ok(());
-        }
-        let message = format!(
-            "the answer was lost ({reason}): check whether it was done before \
-                               you send it again with a new key"
-        );
-        Err(Failure::uncertain(Kind::BackendFailed, message))
-    }
-
-    fn all_out(&self, was_sent: bool) -> Failure {
+    fn all_out(&self, ran: Ran) -> Failure {
         let message = format!(
             "no server of `{}` can take this now: come back",
             self.service
         );
-        let ran = if was_sent { Ran::Maybe } else { Ran::No };
+
         Failure::refused(Kind::Overloaded, message)
             .with_ran(ran)
             .retry_after(RETRY_AFTER)
--- a/crates/fakes/src/service.rs
+++ b/crates/fakes/src/service.rs
@@ -54,6 +54,7 @@
 
 #[derive(Default)]
 struct State {
+    incarnation: u64,
     faults: Faults,
     runs: Runs,
 }
@@ -63,7 +64,10 @@
     let executor = Rc::new(LocalExecutor::new());
     let (listener, address) = web::server::bind(listen)?;
     println!("listening {address}");
-    let state = Rc::new(RefCell::new(State::default()));
+    let state = Rc::new(RefCell::new(State {
+        incarnation: rand::random(),
+        ..State::default()
+    }));
     let time = Duration::from_millis(options.call_ms);
     let handler = move |exchange| handle(state.clone(), time, exchange);
     let server = web::server::serve(executor.clone(), listener, Switch::default(), handler);
@@ -83,7 +87,11 @@
         },
         (Method::Get, "/runs") => Reply::json(&state.borrow().runs),
         (Method::Get, "/load") => {
-            Reply::json(&serde_json::json!({ "is_leaving": state.borrow().faults.leaving }))
+            let state = state.borrow();
+            Reply::json(&serde_json::json!({
+                "incarnation": state.incarnation,
+                "is_leaving": state.faults.leaving,
+            }))
         }
         _ => call(&state, time, exchange).await,
     }
--- a/crates/harness/src/customer.rs
+++ b/crates/harness/src/customer.rs
@@ -7,7 +7,10 @@
 use anyhow::Context;
 use anyhow::Result;
 use domain::Failure;
+use domain::Key;
+use domain::digest;
 use entry::callers::Entries;
+use entry::callers::Keys;
 use fakes::answer;
 use serde_json::Value;
 use serde_json::json;
@@ -162,6 +165,14 @@
         ))
     }
 
+    /// Takes tickets from an entry.
+    pub async fn tickets(&self, entry: SocketAddr, count: usize) -> Result<Vec<Key>> {
+        let path = format!("/v1/keys?count={count}");
+        let call = self.sign(Call::post(entry, path, Vec::new()));
+        let keys: Keys = self.client.fetch(&call, PATIENCE).await?;
+        Ok(keys.keys)
+    }
+
     /// Adds the bearer key to a call.
     pub fn sign(&self, call: Call) -> Call {
         call.header("Authorization", format!("Bearer {}", self.secret))
@@ -202,3 +213,15 @@
     let failure = value.get("error").context("no `error` in the body")?;
     Ok(serde_json::from_value(failure.clone())?)
 }
+
+/// Mints an idempotency key as a caller does.
+pub fn mint() -> Key {
+    use std::sync::atomic::AtomicU64;
+    use std::sync::atomic::Ordering;
+
+    static MINTED: AtomicU64 = AtomicU64::new(0);
+    let number = MINTED.fetch_add(1, Ordering::Relaxed);
+    let process = u64::from(std::process::id());
+    let random = u128::from(digest::seeded(&number.to_be_bytes(), process));
+    Key::mint(fakes::clock::since_epoch(), random)
+}
--- /dev/null
+++ b/crates/harness/tests/at_most_once.rs
@@ -0,0 +1,305 @@
+//! A request marked as non-idempotent runs at most once, whatever fails.
+
+use std::net::SocketAddr;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use async_io::Timer;
+use async_io::block_on;
+use domain::Key;
+use domain::failure::Ran;
+use futures_lite::future::zip;
+use harness::Cluster;
+use harness::Customer;
+use harness::cluster::Plan;
+use harness::cluster::secret;
+use harness::customer;
+use harness::customer::Prompt;
+use serde_json::Value;
+use serde_json::json;
+
+/// What a booking came to.
+#[derive(Debug)]
+struct Booking {
+    status: u16,
+    ran: Option<Ran>,
+    body: Value,
+}
+
+fn book(customer: &Customer, entry: SocketAddr, key: Key) -> Booking {
+    block_on(book_later(customer, entry, key))
+}
+
+async fn book_later(customer: &Customer, entry: SocketAddr, key: Key) -> Booking {
+    let key = key.to_string();
+    let sent = customer.service(entry, "bookings/seats", Some(&key)).await;
+    let (status, body) = sent.unwrap_or((0, Value::Null));
+    let ran = serde_json::from_value(body["error"]["ran"].clone()).ok();
+    Booking { status, ran, body }
+}
+
+fn book_in_thread(entry: SocketAddr, key: Key) -> JoinHandle<Booking> {
+    std::thread::spawn(move || book(&Customer::new(secret("riders")), entry, key))
+}
+
+/// Returns how often a key ran, over all servers of the service.
+fn runs(cluster: &Cluster, key: Key) -> u64 {
+    let pages = cluster
+        .services
+        .iter()
+        .map(|it| cluster.page(it.address, "/runs").unwrap());
+    pages
+        .map(|it| it["by_key"][key.to_string()].as_u64().unwrap_or(0))
+        .sum()
+}
+
+fn start(service_ms: u64) -> (Cluster, Customer) {
+    let plan = Plan {
+        engines: 1,
+        services: 2,
+        service_options: vec![format!("--call-ms={service_ms}")],
+        ..Plan::default()
+    };
+    let cluster = Cluster::start(plan).unwrap();
+    let customer = cluster.customer("riders");
+    (cluster, customer)
+}
+
+#[test]
+fn claim_same_key_on_two_entries_runs_once() {
+    let (cluster, customer) = start(50);
+    for _ in 0..10 {
+        let key = customer::mint();
+        let first = book_later(&customer, cluster.entry(0), key);
+        let second = book_later(&customer, cluster.entry(1), key);
+        let (first, second) = block_on(zip(first, second));
+        assert_eq!(runs(&cluster, key), 1, "{first:?} {second:?}");
+        let refused: Vec<_> = [first, second]
+            .into_iter()
+            .filter(|it| it.status != 200)
+            .collect();
+        assert!(refused.len() <= 1 && refused.iter().all(|it| it.ran == Some(Ran::Maybe)));
+    }
+}
+
+#[test]
+fn claim_repeat_gets_the_known_outcome() {
+    let (cluster, customer) = start(5);
+    let keys = [
+        customer::mint(),
+        block_on(customer.tickets(cluster.entry(0), 1)).unwrap()[0],
+    ];
+    for key in keys {
+        let first = book(&customer, cluster.entry(0), key);
+        assert_eq!(first.status, 200);
+        let settled = || book(&customer, cluster.entry(1), key).status == 200;
+        cluster
+            .until(Duration::from_secs(5), "the outcome is known", settled)
+            .unwrap();
+        let again = book(&customer, cluster.entry(2), key);
+        assert_eq!((again.status, &again.body), (200, &first.body));
+        assert_eq!(runs(&cluster, key), 1);
+    }
+}
+
+#[test]
+fn claim_keyed_prompt_is_repeated_from_its_record() {
+    let (cluster, customer) = start(5);
+    let prompt = Prompt::new(1_000, 20, 1).with_key(customer::mint().to_string());
+    let first = block_on(customer.prompt(cluster.entry(0), &prompt)).unwrap();
+    assert!(first.is_whole(&prompt));
+    let is_repeated = || {
+        let again = block_on(customer.prompt(cluster.entry(1), &prompt)).unwrap();
+        again.is_whole(&prompt)
+    };
+    cluster
+        .until(Duration::from_secs(5), "the answer is known", is_repeated)
+        .unwrap();
+}
+
+#[test]
+fn ticket_on_two_entries_runs_once() {
+    let (cluster, customer) = start(50);
+    for key in block_on(customer.tickets(cluster.entry(0), 10)).unwrap() {
+        let first = book_later(&customer, cluster.entry(1), key);
+        let second = book_later(&customer, cluster.entry(2), key);
+        let (first, second) = block_on(zip(first, second));
+        assert_eq!(runs(&cluster, key), 1, "{first:?} {second:?}");
+    }
+}
+
+#[test]
+fn ticket_of_another_customer_is_refused() {
+    let (cluster, customer) = start(5);
+    let key = block_on(cluster.customer("clinics").tickets(cluster.entry(0), 1)).unwrap()[0];
+    let stolen = book(&customer, cluster.entry(1), key);
+    assert_eq!((stolen.status, stolen.ran), (409, Some(Ran::No)));
+    assert_eq!(
+        book(&cluster.customer("clinics"), cluster.entry(1), key).status,
+        200
+    );
+    assert_eq!(runs(&cluster, key), 1);
+}
+
+#[test]
+fn log_outage_tickets_run_and_minted_keys_wait() {
+    let (cluster, customer) = start(5);
+    let tickets = block_on(customer.tickets(cluster.entry(0), 3)).unwrap();
+    let before = customer::mint();
+    assert_eq!(book(&customer, cluster.entry(0), before).status, 200);
+    cluster
+        .fault(cluster.platform.address, &json!({ "outage_ms": 600_000 }))
+        .unwrap();
+    for (index, key) in tickets.into_iter().enumerate() {
+        assert_eq!(book(&customer, cluster.entry(index), key).status, 200);
+        assert_eq!(runs(&cluster, key), 1);
+    }
+    let minted = customer::mint();
+    let refused = book(&customer, cluster.entry(1), minted);
+    assert_eq!((refused.status, refused.ran), (503, Some(Ran::Maybe)));
+    assert!(refused.body["error"]["retry_after_ms"].as_u64().is_some());
+    // A repeat of what ran before the outage must not be called unrun.
+    let repeated = book(&customer, cluster.entry(2), before);
+    assert_ne!(repeated.ran, Some(Ran::No));
+    cluster.fault(cluster.platform.address, &json!({})).unwrap();
+    let runs_now = || book(&customer, cluster.entry(1), minted).status == 200;
+    cluster
+        .until(
+            Duration::from_secs(10),
+            "the key runs after the outage",
+            runs_now,
+        )
+        .unwrap();
+    assert_eq!((runs(&cluster, minted), runs(&cluster, before)), (1, 1));
+}
+
+#[test]
+fn log_lost_answers_run_once() {
+    let (cluster, customer) = start(5);
+    for index in 0..6 {
+        cluster
+            .fault(cluster.platform.address, &json!({ "lose_answers": 1 }))
+            .unwrap();
+        let key = customer::mint();
+        let booked = book(&customer, cluster.entry(index % 3), key);
+        assert_eq!(booked.status, 200, "{booked:?}");
+        assert_eq!(runs(&cluster, key), 1);
+    }
+}
+
+#[test]
+fn log_slow_runs_once_or_says_so() {
+    let (cluster, customer) = start(5);
+    cluster
+        .fault(cluster.platform.address, &json!({ "delay_ms": 700 }))
+        .unwrap();
+    for index in 0..3 {
+        let key = customer::mint();
+        let booked = book(&customer, cluster.entry(index), key);
+        let ran = runs(&cluster, key);
+        assert!(
+            ran <= 1 && (booked.status == 200) == (ran == 1),
+            "{booked:?}"
+        );
+    }
+}
+
+/// Books on entry 0, lets `interfere` act while the booking runs, and repeats it elsewhere.
+fn check_interference(use_ticket: bool, interfere: impl Fn(&mut Cluster)) {
+    let (mut cluster, customer) = start(600);
+    let key = match use_ticket {
+        true => block_on(customer.tickets(cluster.entry(0), 1)).unwrap()[0],
+        false => customer::mint(),
+    };
+    let entry = cluster.entry(0);
+    let first = book_in_thread(entry, key);
+    let is_running = || runs(&cluster, key) == 1;
+    cluster
+        .until(Duration::from_secs(5), "the booking runs", is_running)
+        .unwrap();
+    interfere(&mut cluster);
+    for index in [1, 2, 1] {
+        let repeated = book(&customer, cluster.entry(index), key);
+        assert_ne!(repeated.ran, Some(Ran::No), "{repeated:?}");
+        assert_eq!(runs(&cluster, key), 1);
+    }
+    let _ = cluster.entries[0].process.signal("CONT");
+    let _ = first.join();
+    block_on(Timer::after(Duration::from_millis(300)));
+    assert_eq!(runs(&cluster, key), 1);
+}
+
+#[test]
+fn entry_killed_after_dispatch_claim_runs_once() {
+    check_interference(false, |cluster| cluster.entries[0].process.kill());
+}
+
+#[test]
+fn entry_killed_after_dispatch_ticket_runs_once() {
+    check_interference(true, |cluster| cluster.entries[0].process.kill());
+}
+
+#[test]
+fn entry_frozen_after_dispatch_claim_runs_once() {
+    check_interference(false, |cluster| {
+        cluster.entries[0].process.signal("STOP").unwrap()
+    });
+}
+
+#[test]
+fn entry_frozen_after_dispatch_ticket_runs_once() {
+    check_interference(true, |cluster| {
+        cluster.entries[0].process.signal("STOP").unwrap()
+    });
+}
+
+#[test]
+fn server_killed_after_dispatch_runs_once() {
+    let (mut cluster, customer) = start(600);
+    let key = customer::mint();
+    let entry = cluster.entry(0);
+    let first = book_in_thread(entry, key);
+    let servers: Vec<SocketAddr> = cluster.services.iter().map(|it| it.address).collect();
+    let mut running = None;
+    let is_running = || {
+        running = servers
+            .iter()
+            .position(|it| cluster.page(*it, "/runs").unwrap()["by_key"][key.to_string()] == 1);
+        running.is_some()
+    };
+    cluster
+        .until(Duration::from_secs(5), "the booking runs", is_running)
+        .unwrap();
+    let mut dead = cluster.services.remove(running.unwrap());
+    dead.process.kill();
+    let first = first.join().unwrap();
+    assert_eq!((first.status, first.ran), (502, Some(Ran::Maybe)));
+    let repeated = book(&customer, cluster.entry(1), key);
+    assert_eq!((repeated.status, repeated.ran), (409, Some(Ran::Maybe)));
+    assert_eq!(runs(&cluster, key), 0, "the other server never ran it");
+}
+
+#[test]
+fn records_expired_key_is_not_run_again() {
+    let plan = Plan {
+        engines: 1,
+        platform_options: vec!["--retention-ms=2000".to_owned()],
+        settings: json!({
+            "answer_lifetime_ms": 300, "list_lag_ms": 300, "log_level": "error",
+            "log_retention_ms": 2000,
+        }),
+        ..Plan::default()
+    };
+    let cluster = Cluster::start(plan).unwrap();
+    let customer = cluster.customer("riders");
+    let key = customer::mint();
+    assert_eq!(book(&customer, cluster.entry(0), key).status, 200);
+    for _ in 0..10 {
+        block_on(Timer::after(Duration::from_millis(300)));
+        let repeated = book(&customer, cluster.entry(1), key);
+        assert_ne!(repeated.ran, Some(Ran::No));
+        assert_eq!(runs(&cluster, key), 1);
+    }
+    let last = book(&customer, cluster.entry(2), key);
+    assert_eq!((last.status, last.ran), (409, Some(Ran::Maybe)), "{last:?}");
+}
--- /dev/null
+++ b/crates/limit/src/purse.rs
@@ -0,0 +1,199 @@
+//! The purse: what an entry was given for one customer, and its static share without a home.
+
+use std::time::Duration;
+
+use domain::Moment;
+use domain::key::Incarnation;
+
+use crate::Ask;
+use crate::Grant;
+use crate::Limit;
+use crate::Refusal;
+use crate::bucket::Bucket;
+use crate::terms::Terms;
+
+/// The time after which what was given is given back.
+const ALLOTMENT_LIFETIME: Duration = Duration::from_millis(1_000);
+/// The use that an entry asks for ahead of need, as time at the recent rate.
+const AHEAD: Duration = Duration::from_millis(250);
+/// The time over which the recent rate is averaged.
+const RATE_WINDOW: Duration = Duration::from_millis(1_000);
+/// The time after which the home has to hear how many requests run.
+pub const RENEWAL: Duration = Duration::from_secs(4);
+/// The wait that is named when all slots are in use.
+const SLOT_WAIT: Duration = Duration::from_millis(200);
+
+/// What an entry was given for one customer.
+#[derive(Clone, Debug, Default)]
+pub struct Purse {
+    tokens: u64,
+    requests: u64,
+    given: Moment,
+    told: Moment,
+    is_tight: bool,
+    running: u64,
+    tokens_rate: Rate,
+    requests_rate: Rate,
+    fallback: Option<Fallback>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Fallback {
+    tokens: Bucket,
+    requests: Bucket,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Rate {
+    per_second: f64,
+    at: Moment,
+}
+
+impl Purse {
+    /// Takes what a request needs, if the purse has it and the home has heard of us lately.
+    pub fn take(&mut self, now: Moment, tokens: u64) -> bool {
+        self.tokens_rate.add(now, tokens as f64);
+        self.requests_rate.add(now, 1.0);
+        let is_fresh = now.since(self.given) < ALLOTMENT_LIFETIME;
+        if !is_fresh || self.is_tight || self.tokens < tokens || self.requests < 1 {
+            return false;
+        }
+        self.spend(tokens);
+        true
+    }
+
+    /// Returns what to ask the home for, for a request of `tokens` tokens. What is left in the
+    /// purse goes back with it.
+    pub fn ask(&mut self, entry: Incarnation, customer: &str, tokens: u64) -> Ask {
+        Ask {
+            entry,
+            customer: customer.to_owned(),
+            tokens,
+            tokens_ahead: self.tokens_rate.over(AHEAD),
+            requests: 1,
+            requests_ahead: self.requests_rate.over(AHEAD),
+            running: self.running + 1,
+            tokens_back: std::mem::take(&mut self.tokens),
+            requests_back: std::mem::take(&mut self.requests),
+        }
+    }
+
+    /// Returns what to tell the home of requests that run or have ended.
+    pub fn word(&mut self, entry: Incarnation, customer: &str) -> Ask {
+        let ask = self.ask(entry, customer, 0);
+        Ask {
+            requests: 0,
+            requests_ahead: 0,
+            tokens_ahead: 0,
+            running: self.running,
+            ..ask
+        }
+    }
+
+    /// Puts a grant into the purse and takes what a request of `tokens` tokens needs.
+    pub fn receive(&mut self, now: Moment, grant: Grant, tokens: u64) -> Result<(), Refusal> {
+        self.given = now;
+        self.told = now;
+        self.fallback = None;
+        self.is_tight = grant.is_tight;
+        self.tokens += grant.tokens;
+        self.requests += grant.requests;
+        match grant.refusal {
+            Some(refusal) => Err(refusal),
+            None => {
+                self.spend(tokens);
+                Ok(())
+            }
+        }
+    }
+
+    /// Takes the answer to a [`Purse::word`].
+    pub fn heard(&mut self, now: Moment, grant: Grant) {
+        self.told = now;
+        self.is_tight = grant.is_tight;
+    }
+
+    /// Takes what a request needs from the static share, while the home can't be reached. `terms`
+    /// is that share.
+    pub fn take_share(&mut self, now: Moment, terms: Terms, tokens: u64) -> Result<(), Refusal> {
+        let fallback = self.fallback.get_or_insert_with(|| Fallback {
+            // The home may have given everything away just before it was lost.
+            tokens: Bucket::new(now, terms.tokens_per_second, terms.burst_tokens, 0.0),
+            requests: Bucket::new(now, terms.requests_per_second, terms.burst_requests, 0.0),
+        });
+        fallback
+            .tokens
+            .set(now, terms.tokens_per_second, terms.burst_tokens);
+        fallback
+            .requests
+            .set(now, terms.requests_per_second, terms.burst_requests);
+        if (self.running + 1) as f64 > terms.concurrent_requests {
+            return Err(Refusal {
+                limit: Limit::Concurrency,
+                wait: SLOT_WAIT,
+            });
+        }
+        let needed = (tokens as f64).min(terms.burst_tokens);
+        if fallback.tokens.level(now) < needed {
+            let wait = fallback.tokens.wait(now, needed);
+            return Err(Refusal {
+                limit: Limit::Tokens,
+                wait,
+            });
+        }
+        if fallback.requests.level(now) < 1.0 {
+            let wait = fallback.requests.wait(now, 1.0);
+            return Err(Refusal {
+                limit: Limit::Requests,
+                wait,
+            });
+        }
+        fallback.tokens.take(tokens as f64);
+        fallback.requests.take(1.0);
+        self.running += 1;
+        Ok(())
+    }
+
+    /// Notes the end of a request. Returns whether the home has to hear of it at once.
+    pub fn ended(&mut self) -> bool {
+        self.running = self.running.saturating_sub(1);
+        self.is_tight
+    }
+
+    /// Tells whether the home has to hear from us: requests run, or unused allotments have aged.
+    pub fn is_due(&self, now: Moment) -> bool {
+        let is_silent = now.since(self.told) >= RENEWAL;
+        let has_unused = self.tokens > 0 || self.requests > 0;
+        let is_aged = has_unused && now.since(self.given) >= ALLOTMENT_LIFETIME;
+        (self.running > 0 && is_silent) || is_aged
+    }
+
+    /// Tells whether the purse can be forgotten.
+    pub fn is_idle(&self, now: Moment) -> bool {
+        let is_empty = self.running == 0 && self.tokens == 0 && self.requests == 0;
+        is_empty && now.since(self.told) >= RENEWAL && self.fallback.is_none()
+    }
+
+    /// Returns the number of requests in progress.
+    pub fn running(&self) -> u64 {
+        self.running
+    }
+
+    fn spend(&mut self, tokens: u64) {
+        self.tokens = self.tokens.saturating_sub(tokens);
+        self.requests = self.requests.saturating_sub(1);
+        self.running += 1;
+    }
+}
+
+impl Rate {
+    fn add(&mut self, now: Moment, amount: f64) {
+        let passed = now.since(self.at).as_secs_f64() / RATE_WINDOW.as_secs_f64();
+        self.per_second = self.per_second * (-passed).exp() + amount / RATE_WINDOW.as_secs_f64();
+        self.at = now;
+    }
+
+    fn over(&self, time: Duration) -> u64 {
+        (self.per_second * time.as_secs_f64()) as u64
+    }
+}
--- /dev/null
+++ b/crates/limit/src/terms.rs
@@ -0,0 +1,44 @@
+//! The limits of one contract, or of a share of it.
+
+use domain::Contract;
+
+/// The limits of one contract, or of a share of it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Terms {
+    /// Prompt tokens a second.
+    pub tokens_per_second: f64,
+    /// Prompt tokens that may be sent at once.
+    pub burst_tokens: f64,
+    /// Requests a second.
+    pub requests_per_second: f64,
+    /// Requests that may be sent at once.
+    pub burst_requests: f64,
+    /// Requests in progress.
+    pub concurrent_requests: f64,
+}
+
+impl Terms {
+    /// Returns the share of `part` entries out of `whole`.
+    pub fn share(self, part: usize, whole: usize) -> Self {
+        let factor = part.min(whole) as f64 / whole.max(1) as f64;
+        Self {
+            tokens_per_second: self.tokens_per_second * factor,
+            burst_tokens: self.burst_tokens * factor,
+            requests_per_second: self.requests_per_second * factor,
+            burst_requests: (self.burst_requests * factor).max(1.0),
+            concurrent_requests: (self.concurrent_requests * factor).max(1.0),
+        }
+    }
+}
+
+impl From<&Contract> for Terms {
+    fn from(contract: &Contract) -> Self {
+        Self {
+            tokens_per_second: contract.tokens_per_second as f64,
+            burst_tokens: contract.burst_tokens as f64,
+            requests_per_second: contract.requests_per_second as f64,
+            burst_requests: contract.burst_requests as f64,
+            concurrent_requests: contract.concurrent_requests as f64,
+        }
+    }
+}
--- /dev/null
+++ b/crates/membership/src/members.rs
@@ -0,0 +1,508 @@
+//! The view of one entry on all of them.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use domain::Moment;
+use domain::key::Incarnation;
+use domain::rendezvous;
+use rand::Rng;
+use rand::seq::SliceRandom;
+
+use crate::member::Member;
+use crate::member::Phase;
+use crate::member::State;
+use crate::message::Event;
+use crate::message::Kind;
+use crate::message::Message;
+use crate::message::Rumour;
+use crate::message::Send;
+
+/// The time between two probes that one entry sends.
+pub const PROBE_INTERVAL: Duration = Duration::from_millis(300);
+/// The time for an acknowledgement, and again for one through others.
+const ACK_TIMEOUT: Duration = Duration::from_millis(300);
+/// The time in which a suspect may object.
+const SUSPECT_TIMEOUT: Duration = Duration::from_millis(900);
+/// The time for which the dead are remembered, so that old news does not bring them back.
+const DEAD_KEPT: Duration = Duration::from_secs(60);
+/// The members that are asked to probe for another.
+const HELPERS: usize = 2;
+/// The pieces of news in one datagram.
+const RUMOUR_LIMIT: usize = 6;
+/// Each piece of news is passed on this often for each doubling of the number of members.
+const SENDS_PER_DOUBLING: u32 = 3;
+/// A pause between two ticks that means that this process was stopped itself.
+const PAUSE_LIMIT: Duration = Duration::from_millis(1_000);
+
+/// The view of one entry on all of them.
+#[derive(Debug)]
+pub struct Members {
+    me: Member,
+    config_next: u64,
+    known: BTreeMap<Incarnation, Known>,
+    /// Addresses from the platform's list that nobody has answered from yet.
+    contacts: Vec<SocketAddr>,
+    listed: usize,
+    probes: BTreeMap<u64, Probe>,
+    /// Probes for others: the number here, and where and under which number to pass it on.
+    relays: BTreeMap<u64, Relay>,
+    order: Vec<Incarnation>,
+    news: Vec<News>,
+    sequence: u64,
+    probed: Moment,
+    ticked: Moment,
+}
+
+#[derive(Clone, Debug)]
+struct Known {
+    member: Member,
+    state: State,
+    since: Moment,
+}
+
+#[derive(Clone, Debug)]
+struct Probe {
+    target: Incarnation,
+    sent: Moment,
+    is_indirect: bool,
+}
+
+#[derive(Clone, Debug)]
+struct Relay {
+    back: SocketAddr,
+    sequence: u64,
+    sent: Moment,
+}
+
+#[derive(Clone, Debug)]
+struct News {
+    rumour: Rumour,
+    sends: u32,
+}
+
+/// What follows from a tick or a datagram.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Output {
+    /// Datagrams to be sent.
+    pub sends: Vec<Send>,
+    /// What the rest of the process should know.
+    pub events: Vec<Event>,
+}
+
+impl Members {
+    /// Returns the view of an entry that knows nobody yet.
+    pub fn new(me: Member) -> Self {
+        Self {
+            me,
+            config_next: 0,
+            known: BTreeMap::new(),
+            contacts: Vec::new(),
+            listed: 1,
+            probes: BTreeMap::new(),
+            relays: BTreeMap::new(),
+            order: Vec::new(),
+            news: Vec::new(),
+            sequence: 0,
+            probed: Moment::default(),
+            ticked: Moment::default(),
+        }
+    }
+
+    /// Returns this entry as it describes itself.
+    pub fn me(&self) -> &Member {
+        &self.me
+    }
+
+    /// Changes what this entry is ready for, and tells the others.
+    pub fn enter(&mut self, phase: Phase) {
+        if self.me.phase != phase {
+            self.me.phase = phase;
+            self.me.beat += 1;
+            self.tell(Rumour::Member {
+                member: self.me.clone(),
+                state: State::Alive,
+            });
+        }
+    }
+
+    /// Sets the offset of the next configuration record that this entry will read.
+    pub fn set_config_next(&mut self, next: u64) {
+        self.config_next = next;
+    }
+
+    /// Takes the addresses of the entries on the platform's list, this one's included.
+    pub fn list(&mut self, peers: &[SocketAddr]) {
+        self.listed = peers.len().max(1);
+        let is_new = |it: &&SocketAddr| {
+            **it != self.me.peers && !self.known.values().any(|known| known.member.peers == **it)
+        };
+        self.contacts = peers.iter().filter(is_new).copied().collect();
+    }
+
+    /// Returns the number of entries that there should be: those listed or those alive, whichever
+    /// is more.
+    pub fn expected(&self) -> usize {
+        self.listed.max(self.alive().count())
+    }
+
+    /// Returns all members that are not held dead, this entry first.
+    pub fn alive(&self) -> impl Iterator<Item = &Member> {
+        let others = self.known.values().filter(|it| it.state != State::Dead);
+        std::iter::once(&self.me).chain(others.map(|it| &it.member))
+    }
+
+    /// Returns the members that callers may be sent to, this entry first.
+    pub fn ready(&self) -> impl Iterator<Item = &Member> {
+        self.alive().filter(|it| it.phase == Phase::Ready)
+    }
+
+    /// Returns a member that is not held dead.
+    pub fn get(&self, incarnation: Incarnation) -> Option<&Member> {
+        self.alive().find(|it| it.incarnation == incarnation)
+    }
+
+    /// Tells whether a member is held dead.
+    pub fn is_dead(&self, incarnation: Incarnation) -> bool {
+        self.known
+            .get(&incarnation)
+            .is_some_and(|it| it.state == State::Dead)
+    }
+
+    /// Returns the home of `subject`: the member that all with the same view pick.
+    pub fn home(&self, subject: &[u8]) -> &Member {
+        let weigh = |it: &&Member| rendezvous::weight(subject, &it.incarnation.0.to_be_bytes());
+        self.alive().max_by_key(weigh).unwrap_or(&self.me)
+    }
+
+    /// Tells whether this entry is the home of `subject` only because another one died lately.
+    pub fn is_successor(&self, subject: &[u8]) -> bool {
+        let weigh = |it: &Member| rendezvous::weight(subject, &it.incarnation.0.to_be_bytes());
+        let mine = weigh(&self.me);
+        let dead = self.known.values().filter(|it| it.state == State::Dead);
+        dead.map(|it| weigh(&it.member)).any(|it| it > mine)
+    }
+
+    /// Passes a piece of news on to the others with the next datagrams.
+    pub fn tell(&mut self, rumour: Rumour) {
+        let is_same = |it: &News| match (&it.rumour, &rumour) {
+            (Rumour::Member { member: a, .. }, Rumour::Member { member: b, .. }) => {
+                a.incarnation == b.incarnation
+            }
+            (a, b) => a == b,
+        };
+        self.news.retain(|it| !is_same(it));
+        self.news.push(News { rumour, sends: 0 });
+    }
+
+    /// Returns datagrams that bring urgent news to everybody at once.
+    pub fn broadcast(&mut self, rumour: Rumour) -> Vec<Send> {
+        let targets: Vec<SocketAddr> = self.alive().skip(1).map(|it| it.peers).collect();
+        let message = Message {
+            from: self.me.clone(),
+            config_next: self.config_next,
+            kind: Kind::News,
+            rumours: vec![rumour],
+        };
+        targets
+            .into_iter()
+            .map(|to| Send {
+                to,
+                message: message.clone(),
+            })
+            .collect()
+    }
+
+    /// Does what is due. To be called several times in each probe interval.
+    pub fn tick(&mut self, now: Moment, random: &mut impl Rng) -> Output {
+        let mut output = Output::default();
+        if now.since(self.ticked) > PAUSE_LIMIT {
+            // Answers may lie unread, so silence means nothing.
+            self.probes.clear();
+            for known in self
+                .known
+                .values_mut()
+                .filter(|it| it.state == State::Suspect)
+            {
+                known.since = now;
+            }
+        }
+        self.ticked = now;
+        self.check_probes(now, random, &mut output);
+        self.check_suspects(now, &mut output);
+        self.relays
+            .retain(|_, it| now.since(it.sent) < ACK_TIMEOUT * 2);
+        if now.since(self.probed) >= PROBE_INTERVAL {
+            self.probed = now;
+            self.probe_next(now, random, &mut output);
+        }
+        output
+    }
+
+    /// Takes a datagram.
+    pub fn receive(&mut self, now: Moment, from: SocketAddr, message: Message) -> Output {
+        let mut output = Output::default();
+        if message.from.incarnation == self.me.incarnation {
+            return output;
+        }
+        if message.config_next > self.config_next {
+            let peer = message.from.peers;
+            output.events.push(Event::ConfigAhead {
+                peer,
+                next: message.config_next,
+            });
+        }
+        let sender = message.from.incarnation;
+        self.learn(now, message.from, State::Alive, &mut output);
+        self.let_object(sender);
+        for rumour in message.rumours {
+            match rumour {
+                Rumour::Member { member, state } => self.learn(now, member, state, &mut output),
+                other => output.events.push(Event::News(other)),
+            }
+        }
+        match message.kind {
+            Kind::Probe { sequence } => {
+                let message = self.message(Kind::Ack { sequence });
+                output.sends.push(Send { to: from, message });
+            }
+            Kind::Ack { sequence } => {
+                if let Some(relay) = self.relays.remove(&sequence) {
+                    let message = self.message(Kind::Ack {
+                        sequence: relay.sequence,
+                    });
+                    output.sends.push(Send {
+                        to: relay.back,
+                        message,
+                    });
+                }
+                if let Some(probe) = self.probes.remove(&sequence) {
+                    self.answered(now, probe.target, &mut output);
+                }
+            }
+            Kind::ProbeFor { sequence, target } => {
+                let number = self.next_sequence();
+                self.relays.insert(
+                    number,
+                    Relay {
+                        back: from,
+                        sequence,
+                        sent: now,
+                    },
+                );
+                let message = self.message(Kind::Probe { sequence: number });
+                output.sends.push(Send {
+                    to: target,
+                    message,
+                });
+            }
+            Kind::News => {}
+        }
+        output
+    }
+
+    fn check_probes(&mut self, now: Moment, random: &mut impl Rng, output: &mut Output) {
+        let late = self
+            .probes
+            .iter()
+            .filter(|(_, it)| now.since(it.sent) >= ACK_TIMEOUT);
+        let late: Vec<u64> = late.map(|(sequence, _)| *sequence).collect();
+        for sequence in late {
+            let Some(probe) = self.probes.remove(&sequence) else {
+                continue;
+            };
+            let Some(known) = self.known.get(&probe.target) else {
+                continue;
+            };
+            let target = known.member.peers;
+            if probe.is_indirect {
+                self.suspect(now, probe.target, output);
+                continue;
+            }
+            let helpers = self.known.values().filter(|it| it.state == State::Alive);
+            let helpers = helpers.filter(|it| it.member.incarnation != probe.target);
+            let mut helpers: Vec<SocketAddr> = helpers.map(|it| it.member.peers).collect();
+            helpers.shuffle(random);
+            for to in helpers.into_iter().take(HELPERS) {
+                let message = self.message(Kind::ProbeFor { sequence, target });
+                output.sends.push(Send { to, message });
+            }
+            let message = self.message(Kind::Probe { sequence });
+            output.sends.push(Send {
+                to: target,
+                message,
+            });
+            self.probes.insert(
+                sequence,
+                Probe {
+                    sent: now,
+                    is_indirect: true,
+                    ..probe
+                },
+            );
+        }
+    }
+
+    fn check_suspects(&mut self, now: Moment, output: &mut Output) {
+        let mut gone = Vec::new();
+        for known in self.known.values_mut() {
+            if known.state == State::Suspect && now.since(known.since) >= SUSPECT_TIMEOUT {
+                known.state = State::Dead;
+                known.since = now;
+                gone.push(known.member.clone());
+            }
+        }
+        for member in gone {
+            output.events.push(Event::Changed(member.incarnation));
+            self.tell(Rumour::Member {
+                member,
+                state: State::Dead,
+            });
+        }
+        self.known
+            .retain(|_, it| it.state != State::Dead || now.since(it.since) < DEAD_KEPT);
+    }
+
+    fn probe_next(&mut self, now: Moment, random: &mut impl Rng, output: &mut Output) {
+        if let Some(to) = self.contacts.pop() {
+            let sequence = self.next_sequence();
+            let message = self.message(Kind::Probe { sequence });
+            output.sends.push(Send { to, message });
+        }
+        let target = loop {
+            let Some(target) = self.order.pop() else {
+                let alive = self.known.iter().filter(|(_, it)| it.state != State::Dead);
+                self.order = alive.map(|(incarnation, _)| *incarnation).collect();
+                self.order.shuffle(random);
+                let Some(target) = self.order.pop() else {
+                    return;
+                };
+                break target;
+            };
+            if self
+                .known
+                .get(&target)
+                .is_some_and(|it| it.state != State::Dead)
+            {
+                break target;
+            }
+        };
+        let Some(to) = self.known.get(&target).map(|it| it.member.peers) else {
+            return;
+        };
+        let sequence = self.next_sequence();
+        self.probes.insert(
+            sequence,
+            Probe {
+                target,
+                sent: now,
+                is_indirect: false,
+            },
+        );
+        let message = self.message(Kind::Probe { sequence });
+        output.sends.push(Send { to, message });
+    }
+
+    fn suspect(&mut self, now: Moment, target: Incarnation, output: &mut Output) {
+        let Some(known) = self.known.get_mut(&target) else {
+            return;
+        };
+        if known.state != State::Alive {
+            return;
+        }
+        known.state = State::Suspect;
+        known.since = now;
+        let member = known.member.clone();
+        output.events.push(Event::Changed(target));
+        self.tell(Rumour::Member {
+            member,
+            state: State::Suspect,
+        });
+    }
+
+    /// Tells a member that is held suspect or dead of it with the next datagram, so that it can
+    /// object.
+    fn let_object(&mut self, sender: Incarnation) {
+        let known = self
+            .known
+            .get(&sender)
+            .filter(|it| it.state != State::Alive);
+        if let Some(Known { member, state, .. }) = known.cloned() {
+            self.tell(Rumour::Member { member, state });
+        }
+    }
+
+    /// Notes that a member answered a probe itself.
+    fn answered(&mut self, now: Moment, target: Incarnation, output: &mut Output) {
+        let Some(known) = self.known.get_mut(&target) else {
+            return;
+        };
+        if known.state == State::Suspect {
+            known.state = State::Alive;
+            known.since = now;
+            output.events.push(Event::Changed(target));
+        }
+    }
+
+    /// Takes what is said of a member, if it is newer than what is known.
+    fn learn(&mut self, now: Moment, member: Member, state: State, output: &mut Output) {
+        let incarnation = member.incarnation;
+        if incarnation == self.me.incarnation {
+            if state != State::Alive && member.beat >= self.me.beat {
+                self.me.beat = member.beat + 1;
+                self.tell(Rumour::Member {
+                    member: self.me.clone(),
+                    state: State::Alive,
+                });
+            }
+            return;
+        }
+        if let Some(known) = self.known.get(&incarnation) {
+            let is_newer = (member.beat, state) > (known.member.beat, known.state);
+            if !is_newer {
+                return;
+            }
+        } else if state == State::Dead {
+            return;
+        }
+        self.contacts.retain(|it| *it != member.peers);
+        // An address belongs to the process that answers from it: an earlier life is over.
+        self.known.retain(|_, it| {
+            it.member.peers != member.peers || it.member.incarnation == incarnation
+        });
+        self.known.insert(
+            incarnation,
+            Known {
+                member: member.clone(),
+                state,
+                since: now,
+            },
+        );
+        output.events.push(Event::Changed(incarnation));
+        self.tell(Rumour::Member { member, state });
+    }
+
+    fn message(&mut self, kind: Kind) -> Message {
+        let doublings = (self.known.len() + 2).ilog2() + 1;
+        let limit = SENDS_PER_DOUBLING * doublings;
+        self.news.sort_by_key(|it| it.sends);
+        let mut rumours = Vec::new();
+        for news in self.news.iter_mut().take(RUMOUR_LIMIT) {
+            news.sends += 1;
+            rumours.push(news.rumour.clone());
+        }
+        self.news.retain(|it| it.sends < limit);
+        Message {
+            from: self.me.clone(),
+            config_next: self.config_next,
+            kind,
+            rumours,
+        }
+    }
+
+    fn next_sequence(&mut self) -> u64 {
+        self.sequence += 1;
+        self.sequence
+    }
+}
--- a/crates/routing/src/engine.rs
+++ b/crates/routing/src/engine.rs
@@ -7,6 +7,7 @@
 
 use crate::health::Health;
 use crate::job;
+use crate::leaving::Leaving;
 
 /// The number of priority levels, one for each length class.
 pub const LEVELS: usize = Length::ALL.len();
@@ -40,7 +41,7 @@
     /// Whether it failed lately.
     pub health: Health,
     /// Whether any source says that it is leaving.
-    pub is_leaving: bool,
+    pub leaving: Leaving,
     load: Load,
     /// The moment that the load report describes.
     load_of: Moment,
@@ -72,7 +73,7 @@
             models,
             memory_tokens,
             health: Health::default(),
-            is_leaving: false,
+            leaving: Leaving::default(),
             load: Load::default(),
             load_of: Moment::default(),
             sent: Vec::new(),
@@ -80,14 +81,11 @@
     }
 
     /// Takes a load report that describes the moment `of`. Older ones than the last are ignored.
-    ///
-    /// A mark as leaving holds until the engine has been restarted.
     pub fn report(&mut self, of: Moment, load: Load) {
         if of < self.load_of {
             return;
         }
-        let is_restarted = load.incarnation != self.load.incarnation;
-        self.is_leaving = load.is_leaving || (self.is_leaving && !is_restarted);
+        self.leaving.report(load.incarnation, load.is_leaving);
         self.load = load;
         self.load_of = of;
     }
@@ -152,7 +150,7 @@
 
     /// Tells whether new work may be sent.
     pub fn is_usable(&self, now: Moment) -> bool {
-        !self.is_leaving && self.health.is_usable(now)
+        !self.leaving.is_marked() && self.health.is_usable(now)
     }
 
     /// Tells whether it serves a model.
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -7,16 +7,19 @@
 //! Architecture invariant: this crate does no I/O and never reads a clock. Random numbers come from
 //! a generator that the caller seeds.
 
+pub mod budget;
 pub mod curve;
 pub mod engine;
 pub mod health;
 pub mod job;
+pub mod leaving;
 pub mod pool;
 pub mod quarantine;
 pub mod queue;
 pub mod router;
 pub mod share;
 
+pub use budget::Budget;
 pub use curve::Curve;
 pub use engine::Engine;
 pub use job::Job;
--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -31,6 +31,9 @@
 /// The part of an engine's memory that one member of a gang is asked for.
 const GANG_MEMORY_PART: f64 = 0.9;
 
+/// The wait that is named while all engines are down.
+const DOWN_WAIT: Duration = Duration::from_secs(1);
+
 /// The way in which an engine is chosen.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Policy {
@@ -85,6 +88,9 @@
     /// No engine serves the model.
     #[error("no backend server serves the model `{0}` now: name another model or come back")]
     NoEngine(String),
+    /// All engines are down.
+    #[error("no backend server answers now: come back in {} ms", .0.as_millis())]
+    Down(Duration),
     /// The prompt is longer than all engines together can hold.
     #[error("the prompt needs {needed} tokens of memory and the fleet has {fleet}: shorten it")]
     TooLong {
@@ -132,11 +138,10 @@
         }
     }
 
-    /// Notes that some source says that an engine is leaving.
-    pub fn leaving(&mut self, engine: &str) {
-        if let Some(engine) = self.pool.get_mut(engine) {
-            engine.is_leaving = true;
-        }
+    /// Notes that some source says that an engine is leaving. Returns whether that is news.
+    pub fn mark_leaving(&mut self, engine: &str) -> bool {
+        let engine = self.pool.get_mut(engine);
+        engine.is_some_and(|it| it.leaving.mark())
     }
 
     /// Notes that an engine can't be reached.
@@ -167,7 +172,11 @@
     }
 
     /// Puts a job back after a failed attempt.
-    pub fn requeue(&mut self, job: Job) {
+    pub fn requeue(&mut self, mut job: Job) {
+        if job.avoid.len() >= self.pool.ranked(&job.model).len() {
+            // All have failed it: the first may have come back.
+            job.avoid.clear();
+        }
         let cost = self.curve.cost(job.prompt_tokens);
         let lane = Lane {
             length: job.length(),
@@ -241,11 +250,14 @@
         let engines = ranked
             .iter()
             .filter_map(|it| self.pool.get(it))
-            .filter(|it| !it.is_leaving);
+            .filter(|it| !it.leaving.is_marked());
         let fleet: u64 = engines.clone().map(gang_memory).sum();
         if engines.clone().next().is_none() {
             return Err(Refusal::NoEngine(job.model.clone()));
         }
+        if !engines.clone().any(|it| it.is_usable(now)) {
+            return Err(Refusal::Down(DOWN_WAIT));
+        }
         let needed = job.memory_tokens();
         if needed > fleet {
             return Err(Refusal::TooLong { needed, fleet });
--- /dev/null
+++ b/crates/wire/src/frame.rs
@@ -0,0 +1,223 @@
+//! Datagrams.
+
+use std::time::Duration;
+
+use capnp::message::Builder;
+use capnp::message::ReaderOptions;
+use capnp::serialize;
+use domain::key::Incarnation;
+use membership::Member;
+use membership::Message;
+use membership::member::Phase;
+use membership::member::State;
+use membership::message::Kind;
+use membership::message::Rumour;
+use routing::engine::LEVELS;
+
+use crate::Error;
+use crate::address;
+use crate::peer_capnp::datagram;
+use crate::peer_capnp::load;
+use crate::peer_capnp::member;
+use crate::peer_capnp::rumour;
+
+/// One datagram between entries.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Frame {
+    /// Membership and news.
+    Message(Message),
+    /// Load reports from the home of some backend servers.
+    Loads(Vec<Load>),
+}
+
+/// The load of one backend server, as its home read it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Load {
+    /// The backend server.
+    pub server: String,
+    /// The age of what is reported.
+    pub age: Duration,
+    /// The report; absent if the server can't be reached.
+    pub report: Option<routing::engine::Load>,
+}
+
+impl Frame {
+    /// Encodes the frame.
+    pub fn encode(&self) -> Vec<u8> {
+        let mut message = Builder::new_default();
+        let datagram = message.init_root::<datagram::Builder<'_>>();
+        match self {
+            Self::Message(it) => write_message(it, datagram),
+            Self::Loads(loads) => {
+                let mut list = datagram.init_loads(loads.len() as u32);
+                for (index, it) in loads.iter().enumerate() {
+                    write_load(it, list.reborrow().get(index as u32));
+                }
+            }
+        }
+        serialize::write_message_to_words(&message)
+    }
+
+    /// Decodes a frame.
+    pub fn decode(mut bytes: &[u8]) -> Result<Self, Error> {
+        let message = serialize::read_message_from_flat_slice(&mut bytes, ReaderOptions::new())?;
+        let datagram = message.get_root::<datagram::Reader<'_>>()?;
+        let kind = match datagram.which()? {
+            datagram::Loads(loads) => {
+                let loads = loads?.iter().map(read_load).collect::<Result<_, _>>()?;
+                return Ok(Self::Loads(loads));
+            }
+            datagram::Probe(sequence) => Kind::Probe { sequence },
+            datagram::Ack(sequence) => Kind::Ack { sequence },
+            datagram::ProbeFor(it) => Kind::ProbeFor {
+                sequence: it.get_sequence(),
+                target: address::read(it.get_target()?)?,
+            },
+            datagram::News(()) => Kind::News,
+        };
+        let rumours = datagram
+            .get_rumours()?
+            .iter()
+            .map(read_rumour)
+            .collect::<Result<_, _>>()?;
+        Ok(Self::Message(Message {
+            from: read_member(datagram.get_from()?)?,
+            config_next: datagram.get_config_next(),
+            kind,
+            rumours,
+        }))
+    }
+}
+
+fn write_message(message: &Message, mut datagram: datagram::Builder<'_>) {
+    write_member(&message.from, datagram.reborrow().init_from());
+    datagram.set_config_next(message.config_next);
+    let mut rumours = datagram
+        .reborrow()
+        .init_rumours(message.rumours.len() as u32);
+    for (index, it) in message.rumours.iter().enumerate() {
+        write_rumour(it, rumours.reborrow().get(index as u32));
+    }
+    match message.kind {
+        Kind::Probe { sequence } => datagram.set_probe(sequence),
+        Kind::Ack { sequence } => datagram.set_ack(sequence),
+        Kind::ProbeFor { sequence, target } => {
+            let mut probe = datagram.init_probe_for();
+            probe.set_sequence(sequence);
+            address::write(target, probe.init_target());
+        }
+        Kind::News => datagram.set_news(()),
+    }
+}
+
+fn write_member(it: &Member, mut builder: member::Builder<'_>) {
+    builder.set_incarnation(it.incarnation.0);
+    builder.set_name(&it.name);
+    builder.set_data_centre(&it.data_centre);
+    address::write(it.callers, builder.reborrow().init_callers());
+    address::write(it.peers, builder.reborrow().init_peers());
+    builder.set_phase(match it.phase {
+        Phase::Starting => member::Phase::Starting,
+        Phase::Ready => member::Phase::Ready,
+        Phase::Leaving => member::Phase::Leaving,
+    });
+    builder.set_beat(it.beat);
+}
+
+fn read_member(reader: member::Reader<'_>) -> Result<Member, Error> {
+    Ok(Member {
+        incarnation: Incarnation(reader.get_incarnation()),
+        name: reader.get_name()?.to_str()?.to_owned(),
+        data_centre: reader.get_data_centre()?.to_str()?.to_owned(),
+        callers: address::read(reader.get_callers()?)?,
+        peers: address::read(reader.get_peers()?)?,
+        phase: match reader.get_phase()? {
+            member::Phase::Starting => Phase::Starting,
+            member::Phase::Ready => Phase::Ready,
+            member::Phase::Leaving => Phase::Leaving,
+        },
+        beat: reader.get_beat(),
+    })
+}
+
+fn write_rumour(it: &Rumour, mut builder: rumour::Builder<'_>) {
+    match it {
+        Rumour::Member { member, state } => {
+            let mut group = builder.init_member();
+            write_member(member, group.reborrow().init_member());
+            group.set_state(match state {
+                State::Alive => rumour::State::Alive,
+                State::Suspect => rumour::State::Suspect,
+                State::Dead => rumour::State::Dead,
+            });
+        }
+        Rumour::Crash {
+            fingerprint,
+            server,
+        } => {
+            let mut group = builder.init_crash();
+            group.set_fingerprint(*fingerprint);
+            group.set_server(server);
+        }
+        Rumour::ServerLeaving { server } => builder.set_server_leaving(server),
+    }
+}
+
+fn read_rumour(reader: rumour::Reader<'_>) -> Result<Rumour, Error> {
+    Ok(match reader.which()? {
+        rumour::Member(group) => Rumour::Member {
+            member: read_member(group.get_member()?)?,
+            state: match group.get_state()? {
+                rumour::State::Alive => State::Alive,
+                rumour::State::Suspect => State::Suspect,
+                rumour::State::Dead => State::Dead,
+            },
+        },
+        rumour::Crash(group) => Rumour::Crash {
+            fingerprint: group.get_fingerprint(),
+            server: group.get_server()?.to_str()?.to_owned(),
+        },
+        rumour::ServerLeaving(server) => Rumour::ServerLeaving {
+            server: server?.to_str()?.to_owned(),
+        },
+    })
+}
+
+fn write_load(it: &Load, mut builder: load::Builder<'_>) {
+    builder.set_server(&it.server);
+    builder.set_age_ms(u32::try_from(it.age.as_millis()).unwrap_or(u32::MAX));
+    let Some(report) = &it.report else {
+        builder.set_is_lost(true);
+        return;
+    };
+    builder.set_incarnation(report.incarnation);
+    let mut backlog = builder.reborrow().init_backlog_micros(LEVELS as u32);
+    for (index, micros) in report.backlog_micros.iter().enumerate() {
+        backlog.set(index as u32, *micros);
+    }
+    builder.set_running(report.running);
+    builder.set_memory_used(report.memory_used);
+    builder.set_is_leaving(report.is_leaving);
+}
+
+fn read_load(reader: load::Reader<'_>) -> Result<Load, Error> {
+    let mut backlog_micros = [0; LEVELS];
+    for (level, micros) in backlog_micros
+        .iter_mut()
+        .zip(reader.get_backlog_micros()?.iter())
+    {
+        *level = micros;
+    }
+    let report = routing::engine::Load {
+        incarnation: reader.get_incarnation(),
+        backlog_micros,
+        running: reader.get_running(),
+        memory_used: reader.get_memory_used(),
+        is_leaving: reader.get_is_leaving(),
+    };
+    Ok(Load {
+        server: reader.get_server()?.to_str()?.to_owned(),
+        age: Duration::from_millis(reader.get_age_ms().into()),
+        report: (!reader.get_is_lost()).then_some(report),
+    })
+}
