--- a/crates/entry/src/chat.rs
+++ b/crates/entry/src/chat.rs
@@ -420,7 +420,7 @@
             return Err(failure.retry_after(DEFAULT_RETRY_AFTER));
         }
         node.metrics.retries.inc();
-        waiting = Waiting::requeue(node, job.clone());
+        waiting = waiting.requeue(job.clone());
     }
     Err(internal())
 }
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -43,8 +43,11 @@
         Ok(waiting)
     }
 
-    /// Puts a request back after a failed attempt.
-    pub fn requeue(node: &Rc<Node>, job: Job) -> Self {
+    /// Puts the request back after a failed attempt.
+    pub fn requeue(self, job: Job) -> Self {
+        let node = &self.node.clone();
+        // The old registration has the same number, so it has to go first.
+        drop(self);
         let waiting = Self::new(node, job.id);
         node.core.borrow_mut().router.requeue(job);
         pump(node);
--- a/crates/entry/src/limits.rs
+++ b/crates/entry/src/limits.rs
@@ -87,8 +87,9 @@
     let alive = core.members.alive().count();
     let terms = Terms::from(&*contract).share(alive, core.members.expected());
     let is_successor = core.members.is_successor(ask.customer.as_bytes());
+    let entries = core.members.expected();
     let start = if is_successor {
-        Start::Successor
+        Start::Successor { entries }
     } else {
         Start::First
     };
@@ -154,9 +155,9 @@
 
 fn take_share(node: &Node, contract: &Contract, tokens: u64) -> Result<(), Refusal> {
     let mut core = node.core.borrow_mut();
-    let terms = Terms::from(contract).share(1, core.members.expected());
+    let entries = core.members.expected();
     let purse = core.purses.entry(contract.customer.clone()).or_default();
-    purse.take_share(clock::now(), terms, tokens)
+    purse.take_share(clock::now(), contract.into(), entries, tokens)
 }
 
 fn over(refusal: Refusal) -> Failure {
--- a/crates/entry/src/operators.rs
+++ b/crates/entry/src/operators.rs
@@ -6,6 +6,7 @@
 use web::Method;
 use web::Reply;
 
+use crate::clock;
 use crate::node::Node;
 use crate::trail;
 
@@ -28,11 +29,29 @@
             Reply::json(&serde_json::json!({}))
         }
         (Method::Get, ["config"]) => Reply::json(&node.core.borrow().fold),
+        (Method::Get, ["engines"]) => engines(&node),
         (Method::Get, ["explain", id]) => explain(&node, id),
         _ => Reply::text("not found\n").with_status(404),
     }
 }
 
+/// Shows what this instance holds of each engine.
+fn engines(node: &Node) -> Reply {
+    let now = clock::now();
+    let core = node.core.borrow();
+    let engines = core.router.pool().iter().map(|it| {
+        let state = serde_json::json!({
+            "is_usable": it.is_usable(now),
+            "is_leaving": it.leaving.is_marked(),
+            "running": it.running(),
+            "free_memory_tokens": it.free_memory(),
+            "wait_us": it.wait(now, domain::Length::Huge).as_micros() as u64,
+        });
+        (it.name.clone(), state)
+    });
+    Reply::json(&engines.collect::<serde_json::Map<_, _>>())
+}
+
 fn explain(node: &Node, id: &str) -> Reply {
     let core = node.core.borrow();
     let id = trail::Id::parse(id).filter(|it| it.owner == node.incarnation);
--- a/crates/entry/src/suspect.rs
+++ b/crates/entry/src/suspect.rs
@@ -3,24 +3,27 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use async_io::Timer;
 use domain::fleet::BackendServer;
 use membership::message::Rumour;
-use web::Stream;
-use web::stream::within;
+use web::client::Call;
 
 use crate::clock;
 use crate::node::Node;
 use crate::peers;
 
-/// The time in which an engine that still runs accepts a connection.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// The time in which an engine that still runs answers.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(300);
+/// The looks at an engine whose connections break but are not refused: a process that ends closes
+/// its connections one after the other.
+const LOOKS: u32 = 5;
+/// The pause between two looks.
+const PAUSE: Duration = Duration::from_millis(30);
 
 /// Looks whether the engines of a broken attempt went down, and tells all entries if so.
 pub async fn check(node: &Rc<Node>, fingerprint: u64, servers: &[Rc<BackendServer>]) {
     for server in servers {
-        let connection = within(CONNECT_TIMEOUT, Stream::connect(server.address)).await;
-        let is_refused = matches!(connection, Some(Err(_)));
-        if !is_refused {
+        if !is_down(node, server).await {
             continue;
         }
         let mut core = node.core.borrow_mut();
@@ -46,3 +49,19 @@
         }
     }
 }
+
+async fn is_down(node: &Node, server: &BackendServer) -> bool {
+    let call = Call::get(server.address, "/load");
+    for _ in 0..LOOKS {
+        match node
+            .client
+            .fetch::<serde_json::Value>(&call, ANSWER_TIMEOUT)
+            .await
+        {
+            Ok(_) => return false,
+            Err(error) if error.is_unreachable() => return true,
+            Err(_) => Timer::after(PAUSE).await,
+        };
+    }
+    false
+}
--- a/crates/harness/src/cluster.rs
+++ b/crates/harness/src/cluster.rs
@@ -2,7 +2,9 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::path::Path;
 use std::path::PathBuf;
+use std::process::Output;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -296,22 +298,13 @@
     }
 
     /// Publishes a configuration and returns what the tool says.
-    pub fn try_publish(&self, fleet: &Fleet, author: &str) -> Result<std::process::Output> {
-        let path = self.folder.join(format!("fleet-{author}.jsonc"));
-        std::fs::write(&path, serde_json::to_string(fleet)?)?;
-        let path = path.to_string_lossy().into_owned();
-        let platform = self.platform.address.to_string();
-        process::output(
-            "coriander-ctl",
-            &[
-                "publish",
-                &path,
-                "--platform",
-                &platform,
-                "--author",
-                author,
-            ],
-        )
+    pub fn try_publish(&self, fleet: &Fleet, author: &str) -> Result<Output> {
+        publish(&self.folder, self.platform.address, fleet, author, None)
+    }
+
+    /// Returns the folder for the cluster's files.
+    pub fn folder(&self) -> &Path {
+        &self.folder
     }
 
     /// Returns a caller of a customer.
@@ -426,3 +419,30 @@
         address,
     })
 }
+
+/// Publishes a configuration with the operators' tool and returns what it says.
+pub fn publish(
+    folder: &Path,
+    platform: SocketAddr,
+    fleet: &Fleet,
+    author: &str,
+    expect: Option<u64>,
+) -> Result<Output> {
+    let path = folder.join(format!("fleet-{author}.jsonc"));
+    std::fs::write(&path, serde_json::to_string(fleet)?)?;
+    let path = path.to_string_lossy().into_owned();
+    let platform = platform.to_string();
+    let expect = expect.map(|it| it.to_string());
+    let mut arguments = vec![
+        "publish",
+        &path,
+        "--platform",
+        &platform,
+        "--author",
+        author,
+    ];
+    if let Some(expect) = &expect {
+        arguments.extend(["--expect", expect]);
+    }
+    process::output("coriander-ctl", &arguments)
+}
--- /dev/null
+++ b/crates/harness/tests/finish.rs
@@ -0,0 +1,291 @@
+//! Every admitted request finishes or fails in its time, whole and to its own caller.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use async_io::Timer;
+use async_io::block_on;
+use domain::failure::Kind;
+use domain::failure::Ran;
+use futures_lite::future::zip;
+use harness::Cluster;
+use harness::cluster::Plan;
+use harness::customer;
+use harness::customer::Prompt;
+use serde_json::json;
+use web::client::Call;
+
+/// What a caller allows beyond the time limit, for the way back.
+const MARGIN: Duration = Duration::from_millis(500);
+
+fn start(engines: usize) -> Cluster {
+    Cluster::start(Plan {
+        engines,
+        services: 1,
+        ..Plan::default()
+    })
+    .unwrap()
+}
+
+fn used_memory(cluster: &Cluster) -> u64 {
+    let loads = cluster
+        .engines
+        .iter()
+        .filter_map(|it| cluster.page(it.address, "/load").ok());
+    loads.map(|it| it["memory_used"].as_u64().unwrap()).sum()
+}
+
+#[test]
+fn chunks_shuffled_and_doubled_answer_is_whole() {
+    let cluster = start(2);
+    for engine in &cluster.engines {
+        cluster
+            .fault(engine.address, &json!({ "shuffle": true }))
+            .unwrap();
+    }
+    for seed in 0..5 {
+        let prompt = Prompt::new(1_000, 41, seed);
+        let received = block_on(cluster.customer("forum").prompt(cluster.entry(0), &prompt));
+        let received = received.unwrap();
+        assert!(received.is_whole(&prompt), "{:?}", received.result);
+    }
+}
+
+#[test]
+fn chunks_lost_answer_is_resumed_and_whole() {
+    let cluster = start(2);
+    for engine in &cluster.engines {
+        cluster
+            .fault(engine.address, &json!({ "drop_every": 7 }))
+            .unwrap();
+    }
+    let prompt = Prompt::new(1_000, 40, 1);
+    let received = block_on(cluster.customer("forum").prompt(cluster.entry(0), &prompt)).unwrap();
+    assert!(received.is_whole(&prompt), "{:?}", received.result);
+}
+
+#[test]
+fn engine_killed_midway_answer_is_resumed_and_whole() {
+    let mut cluster = start(3);
+    let prompt = Prompt::new(1_000, 600, 1);
+    let customer = cluster.customer("forum");
+    let entry = cluster.entry(0);
+    let engines: Vec<_> = cluster.engines.iter().map(|it| it.address).collect();
+    let client = cluster.client.clone();
+    let find_running = async {
+        loop {
+            for (index, address) in engines.iter().enumerate() {
+                let call = Call::get(*address, "/load");
+                let load = client.fetch::<serde_json::Value>(&call, MARGIN).await;
+                if load.is_ok_and(|it| it["running"] == 1) {
+                    return index;
+                }
+            }
+            Timer::after(Duration::from_millis(5)).await;
+        }
+    };
+    let kill = async {
+        let index = find_running.await;
+        cluster.engines[index].process.kill();
+    };
+    let (received, ()) = block_on(zip(customer.prompt(entry, &prompt), kill));
+    let received = received.unwrap();
+    assert!(received.is_whole(&prompt), "{:?}", received.result);
+}
+
+#[test]
+fn deadline_passes_failure_comes_in_time() {
+    let cluster = start(1);
+    cluster
+        .fault(cluster.engines[0].address, &json!({ "freeze_ms": 20_000 }))
+        .unwrap();
+    let prompt = Prompt {
+        timeout_s: Some(0.6),
+        ..Prompt::new(1_000, 40, 1)
+    };
+    let start = Instant::now();
+    let received = block_on(cluster.customer("forum").prompt(cluster.entry(0), &prompt)).unwrap();
+    let failure = received.result.unwrap_err();
+    assert_eq!(failure.kind, Kind::TimedOut);
+    assert!(failure.retry_after_ms.is_some());
+    assert!(start.elapsed() < Duration::from_millis(600) + MARGIN);
+}
+
+#[test]
+fn infeasible_request_is_refused_at_once() {
+    let cluster = start(1);
+    let customer = cluster.customer("forum");
+    // The entry learns the cost of such prompts first.
+    let known = Prompt::new(300_000, 5, 1);
+    assert!(
+        block_on(customer.prompt(cluster.entry(0), &known))
+            .unwrap()
+            .is_whole(&known)
+    );
+    let prompt = Prompt {
+        timeout_s: Some(0.1),
+        ..Prompt::new(300_000, 5, 2)
+    };
+    let received = block_on(customer.prompt(cluster.entry(0), &prompt)).unwrap();
+    let failure = received.result.unwrap_err();
+    assert_eq!((failure.kind, failure.ran), (Kind::Overloaded, Ran::No));
+    assert!(failure.retry_after_ms.is_some());
+}
+
+#[test]
+fn all_engines_down_failure_comes_at_once() {
+    let mut cluster = start(2);
+    for engine in &mut cluster.engines {
+        engine.process.kill();
+    }
+    let start = Instant::now();
+    let prompt = Prompt::new(1_000, 10, 1);
+    let received = block_on(cluster.customer("forum").prompt(cluster.entry(0), &prompt)).unwrap();
+    let failure = received.result.unwrap_err();
+    assert!(
+        failure.retry_after_ms.is_some() && failure.ran == Ran::No,
+        "{failure:?}"
+    );
+    // The contract allows 30 s.
+    assert!(start.elapsed() < Duration::from_secs(5));
+}
+
+#[test]
+fn keyed_prompt_is_not_retried_after_a_crash() {
+    let cluster = start(3);
+    for engine in &cluster.engines {
+        cluster
+            .fault(engine.address, &json!({ "crash_on": "poison" }))
+            .unwrap();
+    }
+    let mut prompt = Prompt::new(1_000, 10, 1).with_key(customer::mint().to_string());
+    prompt.text.push_str("poison");
+    let received = block_on(cluster.customer("forum").prompt(cluster.entry(0), &prompt)).unwrap();
+    let failure = received.result.unwrap_err();
+    assert_eq!(
+        (failure.kind, failure.ran),
+        (Kind::BackendFailed, Ran::Maybe)
+    );
+    let left = cluster
+        .engines
+        .iter()
+        .filter(|it| cluster.page(it.address, "/load").is_ok());
+    assert_eq!(left.count(), 2);
+}
+
+#[test]
+fn poisoned_prompt_fells_two_engines_at_most() {
+    let cluster = Cluster::start(Plan {
+        engines: 5,
+        services: 0,
+        ..Plan::default()
+    })
+    .unwrap();
+    for engine in &cluster.engines {
+        cluster
+            .fault(engine.address, &json!({ "crash_on": "poison" }))
+            .unwrap();
+    }
+    let mut prompt = Prompt::new(1_000, 10, 1);
+    prompt.text.push_str("poison");
+    for index in [0, 1, 2, 0, 1, 2] {
+        let entry = cluster.entry(index);
+        let received = block_on(cluster.customer("forum").prompt(entry, &prompt)).unwrap();
+        assert_eq!(received.result.unwrap_err().kind, Kind::Quarantined);
+    }
+    let left = cluster
+        .engines
+        .iter()
+        .filter(|it| cluster.page(it.address, "/load").is_ok());
+    assert_eq!(left.count(), 3);
+    let good = Prompt::new(1_000, 10, 2);
+    let received = block_on(cluster.customer("forum").prompt(cluster.entry(1), &good)).unwrap();
+    assert!(received.is_whole(&good), "{:?}", received.result);
+}
+
+#[test]
+fn caller_leaves_memory_comes_back() {
+    let cluster = start(1);
+    let customer = cluster.customer("forum");
+    let prompt = Prompt::new(1_000, 10_000, 1);
+    let call = customer.prompt(cluster.entry(0), &prompt);
+    let leave = async {
+        Timer::after(Duration::from_millis(300)).await;
+        Err(anyhow::anyhow!("left"))
+    };
+    assert!(block_on(futures_lite::future::or(call, leave)).is_err());
+    cluster
+        .until(Duration::from_secs(3), "memory comes back", || {
+            used_memory(&cluster) == 0
+        })
+        .unwrap();
+}
+
+#[test]
+fn entries_killed_memory_comes_back() {
+    let plan = Plan {
+        engines: 3,
+        services: 0,
+        ..Plan::default()
+    };
+    let mut cluster = Cluster::start(plan).unwrap();
+    let deadline = Duration::from_secs(2);
+    let entry = cluster.entry(0);
+    let threads: Vec<_> = (0..6)
+        .map(|seed| {
+            let tokens = [1_000, 50_000, 1_000_000][seed as usize % 3];
+            let prompt = Prompt {
+                timeout_s: Some(deadline.as_secs_f64()),
+                ..Prompt::new(tokens, 2_000, seed)
+            };
+            std::thread::spawn(move || {
+                let secret = harness::cluster::secret("forum");
+                let _ = block_on(harness::Customer::new(secret).prompt(entry, &prompt));
+            })
+        })
+        .collect();
+    let is_held = || used_memory(&cluster) > 0;
+    cluster
+        .until(Duration::from_secs(5), "memory is held", is_held)
+        .unwrap();
+    cluster.entries[0].process.kill();
+    cluster
+        .until(
+            deadline + Duration::from_secs(5),
+            "memory comes back",
+            || used_memory(&cluster) == 0,
+        )
+        .unwrap();
+    for thread in threads {
+        thread.join().unwrap();
+    }
+}
+
+#[test]
+fn two_gangs_do_not_block_each_other() {
+    let cluster = Cluster::start(Plan {
+        engines: 4,
+        services: 0,
+        ..Plan::default()
+    })
+    .unwrap();
+    let threads: Vec<_> = (0..4)
+        .map(|seed| {
+            let entry = cluster.entry(seed as usize % 3);
+            std::thread::spawn(move || {
+                let prompt = Prompt::new(800_000, 5, seed);
+                let secret = harness::cluster::secret("forum");
+                let received = block_on(harness::Customer::new(secret).prompt(entry, &prompt));
+                let received = received.unwrap();
+                (received.is_whole(&prompt), received.result.err())
+            })
+        })
+        .collect();
+    let results: Vec<_> = threads.into_iter().map(|it| it.join().unwrap()).collect();
+    assert!(results.iter().all(|(is_whole, _)| *is_whole), "{results:?}");
+    cluster
+        .until(Duration::from_secs(5), "memory comes back", || {
+            used_memory(&cluster) == 0
+        })
+        .unwrap();
+}
--- a/crates/limit/src/home.rs
+++ b/crates/limit/src/home.rs
@@ -50,8 +50,12 @@
 pub enum Start {
     /// It has always been the home: the customer has used nothing yet.
     First,
-    /// It follows another home, of whose allotments it knows nothing.
-    Successor,
+    /// It follows another home, of whose allotments it knows nothing. It starts with the burst of
+    /// one entry, so that light customers notice nothing and heavy ones gain little.
+    Successor {
+        /// The number of entries that there should be.
+        entries: usize,
+    },
 }
 
 impl Home {
@@ -84,10 +88,11 @@
 
 impl Account {
     fn new(now: Moment, terms: Terms, start: Start) -> Self {
-        let (tokens, requests) = match start {
-            Start::First => (terms.burst_tokens, terms.burst_requests),
-            Start::Successor => (0.0, 0.0),
+        let part = match start {
+            Start::First => 1.0,
+            Start::Successor { entries } => 1.0 / entries.max(1) as f64,
         };
+        let (tokens, requests) = (terms.burst_tokens * part, terms.burst_requests * part);
         Self {
             tokens: Bucket::new(now, terms.tokens_per_second, terms.burst_tokens, tokens),
             requests: Bucket::new(
--- a/crates/limit/src/purse.rs
+++ b/crates/limit/src/purse.rs
@@ -113,13 +113,31 @@
         self.is_tight = grant.is_tight;
     }
 
-    /// Takes what a request needs from the static share, while the home can't be reached. `terms`
-    /// is that share.
-    pub fn take_share(&mut self, now: Moment, terms: Terms, tokens: u64) -> Result<(), Refusal> {
+    /// Takes what a request needs from the static share, while the home can't be reached. The
+    /// contract's `whole` is shared by so many `entries`.
+    pub fn take_share(
+        &mut self,
+        now: Moment,
+        whole: Terms,
+        entries: usize,
+        tokens: u64,
+    ) -> Result<(), Refusal> {
+        let terms = whole.share(1, entries);
+        // The home may have given most away just before it was lost.
+        let start = terms.share(1, entries);
         let fallback = self.fallback.get_or_insert_with(|| Fallback {
-            // The home may have given everything away just before it was lost.
-            tokens: Bucket::new(now, terms.tokens_per_second, terms.burst_tokens, 0.0),
-            requests: Bucket::new(now, terms.requests_per_second, terms.burst_requests, 0.0),
+            tokens: Bucket::new(
+                now,
+                terms.tokens_per_second,
+                terms.burst_tokens,
+                start.burst_tokens,
+            ),
+            requests: Bucket::new(
+                now,
+                terms.requests_per_second,
+                terms.burst_requests,
+                start.burst_requests,
+            ),
         });
         fallback
             .tokens
