Order models by fencing number, check bad input, and let claims start at once

Causes and changes, each with a test or a measurement: - engines were never told which version of a model to run.

--- /dev/null
+++ b/crates/bench/src/capacity/measure/gossip.rs
@@ -0,0 +1,178 @@
+//! Membership and allotments on the wire.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use domain::Moment;
+use domain::key::Incarnation;
+use limit::Ask;
+use limit::Grant;
+use membership::Member;
+use membership::Members;
+use membership::member::Phase;
+use membership::message::Send;
+use wire::Frame;
+
+use super::heap;
+use super::random;
+use crate::capacity::fit::Line;
+
+/// The time between two ticks, as in an entry.
+const TICK: Duration = Duration::from_millis(50);
+/// The time before anything is measured, in which all find one another.
+const WARM_UP: Duration = Duration::from_secs(30);
+/// The time that is measured.
+const TIME: Duration = Duration::from_secs(10);
+
+/// Membership by number of nodes, for one node and second.
+pub struct Gossip {
+    /// Datagrams sent.
+    pub datagrams: Line,
+    /// Bytes sent.
+    pub bytes: Line,
+    /// Processor seconds, codecs included.
+    pub cpu: Line,
+    /// Heap held, in bytes.
+    pub heap: Line,
+}
+
+/// What one size gave.
+struct Sample {
+    datagrams: f64,
+    bytes: f64,
+    cpu: f64,
+    heap: f64,
+}
+
+impl Gossip {
+    /// Measures at each size.
+    pub fn measure(nodes: &[usize]) -> Self {
+        let samples: Vec<(f64, Sample)> =
+            nodes.iter().map(|it| (*it as f64, sample(*it))).collect();
+        let line = |value: &dyn Fn(&Sample) -> f64| {
+            let points: Vec<(f64, f64)> = samples.iter().map(|(x, it)| (*x, value(it))).collect();
+            Line::fit(&points)
+        };
+        Self {
+            datagrams: line(&|it| it.datagrams),
+            bytes: line(&|it| it.bytes),
+            cpu: line(&|it| it.cpu),
+            heap: line(&|it| it.heap),
+        }
+    }
+}
+
+/// All nodes in one process, with datagrams encoded and decoded as on the wire.
+struct Network {
+    members: Vec<Members>,
+    index: HashMap<SocketAddr, usize>,
+    now: Moment,
+    datagrams: usize,
+    bytes: usize,
+}
+
+impl Network {
+    fn new(nodes: usize) -> Self {
+        let address = |index: usize, port| {
+            SocketAddr::from(([10, 0, (index / 250) as u8, (index % 250) as u8], port))
+        };
+        let member = |index: usize| Member {
+            incarnation: Incarnation(index as u64 + 1),
+            name: format!("entry-{index:04}"),
+            data_centre: format!("data-centre-{}", index % 23),
+            callers: address(index, 1),
+            peers: address(index, 2),
+            phase: Phase::Ready,
+            beat: 0,
+        };
+        let mut members: Vec<Members> = (0..nodes).map(|it| Members::new(member(it))).collect();
+        let listed: Vec<SocketAddr> = (0..nodes).map(|it| address(it, 2)).collect();
+        for it in &mut members {
+            it.list(&listed);
+        }
+        let index = listed
+            .into_iter()
+            .enumerate()
+            .map(|(index, at)| (at, index))
+            .collect();
+        Self {
+            members,
+            index,
+            now: Moment::from_millis(1),
+            datagrams: 0,
+            bytes: 0,
+        }
+    }
+
+    fn run(&mut self, time: Duration) {
+        let mut random = random();
+        let end = self.now + time;
+        while self.now < end {
+            self.now = self.now + TICK;
+            for index in 0..self.members.len() {
+                let output = self.members[index].tick(self.now, &mut random);
+                self.deliver(index, output.sends);
+            }
+        }
+    }
+
+    fn deliver(&mut self, from: usize, sends: Vec<Send>) {
+        let mut queue: Vec<(usize, Send)> = sends.into_iter().map(|it| (from, it)).collect();
+        while let Some((from, send)) = queue.pop() {
+            let bytes = Frame::Message(send.message).encode();
+            self.datagrams += 1;
+            self.bytes += bytes.len();
+            let Some(to) = self.index.get(&send.to).copied() else {
+                continue;
+            };
+            let Ok(Frame::Message(message)) = Frame::decode(&bytes) else {
+                continue;
+            };
+            let from = self.members[from].me().peers;
+            let output = self.members[to].receive(self.now, from, message);
+            queue.extend(output.sends.into_iter().map(|it| (to, it)));
+        }
+    }
+}
+
+fn sample(nodes: usize) -> Sample {
+    let (mut network, heap) = heap(|| {
+        let mut network = Network::new(nodes);
+        network.run(WARM_UP);
+        network
+    });
+    (network.datagrams, network.bytes) = (0, 0);
+    let start = Instant::now();
+    network.run(TIME);
+    let per_node_second = nodes as f64 * TIME.as_secs_f64();
+    Sample {
+        datagrams: network.datagrams as f64 / per_node_second,
+        bytes: network.bytes as f64 / per_node_second,
+        cpu: start.elapsed().as_secs_f64() / per_node_second,
+        heap: heap / nodes as f64,
+    }
+}
+
+/// Returns the bytes of an allotment's question and answer, as encoded.
+pub fn allotment_bytes() -> f64 {
+    let ask = Ask {
+        entry: Incarnation(u64::MAX >> 24),
+        customer: "organisation-1234".to_owned(),
+        tokens: 1_000,
+        tokens_ahead: 5_000,
+        requests: 1,
+        requests_ahead: 2,
+        running: 5,
+        tokens_back: 100,
+        requests_back: 1,
+    };
+    let grant = Grant {
+        tokens: 6_000,
+        requests: 3,
+        is_tight: false,
+        refusal: None,
+    };
+    wire::call::encoded_len(&ask, &grant) as f64
+}
--- /dev/null
+++ b/crates/bench/src/capacity/table.rs
@@ -0,0 +1,244 @@
+//! The tables, in Markdown.
+
+use std::fmt::Write;
+
+use super::fit::Line;
+use super::measure::Measured;
+use super::size;
+
+/// Load reports of one backend server in a second at the two-year size.
+const REPORTS_PER_SECOND: f64 = 1.0;
+/// Bytes that the call protocol and TCP add to each question and answer.
+const CALL_OVERHEAD: f64 = 250.0;
+/// Allotments for one request: steady customers are served ahead of need.
+const ALLOTMENTS_PER_REQUEST: f64 = 1.0;
+/// Appends a second of one claim stream at most, and their number.
+const SHARD_APPENDS: f64 = 20.0;
+/// Snapshots of the configuration in a day.
+const SNAPSHOTS_PER_DAY: f64 = 4.0;
+/// The time for which the log keeps claims that count, in seconds: half of a day's retention.
+const CLAIM_WINDOW: f64 = size::DAY / 2.0;
+/// The time for which tickets are kept, in seconds.
+const TICKET_TIME: f64 = 1_800.0;
+
+/// Returns the table of measured slopes.
+pub fn slopes(it: &Measured) -> String {
+    let rows: [(&str, &str, &Line, f64); 15] = [
+        (
+            "membership: datagrams /s",
+            "nodes",
+            &it.gossip.datagrams,
+            1.0,
+        ),
+        ("membership: bytes /s", "nodes", &it.gossip.bytes, 1.0),
+        ("membership: processor µs /s", "nodes", &it.gossip.cpu, 1e6),
+        ("membership: heap bytes", "nodes", &it.gossip.heap, 1.0),
+        (
+            "load reports: bytes of a datagram",
+            "reports",
+            &it.report_bytes,
+            1.0,
+        ),
+        ("placement: processor µs", "runners", &it.placement, 1e6),
+        ("routing: heap bytes", "runners", &it.routing_heap, 1.0),
+        ("allotment: processor µs", "accounts", &it.allotment, 1e6),
+        ("accounts: heap bytes", "accounts", &it.accounts_heap, 1.0),
+        ("claim: processor µs", "keys", &it.claim, 1e6),
+        ("claims: heap bytes", "keys", &it.claims_heap, 1.0),
+        ("claims: bytes of a record", "claims", &it.claim_bytes, 1.0),
+        ("tickets: heap bytes", "tickets", &it.tickets_heap, 1.0),
+        (
+            "one change taken over: processor µs",
+            "contracts",
+            &it.change,
+            1e6,
+        ),
+        (
+            "configuration: heap bytes",
+            "contracts",
+            &it.config_heap,
+            1.0,
+        ),
+    ];
+    let mut out =
+        "| measured | by | points | slope | start | residual |\n|---|---|---|---|---|---|\n"
+            .to_owned();
+    for (name, by, line, scale) in rows {
+        let points = line
+            .points
+            .iter()
+            .map(|(x, y)| format!("{x}: {:.4}", y * scale));
+        let points = points.collect::<Vec<_>>().join(", ");
+        let _ = writeln!(
+            out,
+            "| {name} | {by} | {points} | {:.4} | {:.2} | {:.1}% |",
+            line.slope * scale,
+            line.start * scale,
+            line.residual * 100.0
+        );
+    }
+    out
+}
+
+/// What one role costs a node.
+struct Role {
+    name: &'static str,
+    state: f64,
+    messages: f64,
+    bytes: f64,
+    cpu: f64,
+    mechanism: &'static str,
+}
+
+fn all_roles(it: &Measured) -> Vec<Role> {
+    let peers = size::NODES / size::DATA_CENTRES - 1.0;
+    let own_runners = size::RUNNERS / size::NODES;
+    let report_bytes = it.report_bytes.at(own_runners.ceil());
+    let requests = size::REQUESTS / size::NODES;
+    let accounts = size::ORGANISATIONS / size::NODES;
+    let keyed = size::REQUESTS * size::KEYED_PART;
+    let minted = keyed * size::MINTED_PART;
+    let shard_keys = minted * CLAIM_WINDOW / claim::SHARDS as f64;
+    let tickets = keyed * (1.0 - size::MINTED_PART) * TICKET_TIME / size::NODES;
+    let shards = claim::SHARDS as f64;
+    let change = it.change.at(size::ORGANISATIONS);
+    vec![
+        Role {
+            name: "membership",
+            state: it.gossip.heap.at(size::NODES),
+            messages: it.gossip.datagrams.at(size::NODES),
+            bytes: it.gossip.bytes.at(size::NODES),
+            cpu: it.gossip.cpu.at(size::NODES),
+            mechanism: "randomised probing, rumours on the probes",
+        },
+        Role {
+            name: "engine home",
+            state: it.routing_heap.at(size::RUNNERS / size::DATA_CENTRES),
+            messages: peers * REPORTS_PER_SECOND,
+            bytes: peers * REPORTS_PER_SECOND * report_bytes,
+            cpu: 2.0 * peers * REPORTS_PER_SECOND * 5e-6,
+            mechanism: "one home reads each runner and tells the entries of its data centre",
+        },
+        Role {
+            name: "contract home",
+            state: it.accounts_heap.at(accounts),
+            messages: 2.0 * requests * ALLOTMENTS_PER_REQUEST,
+            bytes: requests * ALLOTMENTS_PER_REQUEST * (it.allotment_bytes + CALL_OVERHEAD),
+            cpu: requests * ALLOTMENTS_PER_REQUEST * (it.allotment.at(accounts) + 40e-6),
+            mechanism: "rendezvous home for each contract, allotments ahead of need",
+        },
+        Role {
+            name: "claim shard (on 8 nodes)",
+            state: it.claims_heap.at(shard_keys),
+            messages: 2.0 * minted / shards,
+            bytes: (minted / shards) * (2.0 * it.claim_bytes.slope + CALL_OVERHEAD),
+            cpu: 2.0 * (minted / shards) * (it.claim.at(shard_keys) + 40e-6),
+            mechanism: "8 claim streams, one home each, batched appends",
+        },
+        Role {
+            name: "tickets",
+            state: it.tickets_heap.at(tickets),
+            messages: 2.0 * keyed * (1.0 - size::MINTED_PART) / size::NODES,
+            bytes: keyed * (1.0 - size::MINTED_PART) / size::NODES * CALL_OVERHEAD,
+            cpu: keyed / size::NODES * 40e-6,
+            mechanism: "the issuing incarnation alone decides",
+        },
+        Role {
+            name: "configuration follower",
+            state: it.config_heap.at(size::ORGANISATIONS),
+            messages: size::CHANGES / size::DAY,
+            bytes: size::CHANGES / size::DAY * it.change_bytes,
+            cpu: size::CHANGES / size::DAY * change,
+            mechanism: "fold of one stream by long reads; snapshots before records expire",
+        },
+    ]
+}
+
+/// Returns the table of roles at the two-year size.
+pub fn roles(it: &Measured) -> String {
+    let mut out = "| role | state kB | messages /s | bytes /s | processor | mechanism |\n\
+                   |---|---|---|---|---|---|\n"
+        .to_owned();
+    for role in all_roles(it) {
+        let _ = writeln!(
+            out,
+            "| {} | {:.1} | {:.2} | {:.0} | {:.3}% | {} |",
+            role.name,
+            role.state / 1e3,
+            role.messages,
+            role.bytes,
+            role.cpu * 100.0,
+            role.mechanism
+        );
+    }
+    out
+}
+
+/// Returns the table of targets.
+pub fn totals(it: &Measured) -> String {
+    let roles = all_roles(it);
+    let sum = |value: fn(&Role) -> f64| roles.iter().map(value).sum::<f64>();
+    let minted = size::REQUESTS * size::KEYED_PART * size::MINTED_PART;
+    let shard_appends = (2.0 * minted).min(SHARD_APPENDS * claim::SHARDS as f64);
+    let snapshot_parts = (size::ORGANISATIONS / config::snapshot::ENTRIES_PER_PART as f64).ceil();
+    let config_appends = (size::CHANGES + SNAPSHOTS_PER_DAY * snapshot_parts) / size::DAY;
+    let placement = &it.placement.points;
+    let ratio = placement[2].1 / placement[0].1;
+    let rows = [
+        (
+            "control: processor, % of a core",
+            sum(|it| it.cpu) * 100.0,
+            size::CPU_TARGET * 100.0,
+        ),
+        (
+            "control: memory, MB",
+            sum(|it| it.state) / 1e6,
+            size::MEMORY_TARGET / 1e6,
+        ),
+        (
+            "control: bytes /s sent",
+            sum(|it| it.bytes),
+            size::BYTES_TARGET,
+        ),
+        (
+            "appends /s, all streams",
+            shard_appends + config_appends,
+            size::APPENDS_TARGET,
+        ),
+        (
+            "placement among 1,300 to 13 runners, ratio",
+            ratio,
+            size::PLACEMENT_TARGET,
+        ),
+        (
+            "snapshot, kB (four a day)",
+            it.snapshot_bytes.at(size::ORGANISATIONS) / 1e3,
+            f64::INFINITY,
+        ),
+        (
+            "tokens /s through one entry at the peak",
+            size::TOKENS / size::NODES,
+            f64::INFINITY,
+        ),
+        (
+            "members that change in an hour",
+            size::CHURN / 24.0,
+            f64::INFINITY,
+        ),
+    ];
+    let mut out =
+        "| at the two-year size, each node | computed | target | met |\n|---|---|---|---|\n"
+            .to_owned();
+    for (name, value, target) in rows {
+        let (target, met) = if target.is_finite() {
+            (
+                format!("{target:.1}"),
+                if value <= target { "yes" } else { "no" },
+            )
+        } else {
+            ("none".to_owned(), "")
+        };
+        let _ = writeln!(out, "| {name} | {value:.2} | {target} | {met} |");
+    }
+    out
+}
--- a/crates/bench/src/routing.rs
+++ b/crates/bench/src/routing.rs
@@ -16,6 +16,8 @@
 
 /// Engines that the policies share.
 const ENGINES: usize = 6;
+/// Engines that the firms share, few enough that the overload is one.
+const FIRM_ENGINES: usize = 3;
 /// How long prompts arrive in each run.
 const TIME: Duration = Duration::from_secs(12);
 /// Short prompts a second of each firm.
@@ -29,7 +31,7 @@
 pub fn run() -> Result<()> {
     println!("policy        class      p50 ms     p95 ms     p99 ms   short p95 slowdown");
     for policy in ["by_length", "round_robin", "least_loaded"] {
-        let cluster = start(policy)?;
+        let cluster = start(policy, ENGINES)?;
         warm(&cluster)?;
         let mix = mix(1.0);
         let alone = send(&cluster, &mix.without_long())?;
@@ -46,7 +48,7 @@
     }
     println!("firms: p95 of the second firm's short prompts, first firm at 1 and {OVERLOAD} times");
     for policy in ["by_length", "round_robin"] {
-        let cluster = start(policy)?;
+        let cluster = start(policy, FIRM_ENGINES)?;
         warm(&cluster)?;
         let second = |report: &Report| report.customers[&1].first_token.p95_ms;
         let normal = second(&send(&cluster, &mix(1.0).without_long())?);
@@ -61,11 +63,11 @@
     Ok(())
 }
 
-fn start(policy: &str) -> Result<Cluster> {
+fn start(policy: &str, engines: usize) -> Result<Cluster> {
     let mut settings = Plan::default().settings;
     settings["routing"] = json!(policy);
     Cluster::start(Plan {
-        engines: ENGINES,
+        engines,
         services: 0,
         engine_options: vec!["--speed=4".into(), "--token-us=5000".into()],
         settings,
--- a/crates/claim/src/pending.rs
+++ b/crates/claim/src/pending.rs
@@ -8,8 +8,10 @@
 use crate::record::Kind;
 use crate::record::Record;
 
-/// The shortest time between two appends to one stream.
+/// The time between two appends to one stream when there are many.
 pub const APPEND_INTERVAL: Duration = Duration::from_millis(50);
+/// Appends that may follow one another at once after a pause.
+const APPEND_BURST: u32 = 4;
 /// The same while nobody waits for the append, so that more events share a record.
 pub const QUIET_INTERVAL: Duration = Duration::from_millis(500);
 /// The most events in one record.
@@ -22,6 +24,8 @@
 pub struct Pending {
     events: Vec<Event>,
     appended: Option<Moment>,
+    /// When all appends so far would be over if they were an interval apart.
+    paid_until: Moment,
 }
 
 impl Pending {
@@ -36,12 +40,12 @@
             return None;
         }
         let is_awaited = self.events.iter().any(|it| it.kind == Kind::Claim);
-        let interval = if is_awaited {
-            APPEND_INTERVAL
-        } else {
-            QUIET_INTERVAL
-        };
-        Some(self.appended.map_or(now, |it| it + interval))
+        if is_awaited {
+            let burst = APPEND_INTERVAL * (APPEND_BURST - 1);
+            let wait = now.until(self.paid_until).saturating_sub(burst);
+            return Some(now + wait);
+        }
+        Some(self.appended.map_or(now, |it| it + QUIET_INTERVAL))
     }
 
     /// Puts events back in front, after an append that did not take effect.
@@ -54,6 +58,7 @@
     /// Takes the next batch, to be appended now.
     pub fn take(&mut self, now: Moment) -> Record {
         self.appended = Some(now);
+        self.paid_until = self.paid_until.max(now) + APPEND_INTERVAL;
         let rest = self.events.split_off(self.events.len().min(BATCH_LIMIT));
         Record {
             events: std::mem::replace(&mut self.events, rest),
--- a/crates/config/src/item.rs
+++ b/crates/config/src/item.rs
@@ -22,6 +22,16 @@
         Self(format!("{kind}/{name}"))
     }
 
+    /// Returns the name of a model.
+    pub fn model(name: &str) -> Self {
+        Self::new("model", name)
+    }
+
+    /// Returns the name of a backend server.
+    pub fn backend_server(name: &str) -> Self {
+        Self::new("backend_server", name)
+    }
+
     /// Returns the name as text.
     pub fn as_str(&self) -> &str {
         &self.0
@@ -56,8 +66,8 @@
         match self {
             Self::Firm(it) => Name::new("firm", &it.name),
             Self::DataCentre(it) => Name::new("data_centre", &it.name),
-            Self::Model(it) => Name::new("model", &it.name),
-            Self::BackendServer(it) => Name::new("backend_server", &it.name),
+            Self::Model(it) => Name::model(&it.name),
+            Self::BackendServer(it) => Name::backend_server(&it.name),
             Self::Contract(it) => Name::new("contract", &it.customer),
         }
     }
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -12,6 +12,7 @@
 
 pub mod fold;
 pub mod item;
+pub mod order;
 pub mod record;
 pub mod snapshot;
 pub mod view;
--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -52,6 +52,15 @@
     pub arrived: Moment,
 }
 
+/// An attempt that ended without a whole answer.
+#[derive(Debug)]
+pub struct Failed {
+    /// Why.
+    pub error: Error,
+    /// The backend server to blame.
+    pub server: String,
+}
+
 /// Why an attempt ended without a whole answer.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
@@ -128,17 +137,18 @@
     node: &'a Rc<Node>,
     attempt: &'a Attempt<'a>,
     servers: Vec<Rc<BackendServer>>,
+    /// The backend server that is being dealt with.
+    present: String,
     end: End,
 }
 
 impl Drop for Guard<'_> {
     fn drop(&mut self) {
         let placement = self.attempt.placement;
-        self.node
-            .core
-            .borrow_mut()
-            .router
-            .ended(clock::now(), placement, self.end);
+        let mut core = self.node.core.borrow_mut();
+        core.router
+            .ended(clock::now(), placement, &self.present, self.end);
+        drop(core);
         dispatch::pump(self.node);
         let is_gang = self.servers.len() > 1;
         if self.end == End::Done && !is_gang {
@@ -163,23 +173,28 @@
         node: &Rc<Node>,
         stream: &mut assembly::Stream,
         output: &Output<'_>,
-    ) -> Result<(), Error> {
+    ) -> Result<(), Failed> {
+        let present = self.placement.engine.clone();
         let mut guard = Guard {
             node,
             attempt: self,
             servers: Vec::new(),
+            present,
             end: End::Neutral,
         };
         let result = self.run_guarded(node, &mut guard, stream, output).await;
         guard.end = result.as_ref().err().map_or(End::Done, Error::end);
         match result {
-            Err(Error::Leaving) => self.tell_leaving(node),
+            Err(Error::Leaving) => tell_leaving(node, &guard.present),
             Err(Error::Broken(_) | Error::Cut) => {
                 suspect::check(node, self.prompt.fingerprint, &guard.servers).await;
             }
             _ => {}
         }
-        result
+        result.map_err(|error| Failed {
+            error,
+            server: guard.present.clone(),
+        })
     }
 
     async fn run_guarded(
@@ -195,8 +210,10 @@
         for name in &self.placement.gang {
             let member = server(node, name)?;
             guard.servers.push(member.clone());
+            guard.present.clone_from(name);
             self.reserve(node, &member).await?;
         }
+        guard.present.clone_from(&self.placement.engine);
         let offset = stream.resume(self.number);
         let call = Call::json(
             address,
@@ -307,18 +324,23 @@
         }
     }
 
-    fn tell_leaving(&self, node: &Node) {
-        let server = self.placement.engine.clone();
-        if node.core.borrow_mut().mark_leaving(&server) {
-            peers::tell(node, Rumour::ServerLeaving { server });
-        }
-    }
-
     fn time_left(&self) -> Duration {
         self.placement.job.time_left(clock::now())
     }
 }
 
+/// Marks a backend server that refused work because it is leaving, and tells all entries.
+pub fn tell_leaving(node: &Node, server: &str) {
+    if node.core.borrow_mut().mark_leaving(server) {
+        peers::tell(
+            node,
+            Rumour::ServerLeaving {
+                server: server.to_owned(),
+            },
+        );
+    }
+}
+
 fn server(node: &Node, name: &str) -> Result<Rc<BackendServer>, Error> {
     node.core
         .borrow()
--- a/crates/entry/src/chat/serve.rs
+++ b/crates/entry/src/chat/serve.rs
@@ -22,6 +22,7 @@
 use super::prompt::Prompt;
 use crate::attempt;
 use crate::attempt::Attempt;
+use crate::attempt::Failed;
 use crate::clock;
 use crate::dispatch::Notice;
 use crate::dispatch::Waiting;
@@ -81,12 +82,6 @@
     request.note_end(&node, outcome, output.first.get());
 }
 
-/// How an attempt failed, and what is known of whether the work was done.
-struct Failed {
-    error: attempt::Error,
-    ran: Ran,
-}
-
 impl Request {
     async fn serve(&self, node: &Rc<Node>, output: &Output<'_>) -> Result<u64, Failure> {
         let mut held = match Held::claim(node, &self.head).await {
@@ -130,14 +125,13 @@
                 held.sent();
             }
             let run = self.attempt(node, number, &placement, &mut stream, output);
-            let Err(error) = run.await else {
+            let Err(failed) = run.await else {
                 return Ok(stream.sent());
             };
-            if !error.is_certainly_not_run() {
+            if !failed.error.is_certainly_not_run() {
                 ran = Ran::Maybe;
             }
-            self.check_retry(node, held, &Failed { error, ran }, &placement, &mut job)
-                .await?;
+            self.check_retry(node, held, failed, ran, &mut job).await?;
             node.metrics.retries.inc();
             waiting = waiting.requeue(job.clone());
         }
@@ -151,7 +145,7 @@
         placement: &Placement,
         stream: &mut assembly::Stream,
         output: &Output<'_>,
-    ) -> Result<(), attempt::Error> {
+    ) -> Result<(), Failed> {
         let Placement {
             engine, gang, wait, ..
         } = placement;
@@ -167,13 +161,16 @@
         };
         let deadline = async {
             clock::wait_until(self.head.deadline).await;
-            Err(attempt::Error::TimedOut)
+            Err(Failed {
+                error: attempt::Error::TimedOut,
+                server: engine.clone(),
+            })
         };
         let result = future::or(attempt.run(node, stream, output), deadline).await;
-        if let Err(error) = &result {
+        if let Err(Failed { error, server }) = &result {
             node.step(
                 self.id.number,
-                format!("attempt {number} on {engine}: {error}"),
+                format!("attempt {number} on {server}: {error}"),
             );
         }
         result
@@ -184,16 +181,16 @@
         &self,
         node: &Node,
         held: &mut Option<Held>,
-        failed: &Failed,
-        placement: &Placement,
+        failed: Failed,
+        ran: Ran,
         job: &mut Job,
     ) -> Result<(), Failure> {
-        let Failed { error, ran } = failed;
+        let Failed { error, server } = failed;
         if matches!(error, attempt::Error::TimedOut) {
-            return Err(timed_out(*ran));
+            return Err(timed_out(ran));
         }
-        self.check_quarantine(node, *ran)?;
-        if *ran == Ran::Maybe && held.is_some() {
+        self.check_quarantine(node, ran)?;
+        if ran == Ran::Maybe && held.is_some() {
             let message = format!(
                 "the backend server failed while it ran this ({error}): check the outcome before \
                  you send it again with a new key"
@@ -210,14 +207,14 @@
             return Ok(());
         }
         job.failures += 1;
-        job.avoid.push(placement.engine.clone());
+        job.avoid.push(server);
         let is_free = error.is_certainly_not_run();
         if job.failures == FAILURE_LIMIT || !(is_free || node.core.borrow_mut().budget.spend()) {
             let message = format!(
                 "{} backend servers failed this: come back later",
                 job.failures
             );
-            let failure = Failure::refused(Kind::BackendFailed, message).with_ran(*ran);
+            let failure = Failure::refused(Kind::BackendFailed, message).with_ran(ran);
             return Err(failure.retry_after(DEFAULT_RETRY_AFTER));
         }
         Ok(())
--- a/crates/entry/src/claims.rs
+++ b/crates/entry/src/claims.rs
@@ -49,6 +49,8 @@
     shard: Shard,
     is_loaded: bool,
     is_flushing: bool,
+    /// Until when the log counts as out, after it did not answer.
+    out_until: Moment,
     pending: Pending,
     waiters: HashMap<(Key, Nonce), Sender<Decision>>,
 }
@@ -191,6 +193,7 @@
             shard: Shard::new(retention),
             is_loaded: false,
             is_flushing: false,
+            out_until: Moment::default(),
             pending: Pending::default(),
             waiters: HashMap::new(),
         };
@@ -210,6 +213,9 @@
         if let Some(verdict) = state.shard.verdict(key, nonce).filter(|_| state.is_loaded) {
             return Decision::Verdict(verdict);
         }
+        if clock::now() < state.out_until {
+            return Decision::Unavailable("the platform's log is out".to_owned());
+        }
         state.waiters.insert((key, nonce), sender);
         state.pending.push(Event {
             key,
@@ -243,9 +249,11 @@
             wait_until_due(&stream, due).await;
             if let Err(error) = stream.append(&node).await {
                 node.metrics.log_errors.inc();
-                log::warn!(target: "claims", "{}: {error}. Retrying.", stream.id.stream());
+                log::debug!(target: "claims", "{}: {error}. Retrying.", stream.id.stream());
+                let out_until = clock::now() + RETRY_PAUSE;
+                stream.state.borrow_mut().out_until = out_until;
                 stream.give_up_waiters(&error);
-                async_io::Timer::after(RETRY_PAUSE).await;
+                clock::wait_until(out_until).await;
             }
         }
         stream.state.borrow_mut().is_flushing = false;
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -76,7 +76,9 @@
         core.waiting.remove(&self.id);
         core.router.withdraw(self.id);
         if let Ok(Notice::Placed(placement)) = self.receiver.try_recv() {
-            core.router.ended(clock::now(), &placement, End::Neutral);
+            let engine = &placement.engine;
+            core.router
+                .ended(clock::now(), &placement, engine, End::Neutral);
         }
     }
 }
@@ -95,7 +97,8 @@
         let notice = Notice::Placed(Box::new(placement.clone()));
         let is_taken = sender.is_some_and(|it| it.try_send(notice).is_ok());
         if !is_taken {
-            core.router.ended(now, &placement, End::Neutral);
+            let engine = &placement.engine;
+            core.router.ended(now, &placement, engine, End::Neutral);
         }
     }
     node.metrics.waiting.set(core.router.waiting() as i64);
--- a/crates/entry/src/engines.rs
+++ b/crates/entry/src/engines.rs
@@ -24,6 +24,10 @@
 
 /// The time between two load reports.
 const REPORT_INTERVAL: Duration = Duration::from_millis(200);
+/// The most entries among which load is told to all.
+pub const SMALL_FLEET: usize = 32;
+/// The time between two load reports in a larger fleet.
+const LARGE_FLEET_INTERVAL: Duration = Duration::from_secs(1);
 /// The time between two sweeps.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 /// The time for one call to an engine.
@@ -67,11 +71,21 @@
             let report = report(node.clone(), server, collected.clone());
             node.executor.spawn(report).detach();
         }
-        Timer::after(REPORT_INTERVAL).await;
+        Timer::after(interval(&node)).await;
         spread(&node, collected.take());
     }
 }
 
+/// Returns the time between two load reports: longer where there are more entries to tell.
+fn interval(node: &Node) -> Duration {
+    let is_small = node.core.borrow().members.alive().count() <= SMALL_FLEET;
+    if is_small {
+        REPORT_INTERVAL
+    } else {
+        LARGE_FLEET_INTERVAL
+    }
+}
+
 /// Takes load reports that another entry has read.
 pub fn take_reports(node: &Node, loads: Vec<Load>) {
     let now = clock::now();
@@ -116,17 +130,19 @@
 }
 
 /// Returns the backend servers that this entry is home to.
-fn own_servers(node: &Node) -> Vec<Rc<BackendServer>> {
+pub fn own_servers(node: &Node) -> Vec<Rc<BackendServer>> {
     let core = node.core.borrow();
-    let is_own = |it: &&Rc<BackendServer>| {
-        core.members.home(it.name.as_bytes()).incarnation == node.incarnation
-    };
-    core.view
-        .backend_servers
-        .values()
-        .filter(is_own)
-        .cloned()
-        .collect()
+    let servers = core.view.backend_servers.values();
+    servers.filter(|it| is_own(node, it)).cloned().collect()
+}
+
+/// Tells whether this entry is home to a backend server.
+pub fn is_own(node: &Node, server: &BackendServer) -> bool {
+    let core = node.core.borrow();
+    let home = core
+        .members
+        .home_in(&server.data_centre, server.name.as_bytes());
+    home.incarnation == node.incarnation
 }
 
 /// A report that the others still have to be told.
@@ -174,6 +190,16 @@
     }
 }
 
+/// Returns the entries that are told of load: all of them, or those of the own data centre where
+/// there are many.
+fn audience(node: &Node) -> Vec<SocketAddr> {
+    let core = node.core.borrow();
+    let is_small = core.members.alive().count() <= SMALL_FLEET;
+    let others = core.members.alive().skip(1);
+    let near = others.filter(|it| is_small || it.data_centre == node.settings.data_centre);
+    near.map(|it| it.peers).collect()
+}
+
 /// Tells the other entries what was read.
 fn spread(node: &Node, collected: Vec<Collected>) {
     if collected.is_empty() {
@@ -186,15 +212,7 @@
         report: it.report,
     });
     let frame = Frame::Loads(loads.collect());
-    let peers: Vec<SocketAddr> = node
-        .core
-        .borrow()
-        .members
-        .alive()
-        .skip(1)
-        .map(|it| it.peers)
-        .collect();
-    for peer in peers {
+    for peer in audience(node) {
         peers::push(node, peer, &frame);
     }
 }
--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -29,11 +29,18 @@
 pub async fn run(node: Rc<Node>) {
     loop {
         let followed = follow(&node).await;
-        node.is_log_failing.set(followed.is_err());
-        if let Err(error) = followed {
-            node.metrics.log_errors.inc();
-            log::warn!(target: "config", "Reading failed: {error}. Retrying.");
-            Timer::after(RETRY_PAUSE).await;
+        let was_failing = node.is_log_failing.replace(followed.is_err());
+        match followed {
+            Ok(()) if was_failing => log::info!(target: "config", "The log answers again."),
+            Ok(()) => {}
+            Err(error) => {
+                node.metrics.log_errors.inc();
+                // An outage may last for hours, so only its start and its end are told.
+                if !was_failing {
+                    log::warn!(target: "config", "Reading failed: {error}. Retrying.");
+                }
+                Timer::after(RETRY_PAUSE).await;
+            }
         }
     }
 }
--- a/crates/entry/src/held.rs
+++ b/crates/entry/src/held.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use async_channel::Sender;
 use claim::Answer;
 use claim::Nonce;
 use claim::Outcome;
@@ -44,21 +45,43 @@
     /// Claims the key of a request, if it has one.
     pub async fn claim(node: &Rc<Node>, head: &Head) -> Result<Option<Self>, Denied> {
         let Some(key) = head.key else { return Ok(None) };
+        let customer = head.contract.customer.clone();
+        let (sender, receiver) = async_channel::bounded(1);
+        // The claim is settled even if the request is dropped meanwhile: what nobody takes over is
+        // released.
+        let settle = Self::settle(node.clone(), key, customer, sender);
+        node.executor.spawn(settle).detach();
+        let settled = receiver.recv().await;
+        settled
+            .unwrap_or_else(|_| Err(Denied::Refused(internal())))
+            .map(Some)
+    }
+
+    async fn settle(
+        node: Rc<Node>,
+        key: Key,
+        customer: String,
+        sender: Sender<Result<Self, Denied>>,
+    ) {
         let nonce = rand::random();
-        match claims::claim(node, key, nonce, &head.contract.customer).await {
-            Decision::Verdict(Verdict::Granted) => {
-                let node = node.clone();
-                Ok(Some(Self {
-                    node,
-                    key,
-                    nonce,
-                    is_sent: false,
-                    is_told: false,
-                }))
-            }
+        let settled = match claims::claim(&node, key, nonce, &customer).await {
+            Decision::Verdict(Verdict::Granted) => Ok(Self {
+                node,
+                key,
+                nonce,
+                is_sent: false,
+                is_told: false,
+            }),
             Decision::Verdict(verdict) => Err(denied(verdict)),
-            Decision::Unavailable(reason) => Err(unavailable(&reason)),
-        }
+            Decision::Unavailable(reason) => {
+                // The claim may still take effect; releasing it lets the caller come back.
+                let executor = node.executor.clone();
+                let release = async move { claims::release(&node, key, nonce).await };
+                executor.spawn(release).detach();
+                Err(unavailable(&reason))
+            }
+        };
+        let _ = sender.send(settled).await;
     }
 
     /// Notes that a backend server is about to be sent the request.
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod metrics;
 pub mod node;
 pub mod operators;
+pub mod orders;
 pub mod peers;
 pub mod request;
 pub mod run;
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -15,6 +15,7 @@
 use claim::Book;
 use config::Fold;
 use config::View;
+use domain::fleet::BackendServer;
 use domain::key::Incarnation;
 use limit::Home;
 use limit::Purse;
@@ -39,6 +40,9 @@
 use crate::trail;
 use crate::trail::Trails;
 
+/// The most backend servers of a fleet that every instance routes to all of.
+const SIGHT_LIMIT: usize = 128;
+
 /// Where the instance listens.
 #[derive(Clone, Copy, Debug)]
 pub struct Addresses {
@@ -211,7 +215,11 @@
     pub fn apply_configuration(&self) {
         let mut core = self.core.borrow_mut();
         let view = Rc::new(View::new(&core.fold));
-        let engines = view.backend_servers.values().filter_map(|server| {
+        let engines = view
+            .backend_servers
+            .values()
+            .filter(|it| self.is_in_sight(&view, it));
+        let engines = engines.filter_map(|server| {
             let engine = server.engine()?;
             let models = engine.models.clone();
             Some(Engine::new(
@@ -228,6 +236,14 @@
         core.is_configured = true;
     }
 
+    /// Tells whether this instance routes to a backend server: to all of a small fleet, and to
+    /// those of its own data centre in a large one, as it hears the load of no others.
+    fn is_in_sight(&self, view: &View, server: &BackendServer) -> bool {
+        let near = |it: &BackendServer| it.data_centre == self.settings.data_centre;
+        let is_large = view.backend_servers.len() > SIGHT_LIMIT;
+        !is_large || near(server) || !view.backend_servers.values().any(|it| near(it))
+    }
+
     /// Adds a decision to the trail of a request.
     pub fn step(&self, number: u64, what: impl Into<String>) {
         self.core
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -23,6 +23,7 @@
 use crate::node::Addresses;
 use crate::node::Node;
 use crate::operators;
+use crate::orders;
 use crate::peers;
 use crate::peers::Sockets;
 
@@ -53,7 +54,9 @@
 
     let caller_node = node.clone();
     let handler = move |exchange| callers::handle(caller_node.clone(), exchange);
-    let serve = server::serve(executor.clone(), callers, node.switch.clone(), handler);
+    let timeout = Duration::from_millis(node.settings.caller_timeout_ms);
+    let switch = node.switch.clone().with_timeout(timeout);
+    let serve = server::serve(executor.clone(), callers, switch, handler);
     executor.spawn(serve).detach();
     let operator_node = node.clone();
     let handler = move |exchange| operators::handle(operator_node.clone(), exchange);
@@ -74,6 +77,7 @@
     executor.spawn(list(node.clone())).detach();
     executor.spawn(engines::watch(node.clone())).detach();
     executor.spawn(engines::sweep(node.clone())).detach();
+    executor.spawn(orders::run(node.clone())).detach();
     executor.spawn(dispatch::tick(node.clone())).detach();
     async_io::block_on(executor.run(stop(node)))
 }
--- a/crates/entry/src/services.rs
+++ b/crates/entry/src/services.rs
@@ -12,7 +12,6 @@
 use domain::failure::Ran;
 use domain::fleet::BackendServer;
 use futures_lite::future;
-use membership::message::Rumour;
 use routing::engine::Load;
 use routing::health::Health;
 use routing::leaving::Leaving;
@@ -21,6 +20,7 @@
 use web::Reply;
 use web::client::Call;
 
+use crate::attempt;
 use crate::attempt::Error;
 use crate::attempt::LEAVING_HEADER;
 use crate::clock;
@@ -30,7 +30,6 @@
 use crate::limits;
 use crate::metrics;
 use crate::node::Node;
-use crate::peers;
 use crate::request;
 use crate::request::Head;
 use crate::trail;
@@ -318,14 +317,7 @@
             Err(error) => return Err(broken(error)),
         };
         if answer.status() == 503 && answer.header(LEAVING_HEADER).is_some() {
-            if node.core.borrow_mut().mark_leaving(&choice.name) {
-                peers::tell(
-                    node,
-                    Rumour::ServerLeaving {
-                        server: choice.name.clone(),
-                    },
-                );
-            }
+            attempt::tell_leaving(node, &choice.name);
             return Err(Error::Leaving);
         }
         let content_type = answer
--- a/crates/membership/src/members.rs
+++ b/crates/membership/src/members.rs
@@ -171,6 +171,13 @@
         self.alive().max_by_key(weigh).unwrap_or(&self.me)
     }
 
+    /// Returns the home of `subject` among the members of a data centre; of all if it has none.
+    pub fn home_in(&self, data_centre: &str, subject: &[u8]) -> &Member {
+        let weigh = |it: &&Member| rendezvous::weight(subject, &it.incarnation.0.to_be_bytes());
+        let near = self.alive().filter(|it| it.data_centre == data_centre);
+        near.max_by_key(weigh).unwrap_or_else(|| self.home(subject))
+    }
+
     /// Tells whether this entry is the home of `subject` only because another one died lately.
     pub fn is_successor(&self, subject: &[u8]) -> bool {
         let weigh = |it: &Member| rendezvous::weight(subject, &it.incarnation.0.to_be_bytes());
--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -226,14 +226,14 @@
         }
     }
 
-    /// Notes the end of an attempt.
-    pub fn ended(&mut self, now: Moment, placement: &Placement, end: End) {
+    /// Notes the end of an attempt. `blamed` is the engine whose doing it was.
+    pub fn ended(&mut self, now: Moment, placement: &Placement, blamed: &str, end: End) {
         for name in std::iter::once(&placement.engine).chain(&placement.gang) {
             let Some(engine) = self.pool.get_mut(name) else {
                 continue;
             };
             engine.ended(placement.job.id);
-            if *name != placement.engine {
+            if name != blamed {
                 continue;
             }
             match end {
--- /dev/null
+++ b/crates/routing/tests/router.rs
@@ -0,0 +1,192 @@
+//! Placements: who may go where, and what an entry concludes from late reports.
+
+use std::time::Duration;
+
+use domain::Moment;
+use routing::Engine;
+use routing::Job;
+use routing::Policy;
+use routing::Quarantine;
+use routing::Router;
+use routing::engine::Load;
+use routing::job::Tenant;
+use routing::router::End;
+use routing::router::Refusal;
+
+const NOW: Moment = Moment::from_millis(1_000_000);
+
+fn router(engines: usize) -> Router {
+    let mut router = Router::new(Policy::ByLength, 1);
+    router.replace_engines((0..engines).map(|index| {
+        Engine::new(
+            format!("runner-{index}"),
+            "dc",
+            vec!["assistant".to_owned()],
+            400_000,
+        )
+    }));
+    router
+}
+
+fn job(id: u64, prompt_tokens: u64) -> Job {
+    Job {
+        id,
+        tenant: Tenant {
+            firm: "firm".to_owned(),
+            firm_share: 1,
+            customer: "customer".to_owned(),
+            customer_share: 1,
+        },
+        model: "assistant".to_owned(),
+        prompt_tokens,
+        answer_tokens: 100,
+        admitted: NOW,
+        deadline: NOW + Duration::from_secs(30),
+        prefix: id,
+        avoid: Vec::new(),
+        failures: 0,
+        memory_refusals: 0,
+    }
+}
+
+fn load(is_leaving: bool, incarnation: u64) -> Load {
+    Load {
+        is_leaving,
+        incarnation,
+        ..Load::default()
+    }
+}
+
+#[test]
+fn router_short_jobs_spread_over_engines() {
+    let mut router = router(4);
+    for id in 0..8 {
+        router.admit(NOW, job(id, 4_000)).unwrap();
+    }
+    let mut counts = std::collections::BTreeMap::<String, usize>::new();
+    while let Some(placement) = router.next(NOW) {
+        *counts.entry(placement.engine).or_default() += 1;
+    }
+    assert!(
+        counts.len() >= 3 && counts.values().all(|it| *it <= 4),
+        "{counts:?}"
+    );
+}
+
+#[test]
+fn router_long_jobs_stay_on_their_share() {
+    let mut router = router(4);
+    for id in 0..6 {
+        router.admit(NOW, job(id, 150_000)).unwrap();
+        router.admit(NOW, job(100 + id, 150_000)).unwrap();
+    }
+    let mut engines = std::collections::BTreeSet::new();
+    while let Some(placement) = router.next(NOW) {
+        engines.insert(placement.engine);
+    }
+    assert!(
+        engines.len() <= 3,
+        "one engine at least is left to short jobs: {engines:?}"
+    );
+    router.admit(NOW, job(200, 1_000)).unwrap();
+    let short = router.next(NOW).unwrap();
+    assert!(!engines.contains(&short.engine));
+    assert!(short.priority > 0);
+}
+
+#[test]
+fn router_gang_is_the_fewest_engines_in_order_of_name() {
+    let mut router = router(5);
+    router.admit(NOW, job(1, 1_000_000)).unwrap();
+    let placement = router.next(NOW).unwrap();
+    let members: Vec<&String> = std::iter::once(&placement.engine)
+        .chain(&placement.gang)
+        .collect();
+    assert_eq!(members.len(), 3);
+    assert!(members.is_sorted());
+    assert!(placement.memory_tokens * 3 >= 1_000_100);
+}
+
+#[test]
+fn router_beyond_the_fleet_is_refused() {
+    let mut router = router(2);
+    let refusal = router.admit(NOW, job(1, 1_000_000)).unwrap_err();
+    assert!(matches!(refusal, Refusal::TooLong { .. }));
+    let other = Job {
+        model: "other".to_owned(),
+        ..job(2, 1_000)
+    };
+    assert!(matches!(
+        router.admit(NOW, other).unwrap_err(),
+        Refusal::NoEngine(_)
+    ));
+}
+
+#[test]
+fn router_leaving_engine_gets_nothing_until_it_is_restarted() {
+    let mut router = router(1);
+    router.report("runner-0", NOW, load(false, 1));
+    assert!(router.mark_leaving("runner-0"));
+    // A late report says otherwise.
+    router.report("runner-0", NOW, load(false, 1));
+    assert!(router.admit(NOW, job(1, 1_000)).is_err());
+    router.report("runner-0", NOW, load(false, 2));
+    router.admit(NOW, job(2, 1_000)).unwrap();
+    assert!(router.next(NOW).is_some());
+}
+
+#[test]
+fn router_failing_engine_is_left_alone_and_tried_again() {
+    let mut router = router(1);
+    for id in 0..3 {
+        router.admit(NOW, job(id, 1_000)).unwrap();
+        let placement = router.next(NOW).unwrap();
+        router.ended(NOW, &placement, &placement.engine, End::Failed);
+    }
+    assert!(matches!(
+        router.admit(NOW, job(9, 1_000)).unwrap_err(),
+        Refusal::Down(_)
+    ));
+    let later = NOW + Duration::from_secs(1);
+    router.admit(later, job(10, 1_000)).unwrap();
+    assert!(router.next(later).is_some());
+}
+
+#[test]
+fn router_expired_and_withdrawn_jobs_are_gone() {
+    let mut router = router(1);
+    for id in 0..200 {
+        router.admit(NOW, job(id, 4_000)).unwrap();
+    }
+    while router.next(NOW).is_some() {}
+    let waiting = router.waiting();
+    assert!(waiting > 100, "an engine has room for few at a time");
+    assert!(router.withdraw(199).is_some());
+    let late = NOW + Duration::from_secs(31);
+    let expired = std::iter::from_fn(|| router.expire(late)).count();
+    assert_eq!((expired, router.waiting()), (waiting - 1, 0));
+}
+
+#[test]
+fn router_late_report_does_not_hide_what_was_sent_since() {
+    let mut engine = Engine::new("runner-0", "dc", vec!["assistant".to_owned()], 400_000);
+    let cost = Duration::from_millis(40);
+    engine.report(NOW, load(false, 1));
+    engine.sent(NOW + Duration::from_millis(50), &job(1, 4_000), cost, 4_100);
+    // The report comes later, and describes a moment before the job was sent.
+    engine.report(NOW + Duration::from_millis(20), load(false, 1));
+    let now = NOW + Duration::from_millis(60);
+    assert!(engine.wait(now, domain::Length::Short) >= Duration::from_millis(30));
+    assert_eq!(engine.free_memory(), 400_000 - 4_100);
+}
+
+#[test]
+fn quarantine_second_engine_is_the_last() {
+    let mut quarantine = Quarantine::default();
+    assert!(quarantine.crashed(NOW, 7, "a"));
+    assert!(!quarantine.crashed(NOW, 7, "a"), "told twice counts once");
+    assert!(!quarantine.is_refused(NOW, 7));
+    quarantine.crashed(NOW, 7, "b");
+    assert!(quarantine.is_refused(NOW, 7) && !quarantine.is_refused(NOW, 8));
+    assert!(!quarantine.is_refused(NOW + Duration::from_secs(4_000), 7));
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -83,6 +83,9 @@
     /// How long callers may keep the answer of `/v1/entries`, in milliseconds.
     #[serde(default = "Entry::default_answer_lifetime")]
     pub answer_lifetime_ms: u64,
+    /// The time for a caller to send a head, and again a body, in milliseconds.
+    #[serde(default = "Entry::default_caller_timeout")]
+    pub caller_timeout_ms: u64,
     /// The longest time that the platform's instance list lags behind, in milliseconds.
     #[serde(default = "Entry::default_list_lag")]
     pub list_lag_ms: u64,
@@ -118,6 +121,10 @@
         5_000
     }
 
+    fn default_caller_timeout() -> u64 {
+        20_000
+    }
+
     fn default_list_lag() -> u64 {
         3_000
     }
@@ -158,6 +165,12 @@
                 "must lie between 1 and 60000: it is in milliseconds",
             );
         }
+        if self.caller_timeout_ms == 0 {
+            add(
+                "caller_timeout_ms",
+                "is zero, so no caller could be in time: give at least 1",
+            );
+        }
         if self.log_retention_ms == 0 {
             add(
                 "log_retention_ms",
--- a/crates/web/src/server.rs
+++ b/crates/web/src/server.rs
@@ -7,6 +7,7 @@
 use std::net::TcpListener;
 use std::rc::Rc;
 use std::time::Duration;
+use std::time::Instant;
 
 use async_executor::LocalExecutor;
 use async_h1::server::ConnectionStatus;
@@ -25,23 +26,40 @@
 use crate::stream::Stream;
 use crate::stream::within;
 
-/// The time in which a caller has to send a whole body.
-const BODY_TIMEOUT: Duration = Duration::from_secs(20);
-/// The time in which a caller has to send the head of its next request.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
+/// The time in which a caller has to send a head, and again a body, unless the switch says
+/// otherwise.
+const TIMEOUT: Duration = Duration::from_secs(20);
+/// The time between two looks at what a connection is doing.
+const WATCH_INTERVAL: Duration = Duration::from_millis(100);
 /// The time spent on reading what a refused caller still sends.
 const LINGER: Duration = Duration::from_millis(500);
 /// The pause after a failed accept, for example when file descriptors are used up.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
 /// A server's switch: tells its connections to close after their present request.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Switch {
     is_stopping: Rc<Cell<bool>>,
     busy: Rc<Cell<usize>>,
+    timeout: Duration,
+}
+
+impl Default for Switch {
+    fn default() -> Self {
+        Self {
+            is_stopping: Rc::default(),
+            busy: Rc::default(),
+            timeout: TIMEOUT,
+        }
+    }
 }
 
 impl Switch {
+    /// Sets the time in which a caller has to send a head, and again a body.
+    pub fn with_timeout(self, timeout: Duration) -> Self {
+        Self { timeout, ..self }
+    }
+
     /// Closes idle connections, and busy ones after their present request.
     pub fn stop(&self) {
         self.is_stopping.set(true);
@@ -58,6 +76,7 @@
 pub struct Exchange {
     request: Request,
     is_body_read: Rc<Cell<bool>>,
+    timeout: Duration,
 }
 
 impl Exchange {
@@ -101,11 +120,14 @@
         }
         let mut body = Vec::with_capacity(announced.unwrap_or(0) as usize);
         let reader = self.request.take_body();
-        let read = within(BODY_TIMEOUT, reader.take(limit + 1).read_to_end(&mut body)).await;
+        let read = within(self.timeout, reader.take(limit + 1).read_to_end(&mut body)).await;
         match read {
             None => Err(Failure::refused(
                 Kind::SlowCaller,
-                format!("the body did not come within {BODY_TIMEOUT:?}: send it faster"),
+                format!(
+                    "the body did not come within {:?}: send it faster",
+                    self.timeout
+                ),
             )),
             Some(Err(error)) => Err(Failure::refused(
                 Kind::Malformed,
@@ -182,6 +204,7 @@
         let exchange = Exchange {
             request,
             is_body_read: is_body_read.clone(),
+            timeout: switch.timeout,
         };
         is_busy.set(true);
         switch.busy.set(switch.busy.get() + 1);
@@ -201,9 +224,13 @@
     };
     let mut connection = Connection::new(stream.clone(), endpoint);
     loop {
+        let idle_since = Instant::now();
         let left = async {
             loop {
-                Timer::after(Duration::from_millis(100)).await;
+                Timer::after(WATCH_INTERVAL).await;
+                if !is_busy.get() && idle_since.elapsed() >= switch.timeout {
+                    return None;
+                }
                 if is_busy.get() && is_body_read.get() {
                     stream.closed().await;
                     return None;
@@ -247,7 +274,7 @@
     );
     let mut stream = stream.clone();
     let _ = within(
-        IDLE_TIMEOUT,
+        TIMEOUT,
         stream.write_all(format!("{head}{body}").as_bytes()),
     )
     .await;
--- a/crates/wire/src/call.rs
+++ b/crates/wire/src/call.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use capnp::message::Builder;
 use claim::Outcome;
 use claim::Verdict;
 use domain::Key;
@@ -156,3 +157,13 @@
         refusal: limit.map(|limit| Refusal { limit, wait }),
     })
 }
+
+/// Returns the bytes of a question for an allotment and its answer, as encoded.
+pub fn encoded_len(question: &Ask, answer: &Grant) -> usize {
+    let mut ask = Builder::new_default();
+    write_ask(question, ask.init_root());
+    let mut grant = Builder::new_default();
+    write_grant(answer, grant.init_root());
+    let len = |message: &Builder<_>| capnp::serialize::write_message_to_words(message).len();
+    len(&ask) + len(&grant)
+}
