--- a/crates/bench/src/capacity/fit.rs
+++ b/crates/bench/src/capacity/fit.rs
@@ -47,8 +47,8 @@
         }
     }
 
-    /// Returns the value of the line.
+    /// Returns the value of the line; a negative start, which only the fit makes, counts as none.
     pub fn at(&self, x: f64) -> f64 {
-        self.start + self.slope * x
+        self.start.max(0.0) + self.slope * x
     }
 }
--- a/crates/bench/src/capacity/measure.rs
+++ b/crates/bench/src/capacity/measure.rs
@@ -144,7 +144,7 @@
         age: Duration::from_millis(120),
         report: Some(routing::engine::Load {
             incarnation: u64::MAX,
-            backlog_micros: [20_000; 4],
+            backlog_micros: [20_000; routing::level::LEVELS],
             running: 20,
             memory_used: 300_000,
             is_leaving: false,
--- a/crates/bench/src/capacity/measure/gossip.rs
+++ b/crates/bench/src/capacity/measure/gossip.rs
@@ -19,10 +19,13 @@
 use super::random;
 use crate::capacity::fit::Line;
 
-/// The time between two ticks, as in an entry.
-const TICK: Duration = Duration::from_millis(50);
-/// The time before anything is measured, in which all find one another.
-const WARM_UP: Duration = Duration::from_secs(30);
+/// The time between two ticks.
+const TICK: Duration = Duration::from_millis(100);
+/// The time before anything is measured, for each node: all find one another, and the news of it
+/// dies down.
+const WARM_UP: Duration = Duration::from_millis(800);
+/// The shortest such time.
+const SHORTEST_WARM_UP: Duration = Duration::from_secs(30);
 /// The time that is measured.
 const TIME: Duration = Duration::from_secs(10);
 
@@ -140,7 +143,7 @@
 fn sample(nodes: usize) -> Sample {
     let (mut network, heap) = heap(|| {
         let mut network = Network::new(nodes);
-        network.run(WARM_UP);
+        network.run((WARM_UP * nodes as u32).max(SHORTEST_WARM_UP));
         network
     });
     (network.datagrams, network.bytes) = (0, 0);
--- a/crates/bench/src/capacity/table.rs
+++ b/crates/bench/src/capacity/table.rs
@@ -7,13 +7,20 @@
 use super::size;
 
 /// Load reports of one backend server in a second at the two-year size.
-const REPORTS_PER_SECOND: f64 = 1.0;
+const REPORTS_PER_SECOND: f64 = 1.0 / 3.0;
+/// Questions to one backend server in a second: its load, its holds, its orders.
+const POLLS_PER_SECOND: f64 = 1.0 / 3.0 + 1.0 / 3.0 + 1.0 / 5.0;
+/// Bytes of one such question, with the headers of TCP and IP.
+const POLL_BYTES: f64 = 130.0;
+/// Bytes of one instance in the platform's list.
+const LISTED_BYTES: f64 = 150.0;
+/// Seconds between two readings of the list by one entry, for each entry.
+const LIST_SECONDS: f64 = 0.5;
 /// Bytes that the call protocol and TCP add to each question and answer.
 const CALL_OVERHEAD: f64 = 250.0;
 /// Allotments for one request: steady customers are served ahead of need.
 const ALLOTMENTS_PER_REQUEST: f64 = 1.0;
-/// Appends a second of one claim stream at most, and their number.
-const SHARD_APPENDS: f64 = 20.0;
+
 /// Snapshots of the configuration in a day.
 const SNAPSHOTS_PER_DAY: f64 = 4.0;
 /// The time for which the log keeps claims that count, in seconds: half of a day's retention.
@@ -114,8 +121,9 @@
         Role {
             name: "engine home",
             state: it.routing_heap.at(size::RUNNERS / size::DATA_CENTRES),
-            messages: peers * REPORTS_PER_SECOND,
-            bytes: peers * REPORTS_PER_SECOND * report_bytes,
+            messages: peers * REPORTS_PER_SECOND + own_runners * POLLS_PER_SECOND,
+            bytes: peers * REPORTS_PER_SECOND * report_bytes
+                + own_runners * POLLS_PER_SECOND * POLL_BYTES,
             cpu: 2.0 * peers * REPORTS_PER_SECOND * 5e-6,
             mechanism: "one home reads each runner and tells the entries of its data centre",
         },
@@ -128,12 +136,12 @@
             mechanism: "rendezvous home for each contract, allotments ahead of need",
         },
         Role {
-            name: "claim shard (on 8 nodes)",
+            name: "claim shard (on 32 nodes)",
             state: it.claims_heap.at(shard_keys),
             messages: 2.0 * minted / shards,
             bytes: (minted / shards) * (2.0 * it.claim_bytes.slope + CALL_OVERHEAD),
             cpu: 2.0 * (minted / shards) * (it.claim.at(shard_keys) + 40e-6),
-            mechanism: "8 claim streams, one home each, batched appends",
+            mechanism: "32 claim streams, one home each, batched appends",
         },
         Role {
             name: "tickets",
@@ -179,7 +187,7 @@
     let roles = all_roles(it);
     let sum = |value: fn(&Role) -> f64| roles.iter().map(value).sum::<f64>();
     let minted = size::REQUESTS * size::KEYED_PART * size::MINTED_PART;
-    let shard_appends = (2.0 * minted).min(SHARD_APPENDS * claim::SHARDS as f64);
+    let shard_appends = (2.0 * minted).min(claim::APPENDS_PER_SECOND as f64);
     let snapshot_parts = (size::ORGANISATIONS / config::snapshot::ENTRIES_PER_PART as f64).ceil();
     let config_appends = (size::CHANGES + SNAPSHOTS_PER_DAY * snapshot_parts) / size::DAY;
     let placement = &it.placement.points;
@@ -225,6 +233,11 @@
             size::CHURN / 24.0,
             f64::INFINITY,
         ),
+        (
+            "instance list: bytes /s received",
+            (size::NODES + size::RUNNERS) * LISTED_BYTES / (LIST_SECONDS * size::NODES),
+            f64::INFINITY,
+        ),
     ];
     let mut out =
         "| at the two-year size, each node | computed | target | met |\n|---|---|---|---|\n"
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -21,8 +21,10 @@
 
 #[derive(Debug, Subcommand)]
 enum Measurement {
-    /// Time to first token and slowdown by routing policy, and one firm's overload.
+    /// Time to first token and slowdown by routing policy.
     Routing,
+    /// What one firm's overload does to another.
+    Firms,
     /// What an entry adds to an engine's time, what it sustains, and its memory.
     Entry,
     /// What claims and tickets cost, with the log up and out.
@@ -36,6 +38,7 @@
 fn main() -> anyhow::Result<()> {
     match Arguments::parse().measurement {
         Measurement::Routing => routing::run(),
+        Measurement::Firms => routing::firms(),
         Measurement::Entry => entry::run(),
         Measurement::Claims => claims::run(),
         Measurement::Force => force::run(),
--- a/crates/bench/src/routing.rs
+++ b/crates/bench/src/routing.rs
@@ -27,7 +27,7 @@
 /// How much more one firm sends when it overloads the fleet.
 const OVERLOAD: f64 = 10.0;
 
-/// Compares the policies, then the firms.
+/// Compares the policies.
 pub fn run() -> Result<()> {
     println!("policy        class      p50 ms     p95 ms     p99 ms   short p95 slowdown");
     for policy in ["by_length", "round_robin", "least_loaded"] {
@@ -46,6 +46,11 @@
             );
         }
     }
+    Ok(())
+}
+
+/// Compares what one firm's overload does to another.
+pub fn firms() -> Result<()> {
     println!("firms: p95 of the second firm's short prompts, first firm at 1 and {OVERLOAD} times");
     for policy in ["by_length", "round_robin"] {
         let cluster = start(policy, FIRM_ENGINES)?;
--- a/crates/claim/src/book.rs
+++ b/crates/claim/src/book.rs
@@ -7,17 +7,20 @@
 use domain::Key;
 use domain::Moment;
 use domain::key::Incarnation;
+use serde::Deserialize;
+use serde::Serialize;
 
 use crate::Nonce;
 use crate::Outcome;
 use crate::Verdict;
+use crate::hold::Hold;
 
 /// The time for which a ticket may be used.
 pub const LIFETIME: Duration = Duration::from_secs(15 * 60);
 /// The tickets that are kept at the same time.
 const TICKET_LIMIT: usize = 100_000;
 
-/// The tickets of one incarnation. It is their only authority.
+/// The tickets of one incarnation. Whoever has the book is their only authority.
 #[derive(Clone, Debug)]
 pub struct Book {
     issuer: Incarnation,
@@ -31,9 +34,24 @@
 struct Ticket {
     customer: String,
     issued: Moment,
-    holder: Option<Nonce>,
-    released: Vec<Nonce>,
-    outcome: Outcome,
+    hold: Hold,
+}
+
+/// A closed book on its way to another entry.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Parcel {
+    /// The incarnation that issued the tickets.
+    pub issuer: Incarnation,
+    issued: u64,
+    tickets: Vec<Packed>,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct Packed {
+    key: Key,
+    customer: String,
+    age_ms: u64,
+    hold: Hold,
 }
 
 impl Book {
@@ -61,9 +79,7 @@
             Ticket {
                 customer: customer.to_owned(),
                 issued: now,
-                holder: None,
-                released: Vec::new(),
-                outcome: Outcome::Open,
+                hold: Hold::default(),
             },
         );
         self.order.push_back(key);
@@ -82,37 +98,84 @@
         if ticket.customer != customer {
             return Verdict::NotIssued;
         }
-        match ticket.holder {
-            Some(holder) if holder == nonce => Verdict::Granted,
-            Some(_) => Verdict::Used(ticket.outcome.clone()),
-            None if now.since(ticket.issued) >= LIFETIME => Verdict::TooOld,
-            None if ticket.released.contains(&nonce) => Verdict::TooOld,
-            None => {
-                ticket.holder = Some(nonce);
-                Verdict::Granted
-            }
+        if now.since(ticket.issued) < LIFETIME {
+            ticket.hold.claim(nonce);
         }
+        ticket.hold.verdict(nonce).unwrap_or(Verdict::TooOld)
     }
 
     /// Takes a claim back that its holder did not run and never will.
     pub fn release(&mut self, key: Key, nonce: Nonce) {
         if let Some(ticket) = self.tickets.get_mut(&key) {
-            ticket.released.push(nonce);
-            if ticket.holder == Some(nonce) {
-                ticket.holder = None;
-            }
+            ticket.hold.release(nonce);
         }
     }
 
     /// Notes how a request ended.
     pub fn settle(&mut self, key: Key, nonce: Nonce, outcome: Outcome) {
-        if let Some(ticket) = self
-            .tickets
-            .get_mut(&key)
-            .filter(|it| it.holder == Some(nonce))
+        if let Some(ticket) = self.tickets.get_mut(&key) {
+            ticket.hold.settle(nonce, outcome);
+        }
+    }
+
+    /// Closes the book for good, so that it can be handed over to one other entry.
+    pub fn close(self, now: Moment) -> Parcel {
+        let Self {
+            issuer,
+            issued,
+            mut tickets,
+            order,
+        } = self;
+        let tickets = order.into_iter().filter_map(|key| {
+            let Ticket {
+                customer,
+                issued,
+                hold,
+            } = tickets.remove(&key)?;
+            let age_ms = now.since(issued).as_millis() as u64;
+            Some(Packed {
+                key,
+                customer,
+                age_ms,
+                hold,
+            })
+        });
+        Parcel {
+            issuer,
+            issued,
+            tickets: tickets.collect(),
+        }
+    }
+
+    /// Opens a book that was handed over.
+    pub fn open(now: Moment, parcel: Parcel) -> Self {
+        let mut book = Self::new(parcel.issuer);
+        book.issued = parcel.issued;
+        for Packed {
+            key,
+            customer,
+            age_ms,
+            hold,
+        } in parcel.tickets
         {
-            ticket.outcome = outcome;
+            let age = now.since(Moment::from_millis(age_ms));
+            let issued = Moment::default() + age;
+            book.tickets.insert(
+                key,
+                Ticket {
+                    customer,
+                    issued,
+                    hold,
+                },
+            );
+            book.order.push_back(key);
         }
+        book
+    }
+
+    /// Returns the incarnation that issued the tickets.
+    pub fn issuer(&self) -> Incarnation {
+        self.issuer
     }
 
     /// Returns the number of tickets that are kept.
--- a/crates/claim/src/lib.rs
+++ b/crates/claim/src/lib.rs
@@ -15,6 +15,7 @@
 //! on the record of its claim.
 
 pub mod book;
+pub mod hold;
 pub mod pending;
 pub mod record;
 pub mod shard;
@@ -30,7 +31,9 @@
 use serde::Serialize;
 
 /// The number of claim streams in the log.
-pub const SHARDS: u64 = 8;
+pub const SHARDS: u64 = 32;
+/// Appends a second to all claim streams together, when there are many.
+pub const APPENDS_PER_SECOND: u64 = 200;
 
 /// A number that the holder of a claim drew at random.
 pub type Nonce = u64;
--- a/crates/claim/src/shard.rs
+++ b/crates/claim/src/shard.rs
@@ -8,6 +8,7 @@
 use crate::Nonce;
 use crate::Outcome;
 use crate::Verdict;
+use crate::hold::Hold;
 use crate::record::Event;
 use crate::record::Kind;
 use crate::record::Record;
@@ -23,20 +24,13 @@
 pub struct Shard {
     window: Duration,
     next: u64,
-    keys: HashMap<Key, State>,
+    keys: HashMap<Key, Hold>,
     /// The log's time of the latest record.
     latest: Duration,
     /// The log's time at which old keys were last dropped.
     dropped: Duration,
 }
 
-#[derive(Clone, Debug, Default)]
-struct State {
-    holder: Option<Nonce>,
-    released: Vec<Nonce>,
-    outcome: Outcome,
-}
-
 /// Records were missed: the fold has to start again, and claims that are under way can't be judged.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 #[error("claims from {next} to {first} have expired unread: claims under way can't be judged")]
@@ -102,22 +96,13 @@
 
     /// Returns what the stream says of a claim, or `None` if it has no claim of this key yet.
     pub fn verdict(&self, key: Key, nonce: Nonce) -> Option<Verdict> {
-        let state = self.keys.get(&key)?;
-        match state.holder {
-            Some(holder) if holder == nonce => Some(Verdict::Granted),
-            Some(_) => Some(Verdict::Used(state.outcome.clone())),
-            None => None,
-        }
+        self.keys.get(&key)?.verdict(nonce)
     }
 
     /// Notes how a request ended, before the log tells.
     pub fn settle(&mut self, key: Key, nonce: Nonce, outcome: Outcome) {
-        if let Some(state) = self
-            .keys
-            .get_mut(&key)
-            .filter(|it| it.holder == Some(nonce))
-        {
-            state.outcome = outcome;
+        if let Some(hold) = self.keys.get_mut(&key) {
+            hold.settle(nonce, outcome);
         }
     }
 
@@ -143,20 +128,8 @@
         let Event { key, nonce, kind } = event;
         match kind {
             Kind::Claim if self.misdated(key, at).is_some() => {}
-            Kind::Claim => {
-                let state = self.keys.entry(key).or_default();
-                if state.holder.is_none() && !state.released.contains(&nonce) {
-                    state.holder = Some(nonce);
-                }
-            }
-            Kind::Release => {
-                let state = self.keys.entry(key).or_default();
-                // Remembered even if the claim comes later, as a second copy may.
-                state.released.push(nonce);
-                if state.holder == Some(nonce) {
-                    state.holder = None;
-                }
-            }
+            Kind::Claim => self.keys.entry(key).or_default().claim(nonce),
+            Kind::Release => self.keys.entry(key).or_default().release(nonce),
             Kind::Settle(outcome) => self.settle(key, nonce, outcome),
         }
     }
--- a/crates/claim/tests/pending.rs
+++ b/crates/claim/tests/pending.rs
@@ -40,8 +40,13 @@
 
 #[test]
 fn pending_many_claims_share_appends() {
+    let allowed = (claim::APPENDS_PER_SECOND / claim::SHARDS * 10) as usize;
     let in_ten_seconds = appends(10_000);
-    assert!((190..=210).contains(&in_ten_seconds), "{in_ten_seconds}");
+    // A few may follow one another at once at the start.
+    assert!(
+        (allowed..=allowed + 6).contains(&in_ten_seconds),
+        "{in_ten_seconds}"
+    );
 }
 
 #[test]
--- a/crates/claim/tests/shard.rs
+++ b/crates/claim/tests/shard.rs
@@ -170,3 +170,26 @@
     let late = now + claim::book::LIFETIME;
     assert_eq!(book.claim(late, key, 1, "riders"), Verdict::TooOld);
 }
+
+#[test]
+fn book_handed_over_keeps_holds_and_ages() {
+    let mut book = Book::new(Incarnation(5));
+    let now = Moment::from_millis(1_000_000);
+    let keys: Vec<Key> = (0..2)
+        .filter_map(|_| book.issue(now, NOW, "riders"))
+        .collect();
+    assert_eq!(book.claim(now, keys[0], 1, "riders"), Verdict::Granted);
+    let later = now + claim::book::LIFETIME / 2;
+    let parcel = serde_json::to_vec(&book.close(later)).unwrap();
+    // The heir's clock has another origin.
+    let there = Moment::from_millis(5_000_000);
+    let mut book = Book::open(there, serde_json::from_slice(&parcel).unwrap());
+    assert_eq!(
+        book.claim(there, keys[0], 2, "riders"),
+        Verdict::Used(Outcome::Open)
+    );
+    assert_eq!(book.claim(there, keys[1], 2, "riders"), Verdict::Granted);
+    let mut book = Book::open(there, serde_json::from_slice(&parcel).unwrap());
+    let late = there + claim::book::LIFETIME / 2;
+    assert_eq!(book.claim(late, keys[1], 2, "riders"), Verdict::TooOld);
+}
--- a/crates/entry/src/clock.rs
+++ b/crates/clock/src/lib.rs
@@ -1,4 +1,4 @@
-//! The clocks of the process, read here and nowhere else.
+//! The clocks of a process, read here and nowhere else. The decision crates do without this one.
 
 use std::sync::LazyLock;
 use std::time::Duration;
--- a/crates/ctl/src/state.rs
+++ b/crates/ctl/src/state.rs
@@ -38,21 +38,12 @@
 
 async fn rebase(platform: &Platform, fold: &mut Fold, first: u64) -> Result<()> {
     let mut collector = snapshot::Collector::default();
-    let mut from = 0;
-    loop {
-        let batch = platform
-            .read(config::SNAPSHOT_STREAM, from, Duration::ZERO)
-            .await?;
-        for record in &batch.records {
-            from = record.offset + 1;
-            if let Some(found) = collector.read(record.data.as_bytes()) {
-                fold.merge(found);
-            }
-        }
-        if batch.records.is_empty() {
-            break;
+    for record in platform.read_all(config::SNAPSHOT_STREAM).await? {
+        if let Some(found) = collector.read(record.data.as_bytes()) {
+            fold.merge(found);
         }
     }
+
     if fold.next() < first {
         bail!("no snapshot reaches record {first}: use `show --entry` on a running instance");
     }
--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -18,7 +18,6 @@
 
 use crate::chat::answer::Output;
 use crate::chat::prompt::Prompt;
-use crate::clock;
 use crate::dispatch;
 use crate::engines;
 use crate::metrics::Class;
@@ -91,9 +90,6 @@
     /// The stream ended before the announced end.
     #[error("the stream ended before the answer was whole")]
     Cut,
-    /// The request's time limit passed.
-    #[error("the time limit passed")]
-    TimedOut,
 }
 
 impl Error {
@@ -107,7 +103,7 @@
 
     fn end(&self) -> End {
         match self {
-            Self::Removed | Self::Leaving | Self::NoMemory | Self::TimedOut => End::Neutral,
+            Self::Removed | Self::Leaving | Self::NoMemory => End::Neutral,
             Self::Unreachable => End::Lost,
             Self::Refused(_) | Self::Stalled(_) | Self::Assembly(_) => End::Failed,
             Self::Broken(_) | Self::Cut => End::Failed,
@@ -225,7 +221,7 @@
                 "prompt": self.prompt.text,
                 "offset": offset,
                 "answer_tokens": self.prompt.answer_tokens,
-                "priority": self.placement.priority,
+                "priority": self.placement.level.priority(),
                 "time_left_ms": self.time_left().as_millis() as u64,
                 "lent_tokens": self.placement.memory_tokens * self.placement.gang.len() as u64,
                 "lenders": self.placement.gang.len(),
--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -13,7 +13,6 @@
 use web::Reply;
 
 use crate::chat;
-use crate::clock;
 use crate::node::Node;
 use crate::request;
 use crate::services;
@@ -105,11 +104,12 @@
         return Failure::refused(Kind::Stopping, message).into();
     }
     let now = clock::now();
-    let issue = |_| {
-        core.book
-            .issue(now, clock::since_epoch(), &contract.customer)
-    };
-    let keys: Vec<Key> = (0..count).filter_map(issue).collect();
+    let book = core.books.get_mut(&node.incarnation);
+    let keys: Vec<Key> = book.map_or_else(Vec::new, |book| {
+        let issue = |_| book.issue(now, clock::since_epoch(), &contract.customer);
+        (0..count).filter_map(issue).collect()
+    });
+
     if keys.is_empty() {
         let message = "too many keys are in use: use those you have, or come back";
         let failure = Failure::refused(Kind::Overloaded, message);
--- a/crates/entry/src/chat.rs
+++ b/crates/entry/src/chat.rs
@@ -1,13 +1,14 @@
 //! `POST /v1/chat/completions`: from an admitted prompt to a whole answer or an honest failure.
 
+use std::cell::Cell;
 use std::rc::Rc;
 
 use domain::Failure;
 use domain::failure::Kind;
+use domain::failure::Ran;
 use web::Exchange;
 use web::Reply;
 
-use crate::clock;
 use crate::node::Node;
 use crate::request::Head;
 use crate::trail;
@@ -61,11 +62,18 @@
         prompt_tokens: prompt.tokens,
     };
     let (sender, receiver) = async_channel::bounded(EVENT_LIMIT);
+    // Before its claim is settled, nobody can tell whether a request with a key ran before.
+    let ran = Cell::new(if head.key.is_some() {
+        Ran::Maybe
+    } else {
+        Ran::No
+    });
     let request = Request {
         id,
         head,
         prompt,
         arrived,
+        ran,
     };
     node.executor
         .spawn(serve::work(node.clone(), request, sender))
--- a/crates/entry/src/chat/answer.rs
+++ b/crates/entry/src/chat/answer.rs
@@ -14,7 +14,6 @@
 use web::body;
 
 use super::internal;
-use crate::clock;
 use crate::node::Node;
 use crate::trail;
 
--- a/crates/entry/src/chat/serve.rs
+++ b/crates/entry/src/chat/serve.rs
@@ -1,5 +1,6 @@
 //! Serving: one request from its claim to its end, over as many attempts as it takes.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -23,7 +24,6 @@
 use crate::attempt;
 use crate::attempt::Attempt;
 use crate::attempt::Failed;
-use crate::clock;
 use crate::dispatch::Notice;
 use crate::dispatch::Waiting;
 use crate::grade;
@@ -55,6 +55,8 @@
     pub prompt: Prompt,
     /// When it arrived.
     pub arrived: Moment,
+    /// What is known of whether the work was done.
+    pub ran: Cell<Ran>,
 }
 
 /// Works on one request until its end, and tells the end to the caller, the trail and the metrics.
@@ -66,7 +68,7 @@
         Outcome::Left
     };
     let serve = async {
-        match request.serve(&node, &output).await {
+        match request.serve_in_time(&node, &output).await {
             Ok(tokens) => {
                 let _ = events.send(Event::Done { tokens }).await;
                 Outcome::Done { tokens }
@@ -83,6 +85,16 @@
 }
 
 impl Request {
+    /// Serves the request, or gives it up at its deadline, wherever it is then.
+    async fn serve_in_time(&self, node: &Rc<Node>, output: &Output<'_>) -> Result<u64, Failure> {
+        let deadline = async {
+            clock::wait_until(self.head.deadline).await;
+            node.step(self.id.number, "the time limit passed");
+            Err(timed_out(self.ran.get()))
+        };
+        future::or(self.serve(node, output), deadline).await
+    }
+
     async fn serve(&self, node: &Rc<Node>, output: &Output<'_>) -> Result<u64, Failure> {
         let mut held = match Held::claim(node, &self.head).await {
             Ok(held) => held,
@@ -92,6 +104,7 @@
         if held.is_some() {
             node.step(self.id.number, "claimed its key");
         }
+        self.ran.set(Ran::No);
         let result = self.run(node, output, &mut held).await;
         if let Some(held) = held {
             match &result {
@@ -115,12 +128,12 @@
         let mut job = self.prompt.job(node, self.id, &self.head, self.arrived);
         let mut stream = assembly::Stream::default();
         let mut waiting = Waiting::admit(node, job.clone()).map_err(refused)?;
-        let mut ran = Ran::No;
         for number in 1.. {
             let placement = match waiting.decision().await {
                 Notice::Placed(placement) => *placement,
-                Notice::Expired => return Err(timed_out(ran)),
+                Notice::Expired => return Err(timed_out(self.ran.get())),
             };
+            let before = self.ran.replace(Ran::Maybe);
             if let Some(held) = held {
                 held.sent();
             }
@@ -128,10 +141,10 @@
             let Err(failed) = run.await else {
                 return Ok(stream.sent());
             };
-            if !failed.error.is_certainly_not_run() {
-                ran = Ran::Maybe;
+            if failed.error.is_certainly_not_run() {
+                self.ran.set(before);
             }
-            self.check_retry(node, held, failed, ran, &mut job).await?;
+            self.check_retry(node, held, failed, &mut job).await?;
             node.metrics.retries.inc();
             waiting = waiting.requeue(job.clone());
         }
@@ -159,14 +172,7 @@
             placement,
             arrived: self.arrived,
         };
-        let deadline = async {
-            clock::wait_until(self.head.deadline).await;
-            Err(Failed {
-                error: attempt::Error::TimedOut,
-                server: engine.clone(),
-            })
-        };
-        let result = future::or(attempt.run(node, stream, output), deadline).await;
+        let result = attempt.run(node, stream, output).await;
         if let Err(Failed { error, server }) = &result {
             node.step(
                 self.id.number,
@@ -182,13 +188,10 @@
         node: &Node,
         held: &mut Option<Held>,
         failed: Failed,
-        ran: Ran,
         job: &mut Job,
     ) -> Result<(), Failure> {
         let Failed { error, server } = failed;
-        if matches!(error, attempt::Error::TimedOut) {
-            return Err(timed_out(ran));
-        }
+        let ran = self.ran.get();
         self.check_quarantine(node, ran)?;
         if ran == Ran::Maybe && held.is_some() {
             let message = format!(
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -11,12 +11,14 @@
 use routing::router::Placement;
 use routing::router::Refusal;
 
-use crate::clock;
 use crate::node::Node;
 
 /// How often waiting requests are looked at while nothing else happens.
 const TICK: Duration = Duration::from_millis(2);
 
+/// Deadlines are looked at once in so many ticks, as that takes a look at every waiting request.
+const EXPIRY_TICKS: u64 = 10;
+
 /// A decision about a request that waits.
 #[derive(Clone, Debug)]
 pub enum Notice {
@@ -87,11 +89,6 @@
 pub fn pump(node: &Node) {
     let now = clock::now();
     let mut core = node.core.borrow_mut();
-    while let Some(job) = core.router.expire(now) {
-        if let Some(sender) = core.waiting.remove(&job.id) {
-            let _ = sender.try_send(Notice::Expired);
-        }
-    }
     while let Some(placement) = core.router.next(now) {
         let sender = core.waiting.remove(&placement.job.id);
         let notice = Notice::Placed(Box::new(placement.clone()));
@@ -104,13 +101,27 @@
     node.metrics.waiting.set(core.router.waiting() as i64);
 }
 
+/// Tells requests whose deadline has passed while they waited.
+fn expire(node: &Node) {
+    let now = clock::now();
+    let mut core = node.core.borrow_mut();
+    while let Some(job) = core.router.expire(now) {
+        if let Some(sender) = core.waiting.remove(&job.id) {
+            let _ = sender.try_send(Notice::Expired);
+        }
+    }
+}
+
 /// Looks at the waiting requests again and again: room appears as time passes.
 pub async fn tick(node: Rc<Node>) {
-    loop {
+    for number in 1_u64.. {
         Timer::after(TICK).await;
         let is_waiting = node.core.borrow().router.waiting() > 0;
         if is_waiting {
             pump(&node);
         }
+        if is_waiting && number.is_multiple_of(EXPIRY_TICKS) {
+            expire(&node);
+        }
     }
 }
--- a/crates/entry/src/engines.rs
+++ b/crates/entry/src/engines.rs
@@ -9,14 +9,13 @@
 use domain::Moment;
 use domain::fleet::BackendServer;
 use domain::key::Incarnation;
-use routing::engine::LEVELS;
+use routing::level::LEVELS;
 use serde::Deserialize;
 use serde_json::json;
 use web::client::Call;
 use wire::Frame;
 use wire::frame::Load;
 
-use crate::clock;
 use crate::dispatch;
 use crate::node::Node;
 use crate::peers;
@@ -24,12 +23,12 @@
 
 /// The time between two load reports.
 const REPORT_INTERVAL: Duration = Duration::from_millis(200);
-/// The most entries among which load is told to all.
-pub const SMALL_FLEET: usize = 32;
-/// The time between two load reports in a larger fleet.
-const LARGE_FLEET_INTERVAL: Duration = Duration::from_secs(1);
+/// The time between two load reports in a large fleet, where there are more entries to tell.
+const LARGE_REPORT_INTERVAL: Duration = Duration::from_secs(3);
 /// The time between two sweeps.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
+/// The time between two sweeps in a large fleet.
+const LARGE_SWEEP_INTERVAL: Duration = Duration::from_secs(3);
 /// The time for one call to an engine.
 const CALL_TIMEOUT: Duration = Duration::from_millis(500);
 /// The time after a hold's deadline at which it is swept.
@@ -71,21 +70,11 @@
             let report = report(node.clone(), server, collected.clone());
             node.executor.spawn(report).detach();
         }
-        Timer::after(interval(&node)).await;
+        Timer::after(node.pace(REPORT_INTERVAL, LARGE_REPORT_INTERVAL)).await;
         spread(&node, collected.take());
     }
 }
 
-/// Returns the time between two load reports: longer where there are more entries to tell.
-fn interval(node: &Node) -> Duration {
-    let is_small = node.core.borrow().members.alive().count() <= SMALL_FLEET;
-    if is_small {
-        REPORT_INTERVAL
-    } else {
-        LARGE_FLEET_INTERVAL
-    }
-}
-
 /// Takes load reports that another entry has read.
 pub fn take_reports(node: &Node, loads: Vec<Load>) {
     let now = clock::now();
@@ -105,7 +94,7 @@
         {
             sweep_engine(&node, server.address).await;
         }
-        Timer::after(SWEEP_INTERVAL).await;
+        Timer::after(node.pace(SWEEP_INTERVAL, LARGE_SWEEP_INTERVAL)).await;
     }
 }
 
@@ -193,10 +182,10 @@
 /// Returns the entries that are told of load: all of them, or those of the own data centre where
 /// there are many.
 fn audience(node: &Node) -> Vec<SocketAddr> {
+    let is_large = node.is_large_fleet();
     let core = node.core.borrow();
-    let is_small = core.members.alive().count() <= SMALL_FLEET;
     let others = core.members.alive().skip(1);
-    let near = others.filter(|it| is_small || it.data_centre == node.settings.data_centre);
+    let near = others.filter(|it| !is_large || it.data_centre == node.settings.data_centre);
     near.map(|it| it.peers).collect()
 }
 
--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -12,7 +12,6 @@
 use platform::Batch;
 use platform::Error;
 
-use crate::clock;
 use crate::node::Node;
 use crate::peers::caller;
 
@@ -136,26 +135,18 @@
 async fn latest_snapshot(node: &Node) -> Result<Option<(Fold, u64)>, Error> {
     let mut collector = snapshot::Collector::default();
     let mut best: Option<(Fold, u64)> = None;
-    let mut from = 0;
-    loop {
-        let batch = node
-            .platform
-            .read(config::SNAPSHOT_STREAM, from, Duration::ZERO)
-            .await?;
-        for record in &batch.records {
-            if let Some(fold) = collector.read(record.data.as_bytes())
-                && best
-                    .as_ref()
-                    .is_none_or(|(best, _)| fold.next() >= best.next())
-            {
-                best = Some((fold, record.at_ms));
-            }
-            from = record.offset + 1;
-        }
-        if batch.records.is_empty() || from >= batch.head {
-            return Ok(best);
+    for record in node.platform.read_all(config::SNAPSHOT_STREAM).await? {
+        let Some(fold) = collector.read(record.data.as_bytes()) else {
+            continue;
+        };
+        if best
+            .as_ref()
+            .is_none_or(|(best, _)| fold.next() >= best.next())
+        {
+            best = Some((fold, record.at_ms));
         }
     }
+    Ok(best)
 }
 
 /// Appends a snapshot whenever the last one has grown old, so that nothing is lost when records
--- a/crates/entry/src/grade.rs
+++ b/crates/entry/src/grade.rs
@@ -5,7 +5,6 @@
 use domain::Contract;
 use domain::failure::Kind;
 
-use crate::clock;
 use crate::node::Node;
 use crate::trail::Outcome;
 
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -8,7 +8,6 @@
 pub mod callers;
 pub mod chat;
 pub mod claims;
-pub mod clock;
 pub mod dispatch;
 pub mod engines;
 pub mod follow;
--- a/crates/entry/src/limits.rs
+++ b/crates/entry/src/limits.rs
@@ -13,7 +13,6 @@
 use limit::Terms;
 use limit::home::Start;
 
-use crate::clock;
 use crate::node::Node;
 use crate::peers::caller;
 
--- a/crates/entry/src/logs.rs
+++ b/crates/entry/src/logs.rs
@@ -12,7 +12,7 @@
     let name = settings.name.clone();
     let mut dispatch = Dispatch::new()
         .format(move |out, message, record| {
-            let millis = crate::clock::since_epoch().as_millis();
+            let millis = clock::since_epoch().as_millis();
             let (level, part) = (record.level(), record.target());
             out.finish(format_args!("{millis} {name} {level} {part}: {message}"));
         })
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -7,6 +7,7 @@
 use std::net::SocketAddr;
 use std::net::UdpSocket;
 use std::rc::Rc;
+use std::time::Duration;
 
 use async_channel::Sender;
 use async_executor::LocalExecutor;
@@ -40,6 +41,8 @@
 use crate::trail;
 use crate::trail::Trails;
 
+/// The most entries of a fleet in which each tells all others of load.
+const SMALL_FLEET: usize = 32;
 /// The most backend servers of a fleet that every instance routes to all of.
 const SIGHT_LIMIT: usize = 128;
 
@@ -99,8 +102,9 @@
     pub is_stopping: bool,
     /// The other entries.
     pub members: Members,
-    /// The tickets that this incarnation has issued.
-    pub book: Book,
+    /// The tickets that this entry decides on, by the incarnation that issued them: its own and
+    /// those of entries that have stopped.
+    pub books: HashMap<Incarnation, Book>,
     /// The contracts that this entry is home to.
     pub home: Home,
     /// What this entry was given for each customer.
@@ -177,7 +181,7 @@
                 is_configured: false,
                 is_stopping: false,
                 members: Members::new(me),
-                book: Book::new(incarnation),
+                books: HashMap::from([(incarnation, Book::new(incarnation))]),
                 home: Home::default(),
                 purses: HashMap::new(),
                 router: Router::new(policy, rand::random()),
@@ -205,6 +209,16 @@
         }
     }
 
+    /// Tells whether there are too many entries for each to tell all others everything.
+    pub fn is_large_fleet(&self) -> bool {
+        self.core.borrow().members.alive().count() > SMALL_FLEET
+    }
+
+    /// Returns the interval that suits the size of the fleet.
+    pub fn pace(&self, small: Duration, large: Duration) -> Duration {
+        if self.is_large_fleet() { large } else { small }
+    }
+
     /// Tells whether the instance can serve callers.
     pub fn is_ready(&self) -> bool {
         let core = self.core.borrow();
@@ -249,6 +263,6 @@
         self.core
             .borrow_mut()
             .trails
-            .step(crate::clock::now(), number, what);
+            .step(clock::now(), number, what);
     }
 }
--- a/crates/entry/src/operators.rs
+++ b/crates/entry/src/operators.rs
@@ -2,11 +2,11 @@
 
 use std::rc::Rc;
 
+use routing::Level;
 use web::Exchange;
 use web::Method;
 use web::Reply;
 
-use crate::clock;
 use crate::node::Node;
 use crate::trail;
 
@@ -48,7 +48,7 @@
         "contracts": core.view.contract_count(),
         "entries": core.members.alive().count(),
         "waiting": core.router.waiting(),
-        "tickets": core.book.len(),
+        "tickets": core.books.values().map(|it| it.len()).sum::<usize>(),
         "suspects": core.quarantine.len(),
         "appends": node.metrics.appends.get(),
     }))
@@ -64,7 +64,7 @@
             "is_leaving": it.leaving.is_marked(),
             "running": it.running(),
             "free_memory_tokens": it.free_memory(),
-            "wait_us": it.wait(now, domain::Length::Huge).as_micros() as u64,
+            "wait_us": it.wait(now, Level::LAST).as_micros() as u64,
         });
         (it.name.clone(), state)
     });
--- a/crates/entry/src/orders.rs
+++ b/crates/entry/src/orders.rs
@@ -19,13 +19,15 @@
 
 /// The time between two rounds.
 const INTERVAL: Duration = Duration::from_secs(1);
+/// The time between two rounds in a large fleet.
+const LARGE_INTERVAL: Duration = Duration::from_secs(5);
 /// The time for one call to an engine.
 const CALL_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Reconciles the engines that this entry is home to, again and again.
 pub async fn run(node: Rc<Node>) {
     loop {
-        Timer::after(INTERVAL).await;
+        Timer::after(node.pace(INTERVAL, LARGE_INTERVAL)).await;
         if !node.is_ready() {
             continue;
         }
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -15,7 +15,6 @@
 use membership::message::Rumour;
 use wire::Frame;
 
-use crate::clock;
 use crate::dispatch;
 use crate::engines;
 use crate::follow;
--- a/crates/entry/src/peers/caller.rs
+++ b/crates/entry/src/peers/caller.rs
@@ -143,6 +143,21 @@
         Ok(fold.to_vec())
     }
 
+    /// Hands a closed book of tickets over to a peer.
+    pub async fn hand_over(
+        &self,
+        executor: &LocalExecutor<'static>,
+        peer: SocketAddr,
+        parcel: &[u8],
+        limit: Duration,
+    ) -> Result<(), Error> {
+        let client = self.client(executor, peer).await?;
+        let mut request = client.hand_over_request();
+        request.get().set_parcel(parcel);
+        let response = within(limit, request.send().promise).await;
+        self.checked(peer, response).map(|_| ())
+    }
+
     /// Forgets the connection to a peer after a failed call.
     fn checked<T>(
         &self,
--- a/crates/entry/src/peers/server.rs
+++ b/crates/entry/src/peers/server.rs
@@ -11,6 +11,7 @@
 use capnp_rpc::RpcSystem;
 use capnp_rpc::rpc_twoparty_capnp::Side;
 use capnp_rpc::twoparty::VatNetwork;
+use claim::book::Parcel;
 use web::Stream;
 use wire::call;
 use wire::peer_capnp::peer;
@@ -73,7 +74,7 @@
     ) -> Result<(), Error> {
         let params = params.get()?;
         let key = call::read_key(params.get_key()?).map_err(failed)?;
-        claims::release_here(&self.node, key, params.get_nonce());
+        claims::tell_here(&self.node, key, params.get_nonce(), None);
         Ok(())
     }
 
@@ -85,7 +86,7 @@
         let params = params.get()?;
         let key = call::read_key(params.get_key()?).map_err(failed)?;
         let outcome = call::read_outcome(params.get_outcome()?).map_err(failed)?;
-        claims::settle_here(&self.node, key, params.get_nonce(), outcome);
+        claims::tell_here(&self.node, key, params.get_nonce(), Some(outcome));
         Ok(())
     }
 
@@ -114,6 +115,16 @@
         }
         Ok(())
     }
+
+    async fn hand_over(
+        self: Rc<Self>,
+        params: peer::HandOverParams,
+        _: peer::HandOverResults,
+    ) -> Result<(), Error> {
+        let parcel: Parcel = serde_json::from_slice(params.get()?.get_parcel()?).map_err(failed)?;
+        claims::take_over(&self.node, parcel);
+        Ok(())
+    }
 }
 
 fn failed(error: impl std::fmt::Display) -> Error {
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -11,7 +11,6 @@
 use domain::failure::Kind;
 use web::Exchange;
 
-use crate::clock;
 use crate::node::Node;
 
 /// Bytes that a body may have beyond the longest prompt.
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -7,6 +7,7 @@
 use anyhow::Result;
 use async_executor::LocalExecutor;
 use async_io::Timer;
+use membership::message::Rumour;
 use platform::Instance;
 use platform::Role;
 use platform::Status;
@@ -15,7 +16,7 @@
 use web::server::Switch;
 
 use crate::callers;
-use crate::clock;
+use crate::claims;
 use crate::dispatch;
 use crate::engines;
 use crate::follow;
@@ -89,10 +90,18 @@
             Ok(instances) => take_list(&node, &instances),
             Err(error) => log::debug!(target: "list", "No instance list: {error}."),
         }
-        Timer::after(LIST_INTERVAL).await;
+        Timer::after(list_interval(&node)).await;
     }
 }
 
+/// Returns the time to the next reading. The list grows with the fleet, so that in a large one each
+/// entry reads it seldom, and some entry often; what it finds is told to the others.
+fn list_interval(node: &Node) -> Duration {
+    let entries = node.core.borrow().members.alive().count() as u32;
+    let jitter = 0.5 + rand::random::<f64>();
+    node.pace(LIST_INTERVAL, (LIST_INTERVAL * entries).mul_f64(jitter))
+}
+
 fn take_list(node: &Node, instances: &[Instance]) {
     let entries = instances.iter().filter_map(|it| match it.role {
         Role::Entry { peers, .. } => Some(peers),
@@ -106,7 +115,10 @@
         .filter(is_leaving)
         .filter(|it| it.role == Role::BackendServer);
     for instance in leaving {
-        core.mark_leaving(&instance.name);
+        if core.mark_leaving(&instance.name) {
+            let server = instance.name.clone();
+            core.members.tell(Rumour::ServerLeaving { server });
+        }
     }
 }
 
@@ -136,6 +148,7 @@
     while node.switch.busy() > 0 {
         Timer::after(STOP_CHECK).await;
     }
+    claims::hand_over(&node).await;
     log::info!(target: "run", "Stopped.");
     Ok(())
 }
--- a/crates/entry/src/services.rs
+++ b/crates/entry/src/services.rs
@@ -23,7 +23,6 @@
 use crate::attempt;
 use crate::attempt::Error;
 use crate::attempt::LEAVING_HEADER;
-use crate::clock;
 use crate::grade;
 use crate::held::Denied;
 use crate::held::Held;
@@ -148,6 +147,8 @@
     service: &'a str,
     path: &'a str,
     body: &'a [u8],
+    /// What is known of whether the work was done.
+    ran: Cell<Ran>,
 }
 
 /// Handles one call.
@@ -193,26 +194,21 @@
         return Err(Failure::refused(Kind::NotFound, message));
     }
     let body = exchange.body(BODY_LIMIT).await?;
-    let mut held = match Held::claim(node, &head).await {
-        Ok(held) => held,
-        Err(Denied::Refused(failure)) => return Err(failure),
-        Err(Denied::Repeat(answer)) => return Ok(repeat(answer)),
-    };
+    // Before its claim is settled, nobody can tell whether a request with a key ran before.
+    let ran = Cell::new(if head.key.is_some() {
+        Ran::Maybe
+    } else {
+        Ran::No
+    });
     let call = Service {
         id,
         head: &head,
         service,
         path,
         body: &body,
+        ran,
     };
-    let result = call.run_in_time(node, &mut held).await;
-    if let Some(held) = held {
-        match &result {
-            Ok(answer) => held.done(answer.record()),
-            Err(failure) => held.failed(failure),
-        }
-    }
-    result.map(|answer| Reply::bytes(answer.status, &answer.content_type, answer.body))
+    call.serve_in_time(node).await
 }
 
 /// Returns the recorded answer of an earlier request with the same key.
@@ -236,28 +232,36 @@
 }
 
 impl Service<'_> {
-    async fn run_in_time(
-        &self,
-        node: &Rc<Node>,
-        held: &mut Option<Held>,
-    ) -> Result<Answer, Failure> {
-        let _admission = limits::admit(node, &self.head.contract, 0).await?;
-        let ran = Cell::new(Ran::No);
+    /// Serves the call, or gives it up at its deadline, wherever it is then.
+    async fn serve_in_time(&self, node: &Rc<Node>) -> Result<Reply, Failure> {
         let deadline = async {
             clock::wait_until(self.head.deadline).await;
             let message = "the time limit passed: raise Request-Timeout or come back later";
-            let failure = Failure::refused(Kind::TimedOut, message).with_ran(ran.get());
+            let failure = Failure::refused(Kind::TimedOut, message).with_ran(self.ran.get());
             Err(failure.retry_after(RETRY_AFTER))
         };
-        future::or(self.run(node, held, &ran), deadline).await
+        future::or(self.serve(node), deadline).await
+    }
+
+    async fn serve(&self, node: &Rc<Node>) -> Result<Reply, Failure> {
+        let mut held = match Held::claim(node, self.head).await {
+            Ok(held) => held,
+            Err(Denied::Refused(failure)) => return Err(failure),
+            Err(Denied::Repeat(answer)) => return Ok(repeat(answer)),
+        };
+        self.ran.set(Ran::No);
+        let result = self.run(node, &mut held).await;
+        if let Some(held) = held {
+            match &result {
+                Ok(answer) => held.done(answer.record()),
+                Err(failure) => held.failed(failure),
+            }
+        }
+        result.map(|answer| Reply::bytes(answer.status, &answer.content_type, answer.body))
     }
 
-    async fn run(
-        &self,
-        node: &Rc<Node>,
-        held: &mut Option<Held>,
-        ran: &Cell<Ran>,
-    ) -> Result<Answer, Failure> {
+    async fn run(&self, node: &Rc<Node>, held: &mut Option<Held>) -> Result<Answer, Failure> {
+        let _admission = limits::admit(node, &self.head.contract, 0).await?;
         let mut avoid = Vec::new();
         loop {
             let now = clock::now();
@@ -268,10 +272,10 @@
                 .servers
                 .next(now, self.service, &avoid);
             let Some(choice) = choice else {
-                return Err(self.all_out(ran.get()));
+                return Err(self.all_out());
             };
             node.step(self.id.number, format!("sent to {}", choice.name));
-            let earlier = ran.replace(Ran::Maybe);
+            let before = self.ran.replace(Ran::Maybe);
             if let Some(held) = held {
                 held.sent();
             }
@@ -281,7 +285,7 @@
             };
             node.step(self.id.number, format!("{}: {error}", choice.name));
             if error.is_certainly_not_run() {
-                ran.set(earlier);
+                self.ran.set(before);
                 if let Some(held) = held {
                     held.not_taken();
                 }
@@ -344,14 +348,14 @@
         call.header("Request-Id", self.id.to_string())
     }
 
-    fn all_out(&self, ran: Ran) -> Failure {
+    fn all_out(&self) -> Failure {
         let message = format!(
             "no server of `{}` can take this now: come back",
             self.service
         );
 
         Failure::refused(Kind::Overloaded, message)
-            .with_ran(ran)
+            .with_ran(self.ran.get())
             .retry_after(RETRY_AFTER)
     }
 }
--- a/crates/entry/src/suspect.rs
+++ b/crates/entry/src/suspect.rs
@@ -8,7 +8,6 @@
 use membership::message::Rumour;
 use web::client::Call;
 
-use crate::clock;
 use crate::node::Node;
 use crate::peers;
 
--- a/crates/fakes/src/engine.rs
+++ b/crates/fakes/src/engine.rs
@@ -19,9 +19,6 @@
 use web::Exchange;
 use web::Method;
 use web::Reply;
-use web::server::Switch;
-
-use crate::clock;
 
 pub mod batch;
 pub mod cache;
@@ -170,8 +167,7 @@
 /// Runs an engine until the process ends.
 pub fn run(listen: SocketAddr, options: Options) -> Result<()> {
     let executor = Rc::new(LocalExecutor::new());
-    let (listener, address) = web::server::bind(listen)?;
-    println!("listening {address}");
+
     let state = Rc::new(RefCell::new(State {
         batch: Batch::new(options.speed, Duration::from_micros(options.token_us)),
         memory: Memory::new(options.memory_tokens),
@@ -184,9 +180,7 @@
     }));
     executor.spawn(work(state.clone())).detach();
     let handler = move |exchange| handle(state.clone(), exchange);
-    let server = web::server::serve(executor.clone(), listener, Switch::default(), handler);
-    async_io::block_on(executor.run(server));
-    Ok(())
+    crate::serve(executor, listen, handler)
 }
 
 async fn work(state: Shared) {
--- a/crates/fakes/src/engine/batch.rs
+++ b/crates/fakes/src/engine/batch.rs
@@ -17,7 +17,7 @@
 /// Growth of that time with each further token of the prompt, in microseconds.
 const GROWTH_MICROS: f64 = 1e-4;
 /// Priorities, from zero.
-const PRIORITIES: u8 = 4;
+const PRIORITIES: u8 = 8;
 /// The wait after which a stream's priority counts as one higher.
 const AGEING: Duration = Duration::from_secs(10);
 
--- a/crates/fakes/src/platform.rs
+++ b/crates/fakes/src/platform.rs
@@ -15,9 +15,6 @@
 use web::Exchange;
 use web::Method;
 use web::Reply;
-use web::server::Switch;
-
-use crate::clock;
 
 pub mod list;
 pub mod log;
@@ -75,8 +72,7 @@
 /// Runs the platform until the process ends.
 pub fn run(listen: SocketAddr, options: Options) -> Result<()> {
     let executor = Rc::new(LocalExecutor::new());
-    let (listener, address) = web::server::bind(listen)?;
-    println!("listening {address}");
+
     let state = Rc::new(RefCell::new(State {
         log: Log::new(
             Duration::from_millis(options.retention_ms),
@@ -89,9 +85,7 @@
         log_outage_until: domain::Moment::default(),
     }));
     let handler = move |exchange| handle(state.clone(), exchange);
-    let server = web::server::serve(executor.clone(), listener, Switch::default(), handler);
-    async_io::block_on(executor.run(server));
-    Ok(())
+    crate::serve(executor, listen, handler)
 }
 
 async fn handle(state: Shared, mut exchange: Exchange) -> Reply {
--- a/crates/fakes/src/service.rs
+++ b/crates/fakes/src/service.rs
@@ -14,9 +14,6 @@
 use web::Exchange;
 use web::Method;
 use web::Reply;
-use web::server::Switch;
-
-use crate::clock;
 
 /// The longest body, in bytes.
 const BODY_LIMIT: u64 = 1024 * 1024;
@@ -62,17 +59,14 @@
 /// Runs a plain service until the process ends.
 pub fn run(listen: SocketAddr, options: Options) -> Result<()> {
     let executor = Rc::new(LocalExecutor::new());
-    let (listener, address) = web::server::bind(listen)?;
-    println!("listening {address}");
+
     let state = Rc::new(RefCell::new(State {
         incarnation: rand::random(),
         ..State::default()
     }));
     let time = Duration::from_millis(options.call_ms);
     let handler = move |exchange| handle(state.clone(), time, exchange);
-    let server = web::server::serve(executor.clone(), listener, Switch::default(), handler);
-    async_io::block_on(executor.run(server));
-    Ok(())
+    crate::serve(executor, listen, handler)
 }
 
 async fn handle(state: Rc<RefCell<State>>, time: Duration, mut exchange: Exchange) -> Reply {
--- a/crates/harness/tests/at_most_once.rs
+++ b/crates/harness/tests/at_most_once.rs
@@ -128,6 +128,31 @@
     }
 }
 
+#[test]
+fn ticket_survives_planned_stops_of_issuer_and_heir() {
+    let (mut cluster, customer) = start(5);
+    let tickets = block_on(customer.tickets(cluster.entry(0), 4)).unwrap();
+    assert_eq!(book(&customer, cluster.entry(1), tickets[0]).status, 200);
+    for key in &tickets[1..3] {
+        cluster.entries[0].process.signal("TERM").unwrap();
+        cluster.entries[0]
+            .process
+            .wait(Duration::from_secs(20))
+            .unwrap();
+        cluster.entries.remove(0);
+        cluster.start_entry().unwrap();
+        cluster.list().unwrap();
+        cluster.wait_ready().unwrap();
+        for index in [0, 1] {
+            let booked = book(&customer, cluster.entry(index), *key);
+            assert_eq!(booked.status, 200, "{booked:?}");
+            assert_eq!(runs(&cluster, *key), 1);
+        }
+    }
+    assert_eq!(book(&customer, cluster.entry(2), tickets[0]).status, 200);
+    assert_eq!(runs(&cluster, tickets[0]), 1);
+}
+
 #[test]
 fn ticket_of_another_customer_is_refused() {
     let (cluster, customer) = start(5);
--- a/crates/harness/tests/finish.rs
+++ b/crates/harness/tests/finish.rs
@@ -111,6 +111,21 @@
     assert!(start.elapsed() < Duration::from_millis(600) + MARGIN);
 }
 
+#[test]
+fn log_slow_beyond_the_deadline_failure_comes_in_time() {
+    let cluster = start(1);
+    cluster
+        .fault(cluster.platform.address, &json!({ "delay_ms": 5_000 }))
+        .unwrap();
+    let mut prompt = Prompt::new(1_000, 10, 1).with_key(customer::mint().to_string());
+    prompt.timeout_s = Some(0.5);
+    let start = Instant::now();
+    let received = block_on(cluster.customer("forum").prompt(cluster.entry(0), &prompt)).unwrap();
+    let failure = received.result.unwrap_err();
+    assert_eq!((failure.kind, failure.ran), (Kind::TimedOut, Ran::Maybe));
+    assert!(start.elapsed() < Duration::from_millis(500) + MARGIN);
+}
+
 #[test]
 fn infeasible_request_is_refused_at_once() {
     let cluster = start(1);
--- a/crates/harness/tests/orders.rs
+++ b/crates/harness/tests/orders.rs
@@ -39,31 +39,29 @@
         .is_success()
 }
 
-#[test]
-fn orders_checked_fencing_refuses_the_past() {
-    let plan = Plan {
-        engine_options: vec!["--checks-fencing".into()],
+/// Sends an old order to engines that check fencing numbers or not; all end up with the latest.
+fn check_old_order(engine_options: &[&str], is_taken: bool) {
+    let mut plan = Plan {
         services: 0,
         ..Plan::default()
     };
+    plan.engine_options
+        .extend(engine_options.iter().map(|it| (*it).to_owned()));
     let cluster = Cluster::start(plan).unwrap();
     cluster.publish(&with_version(cluster.fleet(), 2)).unwrap();
     wait_for_version(&cluster, 2);
-    assert!(!send_old_order(&cluster, 0));
+    assert_eq!(send_old_order(&cluster, 1), is_taken);
     wait_for_version(&cluster, 2);
 }
 
+#[test]
+fn orders_checked_fencing_refuses_the_past() {
+    check_old_order(&["--checks-fencing"], false);
+}
+
 #[test]
 fn orders_ignored_fencing_is_reconciled() {
-    let cluster = Cluster::start(Plan {
-        services: 0,
-        ..Plan::default()
-    })
-    .unwrap();
-    cluster.publish(&with_version(cluster.fleet(), 2)).unwrap();
-    wait_for_version(&cluster, 2);
-    assert!(send_old_order(&cluster, 1));
-    wait_for_version(&cluster, 2);
+    check_old_order(&[], true);
 }
 
 #[test]
--- a/crates/membership/src/members.rs
+++ b/crates/membership/src/members.rs
@@ -7,7 +7,6 @@
 
 use domain::Moment;
 use domain::key::Incarnation;
-use domain::rendezvous;
 use rand::Rng;
 use rand::seq::SliceRandom;
 
@@ -21,6 +20,8 @@
 use crate::message::Send;
 use crate::news::News;
 
+mod homes;
+
 /// The time between two probes that one entry sends.
 pub const PROBE_INTERVAL: Duration = Duration::from_millis(300);
 /// The time for an acknowledgement, and again for one through others.
@@ -165,27 +166,6 @@
             .is_some_and(|it| it.state == State::Dead)
     }
 
-    /// Returns the home of `subject`: the member that all with the same view pick.
-    pub fn home(&self, subject: &[u8]) -> &Member {
-        let weigh = |it: &&Member| rendezvous::weight(subject, &it.incarnation.0.to_be_bytes());
-        self.alive().max_by_key(weigh).unwrap_or(&self.me)
-    }
-
-    /// Returns the home of `subject` among the members of a data centre; of all if it has none.
-    pub fn home_in(&self, data_centre: &str, subject: &[u8]) -> &Member {
-        let weigh = |it: &&Member| rendezvous::weight(subject, &it.incarnation.0.to_be_bytes());
-        let near = self.alive().filter(|it| it.data_centre == data_centre);
-        near.max_by_key(weigh).unwrap_or_else(|| self.home(subject))
-    }
-
-    /// Tells whether this entry is the home of `subject` only because another one died lately.
-    pub fn is_successor(&self, subject: &[u8]) -> bool {
-        let weigh = |it: &Member| rendezvous::weight(subject, &it.incarnation.0.to_be_bytes());
-        let mine = weigh(&self.me);
-        let dead = self.known.values().filter(|it| it.state == State::Dead);
-        dead.map(|it| weigh(&it.member)).any(|it| it > mine)
-    }
-
     /// Passes a piece of news on to the others with the next datagrams.
     pub fn tell(&mut self, rumour: Rumour) {
         self.news.tell(rumour);
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -112,6 +112,20 @@
             .await
     }
 
+    /// Reads all that a stream keeps.
+    pub async fn read_all(&self, stream: &str) -> Result<Vec<Record>, Error> {
+        let mut records: Vec<Record> = Vec::new();
+        loop {
+            let from = records.last().map_or(0, |it| it.offset + 1);
+            let batch = self.read(stream, from, Duration::ZERO).await?;
+            let is_end = batch.records.is_empty();
+            records.extend(batch.records);
+            if is_end {
+                return Ok(records);
+            }
+        }
+    }
+
     /// Reads the list of live and leaving instances.
     pub async fn instances(&self) -> Result<Vec<Instance>, Error> {
         self.client
--- a/crates/routing/src/engine.rs
+++ b/crates/routing/src/engine.rs
@@ -2,22 +2,23 @@
 
 use std::time::Duration;
 
-use domain::Length;
 use domain::Moment;
 
 use crate::health::Health;
 use crate::job;
 use crate::leaving::Leaving;
+use crate::level::LEVELS;
+use crate::level::Level;
 
-/// The number of priority levels, one for each length class.
-pub const LEVELS: usize = Length::ALL.len();
+/// The part of an engine's memory that a member of a gang is asked for at most.
+const GANG_MEMORY_PART: f64 = 0.9;
 
 /// The state of one engine as an engine reports it.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Load {
     /// Drawn at random when the engine started.
     pub incarnation: u64,
-    /// Prefill work that waits, by length class, in microseconds of engine time.
+    /// Prefill work that waits, by level, in microseconds of engine time.
     pub backlog_micros: [u64; LEVELS],
     /// Requests in progress.
     pub running: u32,
@@ -53,7 +54,7 @@
 struct Sent {
     job: job::Id,
     at: Moment,
-    length: Length,
+    level: Level,
     cost: Duration,
     memory_tokens: u64,
     is_prefilled: bool,
@@ -91,12 +92,19 @@
     }
 
     /// Notes that a job is sent.
-    pub fn sent(&mut self, now: Moment, job: &job::Job, cost: Duration, memory_tokens: u64) {
+    pub fn sent(
+        &mut self,
+        now: Moment,
+        job: job::Id,
+        level: Level,
+        cost: Duration,
+        memory_tokens: u64,
+    ) {
         self.health.sent(now);
         self.sent.push(Sent {
-            job: job.id,
+            job,
             at: now,
-            length: job.length(),
+            level,
             cost,
             memory_tokens,
             is_prefilled: false,
@@ -115,13 +123,18 @@
         self.sent.retain(|it| it.job != job);
     }
 
-    /// Returns the estimated engine time before a new job of class `length` would start: the work
-    /// of its own class and of shorter ones, which go first.
-    pub fn wait(&self, now: Moment, length: Length) -> Duration {
-        let reported: u64 = self.load.backlog_micros[..=length as usize].iter().sum();
+    /// Returns the estimated engine time before a new job of `level` would start: the work of its
+    /// own level and of those that go first.
+    pub fn wait(&self, now: Moment, level: Level) -> Duration {
+        let reported: u64 = self
+            .load
+            .backlog_micros
+            .iter()
+            .take(level.index() + 1)
+            .sum();
         let worked = now.since(self.load_of);
         let reported = Duration::from_micros(reported).saturating_sub(worked);
-        let goes_first = |it: &&Sent| !it.is_prefilled && it.length <= length;
+        let goes_first = |it: &&Sent| !it.is_prefilled && it.level <= level;
         let own = self.sent.iter().filter(goes_first);
         let unreported: Duration = own
             .clone()
@@ -142,6 +155,11 @@
         self.memory_tokens.saturating_sub(used)
     }
 
+    /// Returns the KV memory that a member of a gang is asked for at most, in tokens.
+    pub fn gang_memory(&self) -> u64 {
+        (self.memory_tokens as f64 * GANG_MEMORY_PART) as u64
+    }
+
     /// Returns the estimated number of requests in progress.
     pub fn running(&self) -> usize {
         let unreported = self.sent.iter().filter(|it| it.at >= self.load_of).count();
--- a/crates/routing/src/pool.rs
+++ b/crates/routing/src/pool.rs
@@ -29,6 +29,18 @@
     ranked: Vec<String>,
     /// Points in rising order, each with an index into `ranked`.
     points: Vec<(u64, usize)>,
+    capacity: Capacity,
+}
+
+/// What the engines of one model hold, whatever state they are in.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Capacity {
+    /// The number of engines.
+    pub engines: usize,
+    /// The KV memory of the largest engine, in tokens.
+    pub largest: u64,
+    /// What a gang of all engines could hold, in tokens.
+    pub gang: u64,
 }
 
 impl Pool {
@@ -66,6 +78,14 @@
         self.models.get(model).map_or(&[], |ring| &ring.ranked)
     }
 
+    /// Returns what the engines of a model hold.
+    pub fn capacity(&self, model: &str) -> Capacity {
+        self.models
+            .get(model)
+            .map(|ring| ring.capacity)
+            .unwrap_or_default()
+    }
+
     /// Returns the engines of `range` in the ranking that the prefix picks, the first choice first.
     pub fn by_prefix(
         &self,
@@ -120,6 +140,9 @@
             for model in &engine.models {
                 let ring = self.models.entry(model.clone()).or_default();
                 ring.ranked.push(engine.name.clone());
+                ring.capacity.engines += 1;
+                ring.capacity.largest = ring.capacity.largest.max(engine.memory_tokens);
+                ring.capacity.gang += engine.gang_memory();
             }
         }
         for (model, ring) in &mut self.models {
--- a/crates/routing/src/queue.rs
+++ b/crates/routing/src/queue.rs
@@ -11,6 +11,7 @@
 
 use crate::job;
 use crate::job::Job;
+use crate::level::Standing;
 
 /// Jobs of one lane in fair order.
 #[derive(Clone, Debug, Default)]
@@ -25,12 +26,17 @@
     used: f64,
     clock: f64,
     customers: BTreeMap<String, Customer>,
+    /// The number of jobs that wait, and their cost together.
+    len: usize,
+    cost: f64,
 }
 
 #[derive(Clone, Debug, Default)]
 struct Customer {
     used: f64,
     jobs: VecDeque<Waiting>,
+    /// The cost of all jobs together.
+    cost: f64,
 }
 
 #[derive(Clone, Debug)]
@@ -57,18 +63,25 @@
             customer.used = customer.used.max(firm_clock);
         }
         // Even a free job counts, so that no customer goes first for ever.
-        customer.jobs.push_back(Waiting {
-            job,
-            cost: cost_micros.max(1) as f64,
-        });
+        let cost = cost_micros.max(1) as f64;
+        customer.jobs.push_back(Waiting { job, cost });
+        customer.cost += cost;
+        firm.cost += cost;
+        firm.len += 1;
         self.len += 1;
     }
 
-    /// Returns the job that goes next.
-    pub fn peek(&self) -> Option<&Job> {
+    /// Returns the job that goes next, and how its firm stands.
+    pub fn peek(&self) -> Option<(&Job, Standing)> {
         let (_, firm) = self.next_firm()?;
         let (_, customer) = firm.next_customer()?;
-        customer.jobs.front().map(|it| &it.job)
+        let job = customer.jobs.front().map(|it| &it.job)?;
+        let standing = if firm.len > 1 {
+            Standing::Backlogged
+        } else {
+            Standing::Light
+        };
+        Some((job, standing))
     }
 
     /// Takes the job that goes next.
@@ -79,6 +92,9 @@
         let customer = firm.customers.get_mut(&customer_name)?;
         let Waiting { job, cost } = customer.jobs.pop_front()?;
         self.len -= 1;
+        customer.cost -= cost;
+        firm.cost -= cost;
+        firm.len -= 1;
         firm.clock = customer.used;
         customer.used += cost / job.tenant.customer_share.max(1) as f64;
         self.clock = firm.used;
@@ -115,17 +131,17 @@
             let ahead = firm
                 .customers
                 .get(&tenant.customer)
-                .map_or(0.0, Customer::cost);
+                .map_or(0.0, |it| it.cost);
             let others = firm
                 .customers
                 .iter()
                 .filter(|(name, _)| **name != tenant.customer);
             let each = ahead.max(firm.mean_cost());
-            ahead + others.map(|(_, it)| it.cost().min(each)).sum::<f64>()
+            ahead + others.map(|(_, it)| it.cost.min(each)).sum::<f64>()
         });
         let each = own.max(own_firm.map_or(0.0, Firm::mean_cost));
         let others = self.firms.iter().filter(|(name, _)| **name != tenant.firm);
-        let others: f64 = others.map(|(_, firm)| firm.cost().min(each)).sum();
+        let others: f64 = others.map(|(_, firm)| firm.cost.min(each)).sum();
         (own + others) as u64
     }
 
@@ -135,14 +151,18 @@
     }
 
     fn take_first(&mut self, wanted: impl Fn(&Job) -> bool) -> Option<Job> {
-        let customers = self
-            .firms
-            .values_mut()
-            .flat_map(|firm| firm.customers.values_mut());
-        for customer in customers {
-            if let Some(index) = customer.jobs.iter().position(|it| wanted(&it.job)) {
+        for firm in self.firms.values_mut() {
+            for customer in firm.customers.values_mut() {
+                let found = customer.jobs.iter().position(|it| wanted(&it.job));
+                let Some(Waiting { job, cost }) = found.and_then(|it| customer.jobs.remove(it))
+                else {
+                    continue;
+                };
+                customer.cost -= cost;
+                firm.cost -= cost;
+                firm.len -= 1;
                 self.len -= 1;
-                return customer.jobs.remove(index).map(|it| it.job);
+                return Some(job);
             }
         }
         None
@@ -163,7 +183,7 @@
 
 impl Firm {
     fn is_idle(&self) -> bool {
-        self.customers.values().all(|it| it.jobs.is_empty())
+        self.len == 0
     }
 
     fn next_customer(&self) -> Option<(&String, &Customer)> {
@@ -171,22 +191,11 @@
         waiting.min_by(|(_, a), (_, b)| a.used.total_cmp(&b.used))
     }
 
-    fn cost(&self) -> f64 {
-        self.customers.values().map(Customer::cost).sum()
-    }
-
     fn mean_cost(&self) -> f64 {
-        let count: usize = self.customers.values().map(|it| it.jobs.len()).sum();
-        if count == 0 {
+        if self.len == 0 {
             0.0
         } else {
-            self.cost() / count as f64
+            self.cost / self.len as f64
         }
     }
 }
-
-impl Customer {
-    fn cost(&self) -> f64 {
-        self.jobs.iter().map(|it| it.cost).sum()
-    }
-}
--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -15,6 +15,8 @@
 use crate::engine::Load;
 use crate::job;
 use crate::job::Job;
+use crate::level::Level;
+use crate::level::Standing;
 use crate::pool::Pool;
 use crate::queue::Queue;
 use crate::share::Share;
@@ -28,8 +30,6 @@
 const WINDOW_LONG_PART: f64 = 0.5;
 /// How much longer the wait on an engine with a cached prefix may be, as a part of the job's cost.
 const PREFIX_WORTH: f64 = 0.5;
-/// The part of an engine's memory that one member of a gang is asked for.
-const GANG_MEMORY_PART: f64 = 0.9;
 
 /// The wait that is named while all engines are down.
 const DOWN_WAIT: Duration = Duration::from_secs(1);
@@ -76,8 +76,8 @@
     pub gang: Vec<String>,
     /// The memory that each engine gives, in tokens.
     pub memory_tokens: u64,
-    /// The priority on the engine; higher goes first.
-    pub priority: u8,
+    /// The level on the engine.
+    pub level: Level,
     /// The estimated wait on the engine.
     pub wait: Duration,
 }
@@ -202,10 +202,11 @@
     pub fn next(&mut self, now: Moment) -> Option<Placement> {
         let lanes: Vec<Lane> = self.lanes.keys().cloned().collect();
         for lane in lanes {
-            let Some(job) = self.lanes.get(&lane).and_then(Queue::peek).cloned() else {
+            let next = self.lanes.get(&lane).and_then(Queue::peek);
+            let Some((job, standing)) = next.map(|(job, it)| (job.clone(), it)) else {
                 continue;
             };
-            let Some(placement) = self.place(now, job) else {
+            let Some(placement) = self.place(now, job, standing) else {
                 continue;
             };
             self.lanes.get_mut(&lane).and_then(Queue::pop);
@@ -246,22 +247,26 @@
     }
 
     fn check(&self, now: Moment, job: &Job, cost: Duration) -> Result<(), Refusal> {
-        let ranked = self.pool.ranked(&job.model);
-        let engines = ranked
+        let capacity = self.pool.capacity(&job.model);
+        let mut engines = self
+            .pool
+            .ranked(&job.model)
             .iter()
-            .filter_map(|it| self.pool.get(it))
-            .filter(|it| !it.leaving.is_marked());
-        let fleet: u64 = engines.clone().map(gang_memory).sum();
-        if engines.clone().next().is_none() {
+            .filter_map(|it| self.pool.get(it));
+        if engines.clone().all(|it| it.leaving.is_marked()) {
             return Err(Refusal::NoEngine(job.model.clone()));
         }
-        if !engines.clone().any(|it| it.is_usable(now)) {
+        if !engines.any(|it| it.is_usable(now)) {
             return Err(Refusal::Down(DOWN_WAIT));
         }
         let needed = job.memory_tokens();
-        if needed > fleet {
-            return Err(Refusal::TooLong { needed, fleet });
+        if needed > capacity.gang.max(capacity.largest) {
+            return Err(Refusal::TooLong {
+                needed,
+                fleet: capacity.gang,
+            });
         }
+
         if self.policy != Policy::ByLength {
             return Ok(());
         }
@@ -271,7 +276,7 @@
         };
         let queue = self.lanes.get(&lane);
         let ahead = queue.map_or(0, |it| it.cost_ahead(&job.tenant));
-        let count = engines.count().max(1) as u32;
+        let count = capacity.engines.max(1) as u32;
         let wait = Duration::from_micros(ahead) / count;
         if queue.is_some_and(|it| it.len() >= LANE_LIMIT) {
             return Err(Refusal::Full(wait.max(cost)));
@@ -293,32 +298,33 @@
         let cost = self.curve.cost(placement.job.prompt_tokens) / parts;
         for name in std::iter::once(&placement.engine).chain(&placement.gang) {
             if let Some(engine) = self.pool.get_mut(name) {
-                engine.sent(now, &placement.job, cost, placement.memory_tokens);
+                engine.sent(
+                    now,
+                    placement.job.id,
+                    placement.level,
+                    cost,
+                    placement.memory_tokens,
+                );
             }
         }
     }
 
-    fn place(&mut self, now: Moment, job: Job) -> Option<Placement> {
+    fn place(&mut self, now: Moment, job: Job, standing: Standing) -> Option<Placement> {
         if self.is_beyond_one_engine(&job) {
             return self.place_gang(now, job);
         }
         match self.policy {
-            Policy::ByLength => self.place_by_length(now, job),
+            Policy::ByLength => self.place_by_length(now, job, standing),
             Policy::RoundRobin => self.place_in_turn(now, job),
             Policy::LeastLoaded => self.place_least_loaded(now, job),
         }
     }
 
     fn is_beyond_one_engine(&self, job: &Job) -> bool {
-        let ranked = self.pool.ranked(&job.model);
-        let largest = ranked
-            .iter()
-            .filter_map(|it| self.pool.get(it))
-            .map(|it| it.memory_tokens);
-        largest.max().is_some_and(|it| job.memory_tokens() > it)
+        job.memory_tokens() > self.pool.capacity(&job.model).largest
     }
 
-    fn place_by_length(&mut self, now: Moment, job: Job) -> Option<Placement> {
+    fn place_by_length(&mut self, now: Moment, job: Job, standing: Standing) -> Option<Placement> {
         let total = self.pool.ranked(&job.model).len();
         let long = self
             .shares
@@ -326,26 +332,32 @@
             .or_default()
             .engines(now, total);
         let length = job.length();
+        let level = Level::new(length, standing);
         let own = if length >= Length::Long {
             0..long
         } else {
             long..total
         };
-        let found = self.best(now, &job, own);
+        let found = self.best(now, &job, level, own);
         let found = match found {
             // Short prompts go first on every engine, so they may use the others' room.
-            None if length < Length::Long => self.best(now, &job, 0..long),
+            None if length < Length::Long => self.best(now, &job, level, 0..long),
             other => other,
         };
         let (engine, wait) = found?;
-        Some(single(job, engine, priority(length), wait))
+        Some(single(job, engine, level, wait))
     }
 
     /// Returns the engine of `range` with the shortest wait, if it has room, and that wait.
-    fn best(&mut self, now: Moment, job: &Job, range: Range<usize>) -> Option<(String, Duration)> {
-        let length = job.length();
+    fn best(
+        &mut self,
+        now: Moment,
+        job: &Job,
+        level: Level,
+        range: Range<usize>,
+    ) -> Option<(String, Duration)> {
         let cost = self.curve.cost(job.prompt_tokens);
-        let window = match length {
+        let window = match job.length() {
             Length::Short | Length::Medium => {
                 self.curve.cost(Length::SHORT_LIMIT) * WINDOW_SHORT_PROMPTS
             }
@@ -355,25 +367,22 @@
             it.is_usable(now)
                 && it.free_memory() >= job.memory_tokens()
                 && !job.avoid.contains(&it.name)
-                && it.wait(now, length) <= window
+                && it.wait(now, level) <= window
         };
         let sample = self
             .pool
             .sample(&job.model, range.clone(), &mut self.random);
-        let best = sample.into_iter().filter(has_room).min_by_key(|it| {
-            (
-                it.wait(now, length),
-                it.running(),
-                Reverse(it.free_memory()),
-            )
-        });
+        let best = sample
+            .into_iter()
+            .filter(has_room)
+            .min_by_key(|it| (it.wait(now, level), it.running(), Reverse(it.free_memory())));
         let cached = self.pool.by_prefix(&job.model, range, job.prefix);
         let cached = cached.into_iter().find(has_room);
         let engine = match (cached, best) {
             (Some(cached), Some(best)) => {
                 let extra = cached
-                    .wait(now, length)
-                    .saturating_sub(best.wait(now, length));
+                    .wait(now, level)
+                    .saturating_sub(best.wait(now, level));
                 if extra <= cost.mul_f64(PREFIX_WORTH) {
                     cached
                 } else {
@@ -382,7 +391,7 @@
             }
             (cached, best) => cached.or(best)?,
         };
-        Some((engine.name.clone(), engine.wait(now, length)))
+        Some((engine.name.clone(), engine.wait(now, level)))
     }
 
     fn place_in_turn(&mut self, now: Moment, job: Job) -> Option<Placement> {
@@ -393,7 +402,7 @@
             .find(|it| accepts(it, now, &job));
         let name = usable?.name.clone();
         self.turn = self.turn.wrapping_add(1);
-        Some(single(job, name, 0, Duration::ZERO))
+        Some(single(job, name, Level::LAST, Duration::ZERO))
     }
 
     fn place_least_loaded(&mut self, now: Moment, job: Job) -> Option<Placement> {
@@ -401,37 +410,38 @@
         let usable = ranked.iter().filter_map(|it| self.pool.get(it));
         let usable = usable.filter(|it| accepts(it, now, &job));
         let name = usable.min_by_key(|it| it.running())?.name.clone();
-        Some(single(job, name, 0, Duration::ZERO))
+        Some(single(job, name, Level::LAST, Duration::ZERO))
     }
 
     /// Chooses as few engines as hold the prompt together. They are asked in the order of their
     /// names, so that two gangs never wait for each other.
     fn place_gang(&mut self, now: Moment, job: Job) -> Option<Placement> {
+        let level = Level::new(Length::Huge, Standing::Light);
         let ranked = self.pool.ranked(&job.model);
         let engines = ranked.iter().filter_map(|it| self.pool.get(it));
         let usable = engines.filter(|it| it.is_usable(now) && !job.avoid.contains(&it.name));
         let mut usable: Vec<&Engine> = usable.collect();
-        usable.sort_by_key(|it| (Reverse(it.free_memory()), it.wait(now, Length::Huge)));
+        usable.sort_by_key(|it| (Reverse(it.free_memory()), it.wait(now, level)));
         let members = (2..=usable.len()).find(|count| {
             let part = job.memory_tokens().div_ceil(*count as u64);
-            let fits = |it: &&Engine| it.free_memory() >= part && gang_memory(it) >= part;
+            let fits = |it: &&Engine| it.free_memory() >= part && it.gang_memory() >= part;
             usable[..*count].iter().all(fits)
         })?;
         let memory_tokens = job.memory_tokens().div_ceil(members as u64);
         let wait = usable[..members]
             .iter()
-            .map(|it| it.wait(now, Length::Huge))
+            .map(|it| it.wait(now, level))
             .max()?;
         let mut gang: Vec<String> = usable[..members].iter().map(|it| it.name.clone()).collect();
         gang.sort();
         let engine = gang.remove(0);
-        let priority = priority(Length::Huge);
+
         Some(Placement {
             job,
             engine,
             gang,
             memory_tokens,
-            priority,
+            level,
             wait,
         })
     }
@@ -450,29 +460,20 @@
     Lost,
 }
 
-fn gang_memory(engine: &Engine) -> u64 {
-    (engine.memory_tokens as f64 * GANG_MEMORY_PART) as u64
-}
-
 fn accepts(engine: &Engine, now: Moment, job: &Job) -> bool {
     engine.is_usable(now)
         && engine.free_memory() >= job.memory_tokens()
         && !job.avoid.contains(&engine.name)
 }
 
-fn single(job: Job, engine: String, priority: u8, wait: Duration) -> Placement {
+fn single(job: Job, engine: String, level: Level, wait: Duration) -> Placement {
     let memory_tokens = job.memory_tokens();
     Placement {
         job,
         engine,
         gang: Vec::new(),
         memory_tokens,
-        priority,
+        level,
         wait,
     }
 }
-
-/// Returns the priority of a class on an engine: the shorter, the higher.
-fn priority(length: Length) -> u8 {
-    (Length::ALL.len() - 1 - length as usize) as u8
-}
--- a/crates/routing/tests/router.rs
+++ b/crates/routing/tests/router.rs
@@ -2,14 +2,17 @@
 
 use std::time::Duration;
 
+use domain::Length;
 use domain::Moment;
 use routing::Engine;
 use routing::Job;
+use routing::Level;
 use routing::Policy;
 use routing::Quarantine;
 use routing::Router;
 use routing::engine::Load;
 use routing::job::Tenant;
+use routing::level::Standing;
 use routing::router::End;
 use routing::router::Refusal;
 
@@ -91,7 +94,7 @@
     router.admit(NOW, job(200, 1_000)).unwrap();
     let short = router.next(NOW).unwrap();
     assert!(!engines.contains(&short.engine));
-    assert!(short.priority > 0);
+    assert!(short.level.priority() > 0);
 }
 
 #[test]
@@ -167,16 +170,37 @@
     assert_eq!((expired, router.waiting()), (waiting - 1, 0));
 }
 
+#[test]
+fn router_light_firm_goes_before_a_backlog_on_engines_too() {
+    let mut router = router(1);
+    for id in 0..100 {
+        router.admit(NOW, job(id, 4_000)).unwrap();
+    }
+    let heavy = std::iter::from_fn(|| router.next(NOW)).last().unwrap();
+    assert!(
+        router.waiting() > 50,
+        "the engine has no room for more of this firm"
+    );
+    let mut light = job(500, 4_000);
+    light.tenant.firm = "light".to_owned();
+    router.admit(NOW, light).unwrap();
+    let placement = router.next(NOW).unwrap();
+    assert_eq!(placement.job.id, 500);
+    assert!(placement.level < heavy.level);
+    assert!(router.next(NOW).is_none());
+}
+
 #[test]
 fn router_late_report_does_not_hide_what_was_sent_since() {
     let mut engine = Engine::new("runner-0", "dc", vec!["assistant".to_owned()], 400_000);
     let cost = Duration::from_millis(40);
     engine.report(NOW, load(false, 1));
-    engine.sent(NOW + Duration::from_millis(50), &job(1, 4_000), cost, 4_100);
+    let level = Level::new(Length::Short, Standing::Light);
+    engine.sent(NOW + Duration::from_millis(50), 1, level, cost, 4_100);
     // The report comes later, and describes a moment before the job was sent.
     engine.report(NOW + Duration::from_millis(20), load(false, 1));
     let now = NOW + Duration::from_millis(60);
-    assert!(engine.wait(now, domain::Length::Short) >= Duration::from_millis(30));
+    assert!(engine.wait(now, level) >= Duration::from_millis(30));
     assert_eq!(engine.free_memory(), 400_000 - 4_100);
 }
 
--- a/crates/web/src/server.rs
+++ b/crates/web/src/server.rs
@@ -7,8 +7,9 @@
 use std::net::TcpListener;
 use std::rc::Rc;
 use std::time::Duration;
-use std::time::Instant;
 
+use async_channel::Receiver;
+use async_channel::Sender;
 use async_executor::LocalExecutor;
 use async_h1::server::ConnectionStatus;
 use async_h1::server::Server as Connection;
@@ -18,6 +19,7 @@
 use domain::failure::Kind;
 use futures_lite::AsyncReadExt;
 use futures_lite::AsyncWriteExt;
+use futures_lite::future;
 use http_types::Method;
 use http_types::Request;
 use serde::de::DeserializeOwned;
@@ -29,8 +31,7 @@
 /// The time in which a caller has to send a head, and again a body, unless the switch says
 /// otherwise.
 const TIMEOUT: Duration = Duration::from_secs(20);
-/// The time between two looks at what a connection is doing.
-const WATCH_INTERVAL: Duration = Duration::from_millis(100);
+
 /// The time spent on reading what a refused caller still sends.
 const LINGER: Duration = Duration::from_millis(500);
 /// The pause after a failed accept, for example when file descriptors are used up.
@@ -39,15 +40,19 @@
 /// A server's switch: tells its connections to close after their present request.
 #[derive(Clone, Debug)]
 pub struct Switch {
-    is_stopping: Rc<Cell<bool>>,
+    /// Closed once the server stops, which wakes all who wait on the other side.
+    stop: Sender<()>,
+    stopped: Receiver<()>,
     busy: Rc<Cell<usize>>,
     timeout: Duration,
 }
 
 impl Default for Switch {
     fn default() -> Self {
+        let (stop, stopped) = async_channel::bounded(1);
         Self {
-            is_stopping: Rc::default(),
+            stop,
+            stopped,
             busy: Rc::default(),
             timeout: TIMEOUT,
         }
@@ -62,7 +67,12 @@
 
     /// Closes idle connections, and busy ones after their present request.
     pub fn stop(&self) {
-        self.is_stopping.set(true);
+        self.stop.close();
+    }
+
+    /// Completes once the server stops.
+    async fn stopped(&self) {
+        let _ = self.stopped.recv().await;
     }
 
     /// Returns the number of requests in progress.
@@ -75,7 +85,7 @@
 #[derive(Debug)]
 pub struct Exchange {
     request: Request,
-    is_body_read: Rc<Cell<bool>>,
+    body_read: Sender<()>,
     timeout: Duration,
 }
 
@@ -141,7 +151,7 @@
                 ))
             }
             Some(Ok(_)) => {
-                self.is_body_read.set(true);
+                let _ = self.body_read.try_send(());
                 Ok(body)
             }
         }
@@ -198,12 +208,12 @@
     F: Fn(Exchange) -> Fut,
     Fut: Future<Output = Reply>,
 {
-    let is_body_read = Rc::new(Cell::new(false));
+    let (body_read, body_was_read) = async_channel::bounded(1);
     let is_busy = Rc::new(Cell::new(false));
     let endpoint = |request: Request| {
         let exchange = Exchange {
             request,
-            is_body_read: is_body_read.clone(),
+            body_read: body_read.clone(),
             timeout: switch.timeout,
         };
         is_busy.set(true);
@@ -213,7 +223,7 @@
         let switch = switch.clone();
         async move {
             let mut reply = reply.await;
-            if switch.is_stopping.get() {
+            if switch.stop.is_closed() {
                 reply = reply.closing();
             }
             if reply.is_last() {
@@ -224,28 +234,22 @@
     };
     let mut connection = Connection::new(stream.clone(), endpoint);
     loop {
-        let idle_since = Instant::now();
         let left = async {
-            loop {
-                Timer::after(WATCH_INTERVAL).await;
-                if !is_busy.get() && idle_since.elapsed() >= switch.timeout {
-                    return None;
-                }
-                if is_busy.get() && is_body_read.get() {
-                    stream.closed().await;
-                    return None;
-                }
-                if !is_busy.get() && switch.is_stopping.get() && stream.is_idle() {
-                    return None;
-                }
-            }
+            let idle = close_idle(&stream, &switch, &is_busy);
+            let gone = async {
+                let _ = body_was_read.recv().await;
+                stream.closed().await;
+            };
+            future::or(idle, gone).await;
+            None
         };
-        let outcome = futures_lite::future::or(async { Some(connection.accept_one().await) }, left);
+
+        let outcome = future::or(async { Some(connection.accept_one().await) }, left);
         let outcome = outcome.await;
         if is_busy.replace(false) {
             switch.busy.set(switch.busy.get() - 1);
         }
-        is_body_read.set(false);
+        let _ = body_was_read.try_recv();
         match outcome {
             Some(Ok(ConnectionStatus::KeepAlive)) if !stream.is_read_closed() => {}
             Some(Ok(_)) => break,
@@ -261,6 +265,23 @@
     stream.linger(LINGER).await;
 }
 
+/// Completes when a connection without a request in progress is to be closed: its caller is slow,
+/// or the server stops.
+async fn close_idle(stream: &Stream, switch: &Switch, is_busy: &Cell<bool>) {
+    let timeout = async {
+        Timer::after(switch.timeout).await;
+        !is_busy.get()
+    };
+    let stopped = async {
+        switch.stopped().await;
+        !is_busy.get() && stream.is_idle()
+    };
+    if !future::or(timeout, stopped).await {
+        // The request in progress comes first. It is the last one if the server stops.
+        future::pending::<()>().await;
+    }
+}
+
 /// Answers a request whose head can't be understood.
 async fn refuse(stream: &Stream, error: &http_types::Error) {
     let message =
--- a/crates/web/src/stream.rs
+++ b/crates/web/src/stream.rs
@@ -17,9 +17,7 @@
 use async_io::Timer;
 use futures_lite::AsyncRead;
 use futures_lite::AsyncWrite;
-
-/// The time between two looks at whether the other side has closed the connection.
-const LEAVING_CHECK: Duration = Duration::from_millis(100);
+use futures_lite::future;
 
 /// A shared TCP connection.
 #[derive(Clone, Debug)]
@@ -64,14 +62,17 @@
         matches!(peeked, Err(error) if error.kind() == io::ErrorKind::WouldBlock)
     }
 
-    /// Completes once the other side has closed the connection.
+    /// Completes once the other side has closed the connection. If it sends more instead, this
+    /// never completes: who sends has not left.
     pub async fn closed(&self) {
         loop {
-            Timer::after(LEAVING_CHECK).await;
+            if self.0.io.readable().await.is_err() {
+                return;
+            }
             let mut byte = [0];
             match self.0.io.get_ref().peek(&mut byte) {
                 Ok(0) => return,
-                Ok(_) => {}
+                Ok(_) => return future::pending().await,
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                 Err(_) => return,
             }
--- a/crates/wire/schema/peer.capnp
+++ b/crates/wire/schema/peer.capnp
@@ -145,4 +145,6 @@
   allot @3 (ask :Ask) -> (grant :Grant);
   # Returns the folded configuration as JSON, if the peer has read beyond `next`.
   configuration @4 (next :UInt64) -> (fold :Data);
+  # Hands the book of tickets of an entry that stops over, as JSON. It is handed to one peer only.
+  handOver @5 (parcel :Data) -> ();
 }
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -4,7 +4,7 @@
 
 use capnp::message::Builder;
 use capnp::message::ReaderOptions;
-use capnp::serialize;
+use capnp::serialize_packed;
 use domain::key::Incarnation;
 use membership::Member;
 use membership::Message;
@@ -12,7 +12,7 @@
 use membership::member::State;
 use membership::message::Kind;
 use membership::message::Rumour;
-use routing::engine::LEVELS;
+use routing::level::LEVELS;
 
 use crate::Error;
 use crate::address;
@@ -21,6 +21,9 @@
 use crate::peer_capnp::member;
 use crate::peer_capnp::rumour;
 
+/// The memory set aside for a frame, in bytes.
+const PACKED_CAPACITY: usize = 256;
+
 /// One datagram between entries.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Frame {
@@ -55,12 +58,18 @@
                 }
             }
         }
-        serialize::write_message_to_words(&message)
+        // Packing leaves out zeros, which make up half of a message.
+        let mut bytes = Vec::with_capacity(PACKED_CAPACITY);
+        if let Err(error) = serialize_packed::write_message(&mut bytes, &message) {
+            log::error!(target: "wire", "A frame can't be encoded: {error}. It is left out.");
+            bytes.clear();
+        }
+        bytes
     }
 
     /// Decodes a frame.
     pub fn decode(mut bytes: &[u8]) -> Result<Self, Error> {
-        let message = serialize::read_message_from_flat_slice(&mut bytes, ReaderOptions::new())?;
+        let message = serialize_packed::read_message(&mut bytes, ReaderOptions::new())?;
         let datagram = message.get_root::<datagram::Reader<'_>>()?;
         let kind = match datagram.which()? {
             datagram::Loads(loads) => {
--- a/crates/wire/src/peer_capnp.rs
+++ b/crates/wire/src/peer_capnp.rs
@@ -4748,6 +4748,8 @@
     pub type AllotResults<> = ::capnp::capability::Results<crate::peer_capnp::peer::allot_results::Owned>;
     pub type ConfigurationParams<> = ::capnp::capability::Params<crate::peer_capnp::peer::configuration_params::Owned>;
     pub type ConfigurationResults<> = ::capnp::capability::Results<crate::peer_capnp::peer::configuration_results::Owned>;
+    pub type HandOverParams<> = ::capnp::capability::Params<crate::peer_capnp::peer::hand_over_params::Owned>;
+    pub type HandOverResults<> = ::capnp::capability::Results<crate::peer_capnp::peer::hand_over_results::Owned>;
 
     pub struct Client {
         pub client: ::capnp::capability::Client,
@@ -4812,6 +4814,9 @@
         pub fn configuration_request(&self) -> ::capnp::capability::Request<crate::peer_capnp::peer::configuration_params::Owned,crate::peer_capnp::peer::configuration_results::Owned> {
             self.client.new_call(_private::TYPE_ID, 4, ::core::option::Option::None)
         }
+        pub fn hand_over_request(&self) -> ::capnp::capability::Request<crate::peer_capnp::peer::hand_over_params::Owned,crate::peer_capnp::peer::hand_over_results::Owned> {
+            self.client.new_call(_private::TYPE_ID, 5, ::core::option::Option::None)
+        }
     }
     pub trait Server<> : 'static  {
         fn claim(self: ::capnp::capability::Rc<Self>, _: ClaimParams<>, _: ClaimResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method peer::Server::claim not implemented".to_string()))) }
@@ -4819,6 +4824,7 @@
         fn settle(self: ::capnp::capability::Rc<Self>, _: SettleParams<>, _: SettleResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method peer::Server::settle not implemented".to_string()))) }
         fn allot(self: ::capnp::capability::Rc<Self>, _: AllotParams<>, _: AllotResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method peer::Server::allot not implemented".to_string()))) }
         fn configuration(self: ::capnp::capability::Rc<Self>, _: ConfigurationParams<>, _: ConfigurationResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method peer::Server::configuration not implemented".to_string()))) }
+        fn hand_over(self: ::capnp::capability::Rc<Self>, _: HandOverParams<>, _: HandOverResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method peer::Server::hand_over not implemented".to_string()))) }
     }
     pub struct ServerDispatch<_T,> {
         pub server: ::capnp::capability::Rc<_T>,
@@ -4853,6 +4859,7 @@
                 2 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::settle(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 3 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::allot(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 4 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::configuration(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
+                5 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::hand_over(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 _ => { ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::err(::capnp::Error::unimplemented("Method not implemented.".to_string())), false) }
             }
         }
@@ -7020,4 +7027,376 @@
             pub(crate) const TYPE_ID: u64 = 0x8ab4_9e5e_b610_abde;
         }
     }
+
+    pub mod hand_over_params {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> Reader<'a,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_parcel(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_parcel(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_parcel(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_parcel(&mut self, value: ::capnp::data::Reader<'_>)  {
+                self.builder.reborrow().get_pointer_field(0).set_data(value);
+            }
+            #[inline]
+            pub fn init_parcel(self, size: u32) -> ::capnp::data::Builder<'a> {
+                self.builder.get_pointer_field(0).init_data(size)
+            }
+            #[inline]
+            pub fn has_parcel(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 32] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(252, 89, 4, 198, 145, 180, 0, 149),
+                ::capnp::word(16, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 2, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+                ::capnp::word(110, 112, 58, 80, 101, 101, 114, 46),
+                ::capnp::word(104, 97, 110, 100, 79, 118, 101, 114),
+                ::capnp::word(36, 80, 97, 114, 97, 109, 115, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(112, 97, 114, 99, 101, 108, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+            pub(crate) const TYPE_ID: u64 = 0x9500_b491_c604_59fc;
+        }
+    }
+
+    pub mod hand_over_results {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <> Reader<'_,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 0 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 17] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(142, 251, 18, 184, 88, 73, 253, 164),
+                ::capnp::word(16, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 10, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+                ::capnp::word(110, 112, 58, 80, 101, 101, 114, 46),
+                ::capnp::word(104, 97, 110, 100, 79, 118, 101, 114),
+                ::capnp::word(36, 82, 101, 115, 117, 108, 116, 115),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_field_index(index)
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[];
+            pub(crate) const TYPE_ID: u64 = 0xa4fd_4958_b812_fb8e;
+        }
+    }
 }
