Take each book of tickets over only once

Cause: reading the hand-over as a newcomer: a copy of a book that comes after the heir has handed it on would be opened again, beside its new holder. Ruled out: trusting that no second copy comes (the call is repeated after a lost answer). The change: an entry remembers the incarnations whose books it has had. The new test book_copy_after_it_went_on_does_not_decide failed before by granting. Conclusion: a book has one holder at a time.

--- a/crates/entry/src/claims.rs
+++ b/crates/entry/src/claims.rs
@@ -151,13 +151,14 @@
     }
 }
 
-/// Takes the book of an entry that stops. A second copy changes nothing.
+/// Takes the book of an entry that stops. An entry takes each book once in its life: a second copy
+/// that came after the book went on to somebody else would decide beside it.
 pub fn take_over(node: &Node, parcel: Parcel) {
     let mut core = node.core.borrow_mut();
     let issuer = parcel.issuer;
-    core.books
-        .entry(issuer)
-        .or_insert_with(|| Book::open(clock::now(), parcel));
+    if core.books_seen.insert(issuer) {
+        core.books.insert(issuer, Book::open(clock::now(), parcel));
+    }
 }
 
 /// Decides on a claim as its authority.
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -4,6 +4,7 @@
 use std::cell::OnceCell;
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::net::UdpSocket;
 use std::rc::Rc;
@@ -105,6 +106,8 @@
     /// The tickets that this entry decides on, by the incarnation that issued them: its own and
     /// those of entries that have stopped.
     pub books: HashMap<Incarnation, Book>,
+    /// The incarnations whose books this entry has had, its own included.
+    pub books_seen: HashSet<Incarnation>,
     /// The contracts that this entry is home to.
     pub home: Home,
     /// What this entry was given for each customer.
@@ -182,6 +185,7 @@
                 is_stopping: false,
                 members: Members::new(me),
                 books: HashMap::from([(incarnation, Book::new(incarnation))]),
+                books_seen: HashSet::from([incarnation]),
                 home: Home::default(),
                 purses: HashMap::new(),
                 router: Router::new(policy, rand::random()),
