--- a/crates/routing/src/queue.rs
+++ b/crates/routing/src/queue.rs
@@ -93,8 +93,8 @@
             .collect();
         firms.sort_by(|(_, a), (_, b)| a.used.total_cmp(&b.used));
         let heads = firms.into_iter().filter_map(|(name, firm)| {
-            let job = firm.next_customer()?.1.jobs.front().map(|it| &it.job)?;
-            let standing = self.usage.standing(now, name, firm.len);
+            let Waiting { job, cost } = firm.next_customer()?.1.jobs.front()?;
+            let standing = self.usage.standing(now, name, firm.len, *cost);
             Some(Head {
                 firm: name,
                 job,
--- a/crates/routing/src/usage.rs
+++ b/crates/routing/src/usage.rs
@@ -14,6 +14,8 @@
 const KEPT: Duration = Duration::from_secs(20);
 /// The part of its share from which a firm counts as heavy.
 const TOLERANCE: f64 = 1.25;
+/// The jobs that a firm may be above that, so that one long job makes nobody heavy.
+const TOLERATED_JOBS: f64 = 4.0;
 /// The same for a firm with several jobs that wait. A firm that is alone and has a backlog counts as
 /// heavy, so that one that comes finds room.
 const TOLERANCE_WITH_BACKLOG: f64 = 0.99;
@@ -48,20 +50,20 @@
         self.firms.insert(tenant.firm.clone(), newest);
     }
 
-    /// Tells how a firm with so many waiting jobs stands among those that used the lane lately.
-    pub fn standing(&self, now: Moment, firm: &str, waiting: usize) -> Standing {
+    /// Tells how a firm with so many waiting jobs, of which the first costs `cost`, stands among
+    /// those that used the lane lately.
+    pub fn standing(&self, now: Moment, firm: &str, waiting: usize, cost: f64) -> Standing {
         let total: f64 = self.firms.values().map(|it| it.at_moment(now)).sum();
         let shares: f64 = self.firms.values().map(|it| it.share).sum();
         let Some(own) = self.firms.get(firm) else {
             return Standing::Light;
         };
         let fair = total * own.share / shares;
-        let tolerance = if waiting > 1 {
-            TOLERANCE_WITH_BACKLOG
-        } else {
-            TOLERANCE
+        let limit = match waiting {
+            0 | 1 => fair * TOLERANCE + cost * TOLERATED_JOBS,
+            _ => fair * TOLERANCE_WITH_BACKLOG,
         };
-        if own.at_moment(now) > fair * tolerance {
+        if own.at_moment(now) > limit {
             Standing::Heavy
         } else {
             Standing::Light
--- a/crates/routing/tests/queue.rs
+++ b/crates/routing/tests/queue.rs
@@ -9,6 +9,7 @@
 use proptest::test_runner::RngSeed;
 use routing::Job;
 use routing::job::Tenant;
+use routing::level::Standing;
 use routing::queue::Queue;
 
 fn job(id: u64, firm: &str, customer: &str) -> Job {
@@ -151,3 +152,24 @@
         prop_assert!(most - least <= 2.0 * largest, "{used:?}");
     }
 }
+
+/// Returns how the first firm stands after so many jobs of it and of another were served.
+fn standing(own: u64, other: u64, cost: u64) -> Standing {
+    let mut queue = Queue::default();
+    for id in 0..own + other {
+        let firm = if id < own { "own" } else { "other" };
+        queue.push(job(id, firm, "c"), cost);
+        queue.pop_of(Moment::default(), firm);
+    }
+    queue.push(job(1_000, "own", "c"), cost);
+    queue.heads(Moment::default())[0].standing
+}
+
+#[test]
+fn queue_use_beyond_the_share_is_heavy_and_one_long_job_is_not() {
+    assert_eq!(standing(1, 0, 1_000_000), Standing::Light);
+    assert_eq!(standing(2, 1, 1_000_000), Standing::Light);
+    assert_eq!(standing(20, 20, 5_000), Standing::Light);
+    assert_eq!(standing(180, 20, 5_000), Standing::Heavy);
+    assert_eq!(standing(20, 180, 5_000), Standing::Light);
+}
