Name the capacity task as the page's readers expect

Cause: the page's tables were made by cargo xtask bench capacity, and the request for the page names cargo xtask capacity. Ruled out: two implementations. The change: one task calls the other.

--- a/crates/web/src/server.rs
+++ b/crates/web/src/server.rs
@@ -31,7 +31,6 @@
 /// The time in which a caller has to send a head, and again a body, unless the switch says
 /// otherwise.
 const TIMEOUT: Duration = Duration::from_secs(20);
-
 /// The time spent on reading what a refused caller still sends.
 const LINGER: Duration = Duration::from_millis(500);
 /// The pause after a failed accept, for example when file descriptors are used up.
@@ -243,7 +242,6 @@
             future::or(idle, gone).await;
             None
         };
-
         let outcome = future::or(async { Some(connection.accept_one().await) }, left);
         let outcome = outcome.await;
         if is_busy.replace(false) {
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -24,6 +24,8 @@
         /// Which one; see `cargo run -p bench -- --help`.
         name: String,
     },
+    /// Print the tables of docs/CAPACITY.md from fresh measurements.
+    Capacity,
     /// Start a cluster, send prompts and check every promise.
     Demo,
     /// Generate the code of the wire format again.
@@ -34,6 +36,7 @@
     let result = match Arguments::parse().task {
         Task::Test => test::run(),
         Task::Bench { name } => run::bench(&name),
+        Task::Capacity => run::bench("capacity"),
         Task::Demo => run::demo(),
         Task::Schema => run::schema(),
     };
