Weigh members in one place, and drop what nobody calls

Ruled out: a change of the weight itself, which every entry has to agree on. The change: one function weighs; the dead ones are gone. Behaviour is as before, tests untouched.

--- a/crates/harness/src/process.rs
+++ b/crates/harness/src/process.rs
@@ -66,11 +66,6 @@
         let _ = self.child.wait();
     }
 
-    /// Tells whether the process has ended.
-    pub fn has_ended(&mut self) -> bool {
-        self.child.try_wait().is_ok_and(|it| it.is_some())
-    }
-
     /// Waits for the process to end.
     pub fn wait(&mut self, limit: Duration) -> Result<ExitStatus> {
         let start = Instant::now();
--- a/crates/membership/src/members.rs
+++ b/crates/membership/src/members.rs
@@ -159,13 +159,6 @@
         self.alive().find(|it| it.incarnation == incarnation)
     }
 
-    /// Tells whether a member is held dead.
-    pub fn is_dead(&self, incarnation: Incarnation) -> bool {
-        self.known
-            .get(&incarnation)
-            .is_some_and(|it| it.state == State::Dead)
-    }
-
     /// Passes a piece of news on to the others with the next datagrams.
     pub fn tell(&mut self, rumour: Rumour) {
         self.news.tell(rumour);
--- a/crates/membership/src/members/homes.rs
+++ b/crates/membership/src/members/homes.rs
@@ -13,32 +13,37 @@
 impl Members {
     /// Returns the home of `subject`: the member that all with the same view pick.
     pub fn home(&self, subject: &[u8]) -> &Member {
-        let weigh = |it: &&Member| rendezvous::weight(subject, &it.incarnation.0.to_be_bytes());
-        self.alive().max_by_key(weigh).unwrap_or(&self.me)
+        self.alive()
+            .max_by_key(|it| weight(subject, it))
+            .unwrap_or(&self.me)
     }
 
     /// Returns the home of `subject` among the members of a data centre; of all if it has none.
     pub fn home_in(&self, data_centre: &str, subject: &[u8]) -> &Member {
-        let weigh = |it: &&Member| rendezvous::weight(subject, &it.incarnation.0.to_be_bytes());
         let near = self.alive().filter(|it| it.data_centre == data_centre);
-        near.max_by_key(weigh).unwrap_or_else(|| self.home(subject))
+        near.max_by_key(|it| weight(subject, it))
+            .unwrap_or_else(|| self.home(subject))
     }
 
     /// Returns the members that may have what `gone` left when it stopped, the likeliest first.
     pub fn heirs(&self, gone: Incarnation) -> Vec<&Member> {
         let subject = gone.0.to_be_bytes();
-        let weigh = |it: &&Member| rendezvous::weight(&subject, &it.incarnation.0.to_be_bytes());
         let mut heirs: Vec<&Member> = self.alive().collect();
         heirs.retain(|it| it.phase != Phase::Leaving);
-        heirs.sort_by_key(|it| Reverse(weigh(it)));
+        heirs.sort_by_key(|it| Reverse(weight(&subject, it)));
         heirs
     }
 
     /// Tells whether this entry is the home of `subject` only because another one died lately.
     pub fn is_successor(&self, subject: &[u8]) -> bool {
-        let weigh = |it: &Member| rendezvous::weight(subject, &it.incarnation.0.to_be_bytes());
-        let mine = weigh(&self.me);
+        let mine = weight(subject, &self.me);
         let dead = self.known.values().filter(|it| it.state == State::Dead);
-        dead.map(|it| weigh(&it.member)).any(|it| it > mine)
+        dead.map(|it| weight(subject, &it.member))
+            .any(|it| it > mine)
     }
 }
+
+/// Returns the weight of a member for `subject`. A restarted instance is another member.
+fn weight(subject: &[u8], member: &Member) -> u64 {
+    rendezvous::weight(subject, &member.incarnation.0.to_be_bytes())
+}
