--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -133,6 +133,10 @@
             engines::take_reports(node, loads);
             Output::default()
         }
+        Ok(Frame::Work(_)) => {
+            log::debug!(target: "peers", "Datagram from {from}: notes on routes are not used here.");
+            Output::default()
+        }
         Err(error) => {
             log::debug!(target: "peers", "Datagram from {from}: {error}.");
             Output::default()
--- /dev/null
+++ b/crates/gateway/src/attempt.rs
@@ -0,0 +1,453 @@
+//! One attempt: a request on one backend server.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_io::Timer;
+use domain::Moment;
+use h1::Error;
+use h1::Framing;
+use h1::Response;
+use h1::Stream;
+use h1::body::Decoder;
+use membership::message::Rumour;
+use placement::JobId;
+use placement::Plan;
+use placement::Server;
+use placement::board::Change;
+use placement::board::Part;
+use placement::board::Placed;
+
+use crate::Node;
+use crate::events::Events;
+use crate::exchange::Exchange;
+use crate::front;
+use crate::port::Helper;
+use crate::port::Send;
+use crate::port::Verdict;
+use crate::relay::Answer;
+use crate::relay::State;
+
+/// The time for a connection. Servers accept within milliseconds; a partition never does.
+const CONNECT_TIME: Duration = Duration::from_millis(400);
+/// The time after which a server that acknowledges nothing counts as lost.
+const SILENCE: Duration = Duration::from_millis(1_500);
+/// The longest head of a server's answer, in bytes.
+const HEAD_LIMIT: usize = 64 * 1024;
+/// The longest whole answer, in bytes.
+const ANSWER_LIMIT: usize = 16 * 1024 * 1024;
+/// The pauses after which a server whose connection broke is asked whether it is still there. A
+/// server that crashed stays away for longer.
+const CRASH_CHECKS: [Duration; 2] = [Duration::from_millis(50), Duration::from_millis(250)];
+/// The weight of the newest latency in the smoothed one.
+const LATENCY_WEIGHT: f64 = 0.2;
+
+/// Where an attempt goes.
+#[derive(Clone, Debug)]
+pub struct Target {
+    /// The server that answers.
+    pub server: Rc<Server>,
+    /// Servers that read parts of the prompt.
+    pub helpers: Vec<Helper>,
+    /// What each server does.
+    pub parts: Vec<Part>,
+    /// The time until the first token, as forecast.
+    pub first_token: Duration,
+}
+
+impl Target {
+    /// Returns an attempt at a plain service.
+    pub fn plain(server: Rc<Server>) -> Self {
+        let part = Part {
+            server: server.key(),
+            read_ms: 0.0,
+            tokens: 0,
+        };
+        Self {
+            server,
+            helpers: Vec::new(),
+            parts: vec![part],
+            first_token: Duration::ZERO,
+        }
+    }
+
+    /// Returns an attempt by a plan whose parts go to `servers`.
+    pub fn planned(plan: Plan, servers: Vec<Rc<Server>>) -> Option<Self> {
+        let (server, helpers) = servers.split_first()?;
+        let helpers = helpers.iter().map(|it| Helper {
+            address: it.address,
+            ticket: None,
+        });
+        Some(Self {
+            server: server.clone(),
+            helpers: helpers.collect(),
+            parts: plan.parts,
+            first_token: plan.first_token,
+        })
+    }
+}
+
+/// How an attempt ended.
+#[derive(Debug)]
+pub enum Outcome {
+    /// The caller has the whole answer.
+    Delivered,
+    /// The server answered; the caller has nothing yet.
+    Answered(Response, Vec<u8>),
+    /// The caller can't be written to.
+    CallerLeft,
+    /// No connection came about: nothing was sent.
+    Unreached,
+    /// The server says that it did not run the request.
+    NotRun,
+    /// Another server listens at the address; it did not run the request.
+    OtherServer,
+    /// The answer is missing or incomplete: the request may have run.
+    Broken,
+}
+
+impl Outcome {
+    /// Returns the name for logs.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Delivered => "delivered",
+            Self::Answered(..) => "answered",
+            Self::CallerLeft => "caller_left",
+            Self::Unreached => "unreached",
+            Self::NotRun => "not_run",
+            Self::OtherServer => "other_server",
+            Self::Broken => "broken",
+        }
+    }
+}
+
+/// The entry of an attempt on the board, taken off when it is dropped.
+struct Entry<'a> {
+    node: &'a Node,
+    job: JobId,
+}
+
+impl<'a> Entry<'a> {
+    fn new(node: &'a Node, now: Moment, exchange: &Exchange, target: &Target) -> Self {
+        let job = node.next_job();
+        let millis = |it: Duration| u32::try_from(it.as_millis()).unwrap_or(u32::MAX);
+        let target_left = now.until(exchange.arrived + exchange.route.target);
+        let tokens = exchange.ask.prompt.map_or(0, |it| it.tokens);
+        let placed = Placed {
+            target_ms: millis(target_left),
+            pause_ms: exchange.route.pause_target.map_or(0, millis),
+            value: crate::exchange::value(tokens) as f32,
+            parts: target.parts.clone(),
+        };
+        node.note(now, job, Change::Placed(placed));
+        Self { node, job }
+    }
+
+    fn started(&self) {
+        self.node.note(clock::now(), self.job, Change::Started);
+    }
+}
+
+impl Drop for Entry<'_> {
+    fn drop(&mut self) {
+        self.node.note(clock::now(), self.job, Change::Ended);
+    }
+}
+
+/// Sends a request to a server and passes the answer on.
+pub async fn run(
+    node: &Rc<Node>,
+    exchange: &mut Exchange,
+    target: &Target,
+    answer: &mut Answer,
+) -> Outcome {
+    let now = clock::now();
+    let entry = Entry::new(node, now, exchange, target);
+    let Some(mut stream) = open(node, now, target).await else {
+        lost(node, target.server.key());
+        return Outcome::Unreached;
+    };
+    exchange.attempts += 1;
+    let sent = clock::now();
+    if let Some(known) = node.state.borrow_mut().servers.get_mut(target.server.key()) {
+        known.health.sent(sent);
+    }
+    let head = node.dialect.forward(
+        &exchange.request,
+        &Send {
+            server: &target.server,
+            left: sent.until(exchange.end()),
+            organisation: exchange.organisation.as_ref().map(|it| it.name.as_str()),
+            last_event: exchange.last_event,
+            helpers: &target.helpers,
+            rank: None,
+        },
+    );
+    let result = converse(node, exchange, &mut stream, &head, answer, &entry).await;
+    match result {
+        Ok(Reply { outcome, reuse }) => {
+            note_health(node, exchange, target, sent, &outcome);
+            if matches!(outcome, Outcome::OtherServer) {
+                disown(node, &target.server);
+                return outcome;
+            }
+            if let Some(keep_alive) = reuse.filter(|_| stream.unread() == 0) {
+                let now = clock::now();
+                let mut connections = node.connections.borrow_mut();
+                connections.keep(now, target.server.key(), stream, keep_alive);
+            }
+            outcome
+        }
+        Err(error) => {
+            log::info!(
+                target: "broken",
+                request = exchange.ask.id.as_deref().unwrap_or("-"),
+                server = target.server.id.as_str(),
+                error:% = error;
+                "the server's answer broke off"
+            );
+            let mut state = node.state.borrow_mut();
+            if let Some(known) = state.servers.get_mut(target.server.key()) {
+                known.health.failed(clock::now());
+            }
+            drop(state);
+            let check = check_crash(node.clone(), exchange.fingerprint, target.server.clone());
+            node.executor.spawn(check).detach();
+            Outcome::Broken
+        }
+    }
+}
+
+/// An answer that came to an end in order.
+struct Reply {
+    outcome: Outcome,
+    /// Whether the connection can be used again, and for how long the server keeps it.
+    reuse: Option<Option<Duration>>,
+}
+
+async fn open(node: &Node, now: Moment, target: &Target) -> Option<Stream> {
+    let key = target.server.key();
+    if let Some(stream) = node.connections.borrow_mut().take(now, key) {
+        return Some(stream);
+    }
+    let connect = Stream::connect(target.server.address, SILENCE);
+    match front::within(CONNECT_TIME, connect).await {
+        Some(Ok(stream)) => Some(stream),
+        Some(Err(error)) => {
+            log::info!(target: "server", server = target.server.id.as_str(), error:% = error; "can't connect");
+            None
+        }
+        None => {
+            log::info!(target: "server", server = target.server.id.as_str(); "no connection in time");
+            None
+        }
+    }
+}
+
+fn lost(node: &Node, server: u64) {
+    let now = clock::now();
+    node.connections.borrow_mut().close(server);
+    if let Some(known) = node.state.borrow_mut().servers.get_mut(server) {
+        known.health.lost(now);
+    }
+}
+
+/// Sends the request and reads the answer.
+async fn converse(
+    node: &Rc<Node>,
+    exchange: &mut Exchange,
+    stream: &mut Stream,
+    head: &h1::Request,
+    answer: &mut Answer,
+    entry: &Entry<'_>,
+) -> Result<Reply, Error> {
+    let mut head = head.clone();
+    if !exchange.body.is_empty() || exchange.request.framing != Framing::Empty {
+        head.framing = Framing::Length(exchange.body.len() as u64);
+    }
+    let mut bytes = head.encode();
+    bytes.extend_from_slice(&exchange.body);
+    let writer = stream.writer();
+    // A server may answer before it has read the body. The rest of the body is still written, so
+    // that the server does not take something else for it.
+    let write = async { writer.write(&bytes).await };
+    let read = stream.read_response(&head.method, HEAD_LIMIT);
+    let (written, response) = futures_lite::future::zip(write, read).await;
+    let response = response?;
+    let is_written = written.is_ok();
+    let ours = exchange.ask.id.as_deref();
+    if let Some(id) = node.dialect.answered_id(&response)
+        && ours.is_some_and(|it| it != id)
+    {
+        return Err(Error::Malformed("answer to another request"));
+    }
+    let verdict = node.dialect.verdict(&response);
+    let is_stream = verdict == Verdict::Ran && exchange.route.kind.is_stream();
+    if is_stream && response.status == 200 {
+        return relay_events(node, exchange, stream, response, answer, entry).await;
+    }
+    let mut decoder = Decoder::new(response.framing);
+    let body = stream.read_whole(&mut decoder, ANSWER_LIMIT).await?;
+    let reuse = (response.is_persistent && is_written).then(|| keep_alive(&response));
+    let outcome = match verdict {
+        Verdict::Ran if answer.state() != State::NotBegun => {
+            return Err(Error::Malformed("the stream was not taken up again"));
+        }
+        Verdict::Ran => Outcome::Answered(response, body),
+        Verdict::NotRun { at } => {
+            not_run(node, at);
+            Outcome::NotRun
+        }
+        Verdict::OtherServer => Outcome::OtherServer,
+    };
+    Ok(Reply { outcome, reuse })
+}
+
+/// Passes a stream on, event by event.
+async fn relay_events(
+    node: &Rc<Node>,
+    exchange: &mut Exchange,
+    stream: &mut Stream,
+    response: Response,
+    answer: &mut Answer,
+    entry: &Entry<'_>,
+) -> Result<Reply, Error> {
+    let mut decoder = Decoder::new(response.framing);
+    let reuse = response.is_persistent.then(|| keep_alive(&response));
+    let mut response = Some(response);
+    let mut events = Events::after(exchange.last_event);
+    let mut has_started = false;
+    let mut bytes = Vec::new();
+    loop {
+        bytes.clear();
+        let goes_on = stream.read_body(&mut decoder, &mut bytes).await?;
+        let mut ready = events.push(&bytes);
+        if !goes_on {
+            ready.extend(events.finish());
+        }
+        if !ready.is_empty() && !has_started {
+            has_started = true;
+            entry.started();
+        }
+        let is_first = answer.state() == State::NotBegun;
+        let sent = match response.take().filter(|_| is_first) {
+            Some(response) if !ready.is_empty() || !goes_on => {
+                let elapsed = clock::now().since(exchange.arrived);
+                node.metrics.began(&exchange.route.name, elapsed);
+                answer.begin(response, &ready).await
+            }
+            Some(unsent) => {
+                response = Some(unsent);
+                Ok(())
+            }
+            None if ready.is_empty() => Ok(()),
+            None => answer.events(&ready).await,
+        };
+        exchange.last_event = events.last();
+        let ended = match sent {
+            Ok(()) if !goes_on => answer.end(b"").await,
+            sent => sent,
+        };
+        if ended.is_err() {
+            return Ok(Reply {
+                outcome: Outcome::CallerLeft,
+                reuse: None,
+            });
+        }
+        if !goes_on {
+            return Ok(Reply {
+                outcome: Outcome::Delivered,
+                reuse,
+            });
+        }
+    }
+}
+
+fn keep_alive(response: &Response) -> Option<Duration> {
+    let value = response.headers.text("keep-alive")?;
+    let mut parameters = value.split(',').map(str::trim);
+    let seconds = parameters.find_map(|it| it.strip_prefix("timeout="))?;
+    seconds.trim().parse().ok().map(Duration::from_secs)
+}
+
+/// Notes that a server which was to help could not.
+fn not_run(node: &Node, at: Option<SocketAddr>) {
+    let Some(address) = at else {
+        return;
+    };
+    let now = clock::now();
+    let mut state = node.state.borrow_mut();
+    let key = state
+        .servers
+        .all()
+        .find(|it| it.server.address == address)
+        .map(|it| it.server.key());
+    if let Some(known) = key.and_then(|it| state.servers.get_mut(it)) {
+        known.health.failed(now);
+        log::info!(target: "server", server = known.server.id.as_str(); "a helper could not help");
+    }
+}
+
+/// Notes that another server listens at the address, and tells the other entries.
+fn disown(node: &Node, server: &Server) {
+    let now = clock::now();
+    node.connections.borrow_mut().close(server.key());
+    let mut state = node.state.borrow_mut();
+    if state.servers.disown(now, server.key()) {
+        let server = server.id.clone();
+        log::info!(target: "server", server = server.as_str(); "another server has its address");
+        state.members.tell(Rumour::ServerLeaving { server });
+    }
+}
+
+/// Notes what an answer says about the health of its server.
+fn note_health(node: &Node, exchange: &Exchange, target: &Target, sent: Moment, outcome: &Outcome) {
+    let now = clock::now();
+    let mut state = node.state.borrow_mut();
+    let Some(known) = state.servers.get_mut(target.server.key()) else {
+        return;
+    };
+    match outcome {
+        Outcome::Answered(response, _) if response.status >= 500 => known.health.failed(now),
+        Outcome::NotRun => known.health.failed(now),
+        _ => known.health.succeeded(),
+    }
+    if !exchange.route.kind.is_stream() {
+        let latency = now.since(sent);
+        let before = known.latency.unwrap_or(latency);
+        let smoothed = before.mul_f64(1.0 - LATENCY_WEIGHT) + latency.mul_f64(LATENCY_WEIGHT);
+        known.latency = Some(smoothed);
+    }
+}
+
+/// Finds out whether a server whose connection broke is gone, and if so, holds that against the
+/// request that it ran.
+async fn check_crash(node: Rc<Node>, fingerprint: u64, server: Rc<Server>) {
+    for pause in CRASH_CHECKS {
+        Timer::after(pause).await;
+        let connect = Stream::connect(server.address, SILENCE);
+        if let Some(Ok(_)) = front::within(CONNECT_TIME, connect).await {
+            return;
+        }
+    }
+    lost(&node, server.key());
+    let now = clock::now();
+    let mut state = node.state.borrow_mut();
+    let life = format!("{}@{}", server.id, server.born_ms);
+    if state.quarantine.crashed(now, fingerprint, &life) {
+        let rumour = Rumour::Crash {
+            fingerprint,
+            server: life,
+        };
+        state.members.tell(rumour);
+        let crashes = state.quarantine.crashes(now, fingerprint);
+        log::warn!(
+            target: "quarantine",
+            fingerprint,
+            crashes,
+            server = server.id.as_str();
+            "a server went down with a request on it"
+        );
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/doors.rs
@@ -0,0 +1,120 @@
+//! The small questions: which addresses to use, whether this instance is ready, and its metrics.
+
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_io::Async;
+use async_io::Timer;
+use h1::Request;
+use h1::Response;
+use h1::Stream;
+
+use crate::Node;
+use crate::front;
+use crate::logs;
+
+/// The time after which a caller that acknowledges nothing counts as lost.
+const SILENCE: Duration = Duration::from_secs(5);
+/// The time for which a connection may stay idle.
+const IDLE_TIME: Duration = Duration::from_secs(15);
+/// The longest head of a question, in bytes.
+const HEAD_LIMIT: usize = 8 * 1024;
+/// The pause after a failed accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// What a door answers.
+pub type Reply = (Response, Vec<u8>);
+
+/// Answers one question.
+pub type Answerer = fn(&Node, &Request) -> Reply;
+
+/// Answers questions until the listener is dropped.
+pub async fn serve(node: Rc<Node>, listener: Async<TcpListener>, reply: Answerer) {
+    loop {
+        match listener.accept().await {
+            Ok((socket, _)) => {
+                let node = node.clone();
+                let executor = node.executor.clone();
+                let answer = async move {
+                    let Ok(stream) = Stream::new(socket, SILENCE) else {
+                        return;
+                    };
+                    if let Err(error) = answer(&node, stream, reply).await {
+                        log::debug!(target: "doors", error:% = error; "a question ended early");
+                    }
+                };
+                executor.spawn(answer).detach();
+            }
+            Err(error) => {
+                log::warn!(target: "doors", error:% = error; "accept failed, retrying");
+                Timer::after(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn answer(node: &Node, mut stream: Stream, reply: Answerer) -> Result<(), h1::Error> {
+    loop {
+        let request = front::within(IDLE_TIME, stream.read_request(HEAD_LIMIT)).await;
+        let request = match request {
+            Some(Ok(request)) => request,
+            Some(Err(h1::Error::Closed)) | None => return Ok(()),
+            Some(Err(error)) => return Err(error),
+        };
+        let (mut response, body) = reply(node, &request);
+        response.framing = h1::Framing::Length(body.len() as u64);
+        response.is_persistent = request.is_persistent;
+        let mut bytes = response.encode();
+        bytes.extend_from_slice(&body);
+        stream.writer().write(&bytes).await?;
+        if !request.is_persistent {
+            return Ok(());
+        }
+    }
+}
+
+/// Answers which addresses callers are to use.
+pub fn addresses(node: &Node, request: &Request) -> Reply {
+    if !node.dialect.is_address_question(request) {
+        return (Response::new(404, "Not Found"), Vec::new());
+    }
+    let state = node.state.borrow();
+    let addresses: Vec<SocketAddr> = state.members.trusted().map(|it| it.callers).collect();
+    if addresses.is_empty() {
+        return (Response::new(503, "Service Unavailable"), Vec::new());
+    }
+    let lifetime = node.settings().address_lifetime;
+    let body = node.dialect.addresses(&addresses, lifetime);
+    let mut response = Response::new(200, "OK");
+    response.headers.push("content-type", "application/json");
+    (response, body)
+}
+
+/// Answers whether this instance is ready.
+pub fn readiness(node: &Node, request: &Request) -> Reply {
+    let response = if !node.dialect.is_readiness_question(request) {
+        Response::new(404, "Not Found")
+    } else if node.is_ready() {
+        Response::new(200, "OK")
+    } else {
+        Response::new(503, "Service Unavailable")
+    };
+    (response, Vec::new())
+}
+
+/// Answers with the metrics.
+pub fn metrics(node: &Node, _: &Request) -> Reply {
+    node.metrics.running.set(node.busy.get() as i64);
+    let dropped = logs::dropped();
+    let known = node.metrics.log_lines_dropped.get();
+    let dropped_since = dropped.saturating_sub(known);
+    node.metrics.log_lines_dropped.inc_by(dropped_since);
+    let mut response = Response::new(200, "OK");
+    response.headers.push(
+        "content-type",
+        "application/openmetrics-text; version=1.0.0",
+    );
+    (response, node.metrics.encode().into_bytes())
+}
--- /dev/null
+++ b/crates/gateway/src/events.rs
@@ -0,0 +1,71 @@
+//! Cutting a stream of events at its events, so that only whole ones are passed on.
+
+/// Splits the bytes of a stream into whole events.
+#[derive(Clone, Debug, Default)]
+pub struct Events {
+    pending: Vec<u8>,
+    last: Option<u64>,
+}
+
+impl Events {
+    /// Returns a splitter that drops events up to the one with id `last`, if the caller has it.
+    pub fn after(last: Option<u64>) -> Self {
+        Self {
+            pending: Vec::new(),
+            last,
+        }
+    }
+
+    /// Returns the id of the last event that was passed on.
+    pub fn last(&self) -> Option<u64> {
+        self.last
+    }
+
+    /// Takes bytes and returns the whole events that they complete.
+    pub fn push(&mut self, bytes: &[u8]) -> Vec<u8> {
+        self.pending.extend_from_slice(bytes);
+        let mut out = Vec::new();
+        let mut start = 0;
+        while let Some(length) = event_length(&self.pending[start..]) {
+            let event = &self.pending[start..start + length];
+            start += length;
+            match event_id(event) {
+                Some(id) if self.last.is_some_and(|it| id <= it) => {}
+                id => {
+                    self.last = id.or(self.last);
+                    out.extend_from_slice(event);
+                }
+            }
+        }
+        self.pending.drain(..start);
+        out
+    }
+
+    /// Returns what is left once the stream has ended in order.
+    pub fn finish(&mut self) -> Vec<u8> {
+        std::mem::take(&mut self.pending)
+    }
+}
+
+/// Returns the length of the event at the start of `bytes`, its blank line included.
+fn event_length(bytes: &[u8]) -> Option<usize> {
+    let mut line_start = 0;
+    for (index, byte) in bytes.iter().enumerate() {
+        if *byte != b'\n' {
+            continue;
+        }
+        let line = &bytes[line_start..index];
+        let is_blank = line.is_empty() || line == b"\r";
+        line_start = index + 1;
+        if is_blank {
+            return Some(index + 1);
+        }
+    }
+    None
+}
+
+fn event_id(event: &[u8]) -> Option<u64> {
+    let mut lines = event.split(|it| *it == b'\n');
+    let line = lines.find_map(|it| it.strip_prefix(b"id:"))?;
+    std::str::from_utf8(line).ok()?.trim().parse().ok()
+}
--- /dev/null
+++ b/crates/gateway/src/exchange.rs
@@ -0,0 +1,456 @@
+//! One request of a caller, from admission to its answer.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use domain::Moment;
+use domain::digest;
+use futures_lite::future;
+use h1::Request;
+use h1::Response;
+use h1::Stream;
+use placement::plain;
+use placement::plan;
+use placement::plan::Need;
+use rand::RngExt;
+use route::Match;
+use route::Organisation;
+use route::Route;
+use route::Service;
+use route::Table;
+
+use crate::Node;
+use crate::attempt;
+use crate::attempt::Outcome;
+use crate::attempt::Target;
+use crate::front;
+use crate::front::Next;
+use crate::port::Ask;
+use crate::relay::Answer;
+use crate::relay::State;
+
+/// Bytes of a further request that are kept while one is being answered.
+const PIPELINE_LIMIT: usize = 64 * 1024;
+/// When to come back if no configuration is known: about the time of a restart's first reading.
+const UNCONFIGURED_RETRY: Duration = Duration::from_millis(500);
+/// When to come back if no server can take the request: the time in which the platform's list and
+/// the breakers show what changed.
+const NO_SERVER_RETRY: Duration = Duration::from_millis(600);
+/// Tokens that make a prompt worth as much again as a short request; from the users' sheets, where
+/// worth grows by about one for each 10,000 tokens.
+const TOKENS_OF_VALUE: f64 = 10_000.0;
+/// Callers of streams leave after this silence, or after four times the target or eight times the
+/// pause target if that is longer; from the platform's pages.
+const STREAM_PATIENCE: Duration = Duration::from_secs(2);
+
+/// A request that was admitted.
+pub struct Exchange {
+    /// The head as the caller sent it.
+    pub request: Request,
+    /// The body.
+    pub body: Vec<u8>,
+    /// What the head says beside.
+    pub ask: Ask,
+    /// Its route.
+    pub route: Rc<Route>,
+    /// Its service.
+    pub service: Rc<Service>,
+    /// Who sends it.
+    pub organisation: Option<Rc<Organisation>>,
+    /// When it arrived.
+    pub arrived: Moment,
+    /// When the caller stops waiting.
+    pub deadline: Moment,
+    /// When it has to be answered at the latest.
+    pub time_limit: Moment,
+    /// Servers that it was sent to.
+    pub tried: Vec<u64>,
+    /// The last event that the caller has.
+    pub last_event: Option<u64>,
+    /// Attempts that were sent.
+    pub attempts: u32,
+    /// Whether a server may have run it.
+    pub may_have_run: bool,
+    /// What names the same work when the caller sends it again.
+    pub fingerprint: u64,
+}
+
+/// Why a request was refused, for logs and metrics.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Refusal {
+    Unconfigured,
+    NoRoute,
+    UnknownKey,
+    Quarantined,
+    NoServer,
+    TooLate,
+    NotRun,
+    Failed,
+    TimedOut,
+}
+
+impl Refusal {
+    fn status(self) -> u16 {
+        match self {
+            Self::NoRoute => 404,
+            Self::UnknownKey => 401,
+            Self::Failed => 502,
+            Self::TimedOut => 504,
+            Self::Unconfigured
+            | Self::Quarantined
+            | Self::NoServer
+            | Self::TooLate
+            | Self::NotRun => 503,
+        }
+    }
+
+    fn name(self) -> &'static str {
+        match self {
+            Self::Unconfigured => "unconfigured",
+            Self::NoRoute => "no_route",
+            Self::UnknownKey => "unknown_key",
+            Self::Quarantined => "quarantined",
+            Self::NoServer => "no_server",
+            Self::TooLate => "too_late",
+            Self::NotRun => "not_run",
+            Self::Failed => "failed",
+            Self::TimedOut => "timed_out",
+        }
+    }
+
+    fn retry_after(self) -> Option<Duration> {
+        match self {
+            Self::Unconfigured => Some(UNCONFIGURED_RETRY),
+            Self::NoServer | Self::NotRun | Self::TooLate => Some(NO_SERVER_RETRY),
+            _ => None,
+        }
+    }
+}
+
+/// Serves one request and returns what becomes of the caller's connection.
+pub async fn run(
+    node: &Rc<Node>,
+    caller: &mut Stream,
+    request: Request,
+    body: Vec<u8>,
+    arrived: Moment,
+) -> Next {
+    let ask = node.dialect.ask(&request);
+    let is_persistent = request.is_persistent && !node.state.borrow().is_stopping;
+    let answer = Answer::new(caller.writer(), is_persistent);
+    let table = node.state.borrow().table.clone();
+    let admitted = match table {
+        Some(table) => admit(&table, request, body, ask, arrived).map_err(|it| *it),
+        None => Err((Refusal::Unconfigured, ask)),
+    };
+    let exchange = match admitted {
+        Ok(exchange) => exchange,
+        Err((refusal, ask)) => return refuse(node, answer, refusal, &ask, "").await,
+    };
+    exchange.serve(node, caller, answer).await
+}
+
+type Refused = Box<(Refusal, Ask)>;
+
+/// Finds the terms under which a request is served.
+fn admit(
+    table: &Table,
+    request: Request,
+    body: Vec<u8>,
+    ask: Ask,
+    arrived: Moment,
+) -> Result<Exchange, Refused> {
+    let (route, organisation) = match table.find(&ask.host, request.path(), ask.key.as_deref()) {
+        Match::Found {
+            route,
+            organisation,
+        } => (route, organisation),
+        Match::NoRoute => return Err(Box::new((Refusal::NoRoute, ask))),
+        Match::UnknownKey => return Err(Box::new((Refusal::UnknownKey, ask))),
+    };
+    let id = ask.id.as_deref().unwrap_or_default();
+    let point = digest::fast(id.as_bytes()) as f64 / u64::MAX as f64;
+    let service = route.service(point).and_then(|it| table.service(it));
+    let Some(service) = service.cloned() else {
+        return Err(Box::new((Refusal::NoServer, ask)));
+    };
+    let name = organisation.as_ref().map_or("", |it| it.name.as_str());
+    let work = digest::seeded(&body, digest::fast(request.target.as_bytes()));
+    let time_limit = arrived + route.time_limit;
+    let patience = ask.patience.unwrap_or(route.time_limit);
+    Ok(Exchange {
+        fingerprint: digest::seeded(name.as_bytes(), work),
+        deadline: arrived + patience,
+        time_limit,
+        last_event: ask.last_event,
+        tried: Vec::new(),
+        attempts: 0,
+        may_have_run: false,
+        request,
+        body,
+        ask,
+        route,
+        service,
+        organisation,
+        arrived,
+    })
+}
+
+impl Exchange {
+    /// Returns when the work has to end.
+    pub fn end(&self) -> Moment {
+        self.deadline.min(self.time_limit)
+    }
+
+    async fn serve(mut self, node: &Rc<Node>, caller: &mut Stream, mut answer: Answer) -> Next {
+        let end = self.time_limit;
+        let attempts = async { Some(self.attempt_all(node, &mut answer).await) };
+        let gone = async {
+            caller.closed(PIPELINE_LIMIT).await;
+            None
+        };
+        let ended = front::until(end, future::or(attempts, gone)).await;
+        let route = self.route.clone();
+        match ended {
+            Some(Some(Ok(outcome))) => {
+                node.metrics.ended(&route.name, outcome);
+                answer.next()
+            }
+            Some(Some(Err(refusal))) => {
+                if answer.state() == State::NotBegun {
+                    return refuse(node, answer, refusal, &self.ask, &route.name).await;
+                }
+                self.note_end(node, "cut_short");
+                answer.next()
+            }
+            Some(None) => {
+                self.note_end(node, "caller_left");
+                Next::Close
+            }
+            None if answer.state() == State::NotBegun => {
+                refuse(node, answer, Refusal::TimedOut, &self.ask, &route.name).await
+            }
+            None => {
+                self.note_end(node, "cut_by_time_limit");
+                Next::Close
+            }
+        }
+    }
+
+    /// Sends the request to one server after the other, until one answers or no further one may
+    /// be tried.
+    async fn attempt_all(
+        &mut self,
+        node: &Rc<Node>,
+        answer: &mut Answer,
+    ) -> Result<&'static str, Refusal> {
+        self.earn(node);
+        let mut failure: Option<(Response, Vec<u8>)> = None;
+        loop {
+            let target = match self.place(node) {
+                Ok(target) => target,
+                Err(refusal) => return self.give_up(answer, failure, refusal).await,
+            };
+            let outcome = attempt::run(node, self, &target, answer).await;
+            self.note_attempt(node, &target, &outcome);
+            self.tried.push(target.server.key());
+            match outcome {
+                Outcome::Delivered => return Ok("delivered"),
+                Outcome::Answered(response, body) => {
+                    let is_failure = response.status >= 500 && self.route.kind.is_repeatable();
+                    if is_failure && self.may_repeat(node) {
+                        failure = Some((response, body));
+                        continue;
+                    }
+                    if !self.route.kind.is_repeatable() && promises_not_run(response.status) {
+                        // The server ran it, or can't say: its status would say too much.
+                        return Err(Refusal::Failed);
+                    }
+                    let passed_on = answer.whole(response, &body).await;
+                    return Ok(passed_on.map_or("caller_left", |()| "answered"));
+                }
+                Outcome::CallerLeft => return Ok("caller_left"),
+                Outcome::Unreached => {
+                    if self.tried.len() > CONNECT_LIMIT {
+                        return self.give_up(answer, failure, Refusal::NoServer).await;
+                    }
+                }
+                Outcome::NotRun | Outcome::OtherServer => {
+                    if !self.may_repeat(node) {
+                        return self.give_up(answer, failure, Refusal::NotRun).await;
+                    }
+                }
+                Outcome::Broken => {
+                    self.may_have_run = true;
+                    if !self.route.kind.is_repeatable() || !self.may_repeat(node) {
+                        return self.give_up(answer, failure, Refusal::Failed).await;
+                    }
+                }
+            }
+        }
+    }
+
+    /// Ends a request that no server answered in full. A failure that one of them gave is passed
+    /// on; "not run" is only said if it is certain.
+    async fn give_up(
+        &self,
+        answer: &mut Answer,
+        failure: Option<(Response, Vec<u8>)>,
+        refusal: Refusal,
+    ) -> Result<&'static str, Refusal> {
+        if let Some((response, body)) = failure
+            && answer.state() == State::NotBegun
+        {
+            let passed_on = answer.whole(response, &body).await;
+            return Ok(passed_on.map_or("caller_left", |()| "answered"));
+        }
+        if self.may_have_run {
+            return Err(Refusal::Failed);
+        }
+        Err(refusal)
+    }
+
+    /// Adds this request to the allowance of its service.
+    fn earn(&self, node: &Node) {
+        let terms = node.settings().allowance;
+        let mut state = node.state.borrow_mut();
+        let (allowance, entries) = state.allowance(clock::now(), &terms, &self.service.name);
+        allowance.earn(&terms, entries);
+    }
+
+    /// Tells whether the request may be sent once more, and takes that from the allowance.
+    fn may_repeat(&self, node: &Node) -> bool {
+        if self.attempts >= self.route.attempts {
+            return false;
+        }
+        let terms = node.settings().allowance;
+        let now = clock::now();
+        let mut state = node.state.borrow_mut();
+        let (allowance, entries) = state.allowance(now, &terms, &self.service.name);
+        let may = allowance.spend(now, &terms, entries);
+        if may {
+            node.metrics.retries.inc();
+        } else {
+            node.metrics.retries_denied.inc();
+        }
+        may
+    }
+
+    /// Chooses where the request goes.
+    fn place(&self, node: &Node) -> Result<Target, Refusal> {
+        let now = clock::now();
+        let mut state = node.state.borrow_mut();
+        let state = &mut *state;
+        if state.quarantine.is_refused(now, self.fingerprint) {
+            return Err(Refusal::Quarantined);
+        }
+        let mut random = rand::rng();
+        let servers = state.servers.usable(now, &self.service.name);
+        let (Some(engine), Some(prompt)) = (&self.service.engine, self.ask.prompt) else {
+            let chosen = plain::choose(now, servers, &state.board, &self.tried, &mut random);
+            let known = chosen.ok_or(Refusal::NoServer)?;
+            return Ok(Target::plain(known.server.clone()));
+        };
+        let need = self.need(now, prompt.tokens, prompt.output, prompt.expected_output);
+        let plan = plan::choose(
+            now,
+            engine,
+            servers,
+            &state.board,
+            &need,
+            &self.tried,
+            &mut random,
+        );
+        let plan = plan.ok_or(Refusal::NoServer)?;
+        if now + plan.first_token > self.patience() && self.attempts == 0 {
+            return Err(Refusal::TooLate);
+        }
+        let addressed = plan.parts.iter().map(|it| {
+            let known = state.servers.get_mut(it.server)?;
+            Some(known.server.clone())
+        });
+        let addressed: Option<Vec<_>> = addressed.collect();
+        Target::planned(plan, addressed.unwrap_or_default()).ok_or(Refusal::NoServer)
+    }
+
+    fn need(&self, now: Moment, tokens: u64, output: u64, expected: Option<u64>) -> Need {
+        let usual = self.service.engine.as_ref().map_or(0, |it| it.usual_output);
+        Need {
+            prompt: tokens,
+            output: expected.unwrap_or(usual).min(output),
+            target: now.until(self.arrived + self.route.target),
+            pause: self.route.pause_target,
+            value: value(tokens),
+        }
+    }
+
+    /// Returns when the caller of a stream leaves if no event has come.
+    fn patience(&self) -> Moment {
+        let pause = self.route.pause_target.unwrap_or_default();
+        let silence = STREAM_PATIENCE.max(self.route.target * 4).max(pause * 8);
+        (self.arrived + silence).min(self.end())
+    }
+
+    fn note_attempt(&self, node: &Node, target: &Target, outcome: &Outcome) {
+        log::info!(
+            target: "attempt",
+            request = self.ask.id.as_deref().unwrap_or("-"),
+            route = self.route.name.as_str(),
+            server = target.server.id.as_str(),
+            parts = target.parts.len(),
+            forecast_ms = target.first_token.as_millis() as u64,
+            config = node.state.borrow().table.as_ref().map_or(0, |it| it.version()),
+            attempt = self.attempts,
+            elapsed_ms = clock::now().since(self.arrived).as_millis() as u64,
+            outcome = outcome.name();
+            "attempt ended"
+        );
+    }
+
+    fn note_end(&self, node: &Node, outcome: &'static str) {
+        node.metrics.ended(&self.route.name, outcome);
+        log::info!(
+            target: "request",
+            request = self.ask.id.as_deref().unwrap_or("-"),
+            route = self.route.name.as_str(),
+            attempts = self.attempts,
+            elapsed_ms = clock::now().since(self.arrived).as_millis() as u64,
+            outcome;
+            "request ended without a whole answer"
+        );
+    }
+}
+
+/// Tells whether callers take a status for a promise that the request has not run.
+fn promises_not_run(status: u16) -> bool {
+    matches!(status, 408 | 421 | 429 | 503)
+}
+
+/// Returns what a prompt is worth to its caller, a short request being worth 1.
+pub fn value(tokens: u64) -> f64 {
+    1.0 + tokens as f64 / TOKENS_OF_VALUE
+}
+
+/// Servers that can't be reached before a request is refused.
+const CONNECT_LIMIT: usize = 4;
+
+async fn refuse(node: &Node, answer: Answer, refusal: Refusal, ask: &Ask, route: &str) -> Next {
+    node.metrics.ended(route, refusal.name());
+    let retry_after = refusal
+        .retry_after()
+        .map(|it| it.mul_f64(1.0 + rand::rng().random::<f64>()));
+    log::info!(
+        target: "refuse",
+        request = ask.id.as_deref().unwrap_or("-"),
+        route,
+        host = ask.host.as_str(),
+        status = refusal.status(),
+        retry_after_ms = retry_after.map_or(0, |it| it.as_millis() as u64),
+        config = node.state.borrow().table.as_ref().map_or(0, |it| it.version()),
+        reason = refusal.name();
+        "request refused"
+    );
+    answer
+        .refuse(node, refusal.status(), ask.id.as_deref(), retry_after)
+        .await
+}
--- /dev/null
+++ b/crates/gateway/src/front.rs
@@ -0,0 +1,195 @@
+//! Callers' connections: reads requests and hands them on.
+
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_io::Async;
+use async_io::Timer;
+use domain::Moment;
+use futures_lite::future;
+use h1::Error;
+use h1::Framing;
+use h1::Request;
+use h1::Stream;
+use h1::body::Decoder;
+use route::Limits;
+
+use crate::Node;
+use crate::exchange;
+use crate::relay::Answer;
+
+/// The time after which a caller that acknowledges nothing counts as lost.
+const SILENCE: Duration = Duration::from_secs(5);
+/// The pause after a failed accept, for example when file descriptors are used up.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// The time for which a refused caller's bytes are still read, so that it sees the answer.
+const LINGER: Duration = Duration::from_millis(500);
+/// The time for a body; no caller's own time limit is longer.
+const BODY_TIME: Duration = Duration::from_secs(15);
+/// The part of the process's memory that callers' bodies may take.
+const BODY_MEMORY_PART: usize = 4;
+
+/// What became of a connection after a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Next {
+    /// It can carry another request.
+    Keep,
+    /// It is to be closed.
+    Close,
+}
+
+/// Accepts callers until the listener is dropped.
+pub async fn accept(node: Rc<Node>, listener: Async<TcpListener>) {
+    loop {
+        match listener.accept().await {
+            Ok((socket, _)) => {
+                let connection = connection(node.clone(), socket);
+                node.executor.spawn(connection).detach();
+            }
+            Err(error) => {
+                log::warn!(target: "front", error:% = error; "accept failed, retrying");
+                Timer::after(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn connection(node: Rc<Node>, socket: Async<TcpStream>) {
+    let mut stream = match Stream::new(socket, SILENCE) {
+        Ok(stream) => stream,
+        Err(error) => {
+            log::debug!(target: "front", error:% = error; "the caller was gone at once");
+            return;
+        }
+    };
+    while wait_for_request(&node, &mut stream).await {
+        node.busy.set(node.busy.get() + 1);
+        let next = request(&node, &mut stream).await;
+        node.busy.set(node.busy.get() - 1);
+        if next == Next::Close {
+            stream.linger(LINGER).await;
+            return;
+        }
+    }
+}
+
+/// Waits for the first byte of a request. Returns whether one is coming.
+async fn wait_for_request(node: &Node, stream: &mut Stream) -> bool {
+    let idle_time = limits(node).idle_time;
+    let coming = async { stream.readable().await.is_ok() };
+    let idle = async {
+        Timer::after(idle_time).await;
+        false
+    };
+    let closing = async {
+        node.closing().await;
+        false
+    };
+    future::or(coming, future::or(idle, closing)).await
+}
+
+fn limits(node: &Node) -> Limits {
+    let state = node.state.borrow();
+    let table = state.table.as_ref();
+    table.map_or_else(Limits::default, |it| it.limits().clone())
+}
+
+/// Reads one request and answers it.
+async fn request(node: &Rc<Node>, stream: &mut Stream) -> Next {
+    let arrived = clock::now();
+    let limits = limits(node);
+    let head = within(limits.head_time, stream.read_request(limits.head_bytes)).await;
+    let request = match head {
+        Some(Ok(request)) => request,
+        Some(Err(error)) => return refuse_unread(node, stream, status_of(&error), &error).await,
+        None => {
+            let answer = Answer::new(stream.writer(), false);
+            return answer.refuse(node, 408, None, None).await;
+        }
+    };
+    let body = match read_body(node, stream, &request, &limits).await {
+        Ok(body) => body,
+        Err(next) => return next,
+    };
+    let size = body.len();
+    node.body_bytes.set(node.body_bytes.get() + size);
+    let next = exchange::run(node, stream, request, body, arrived).await;
+    node.body_bytes.set(node.body_bytes.get() - size);
+    next
+}
+
+async fn read_body(
+    node: &Rc<Node>,
+    stream: &mut Stream,
+    request: &Request,
+    limits: &Limits,
+) -> Result<Vec<u8>, Next> {
+    let refuse = |status| {
+        let answer = Answer::new(stream.writer(), false);
+        async move { answer.refuse(node, status, None, None).await }
+    };
+    let declared = match request.framing {
+        Framing::Empty => return Ok(Vec::new()),
+        Framing::Length(length) => usize::try_from(length).unwrap_or(usize::MAX),
+        Framing::Chunked | Framing::UntilClose => 0,
+    };
+    if declared > limits.body_bytes {
+        return Err(refuse(413).await);
+    }
+    let most = node.settings().memory / BODY_MEMORY_PART;
+    if node.body_bytes.get() + declared > most {
+        log::warn!(target: "front", held = node.body_bytes.get(), most; "refused, no memory for the body");
+        return Err(refuse(503).await);
+    }
+    if request.headers.has_token("expect", "100-continue") {
+        let interim = b"HTTP/1.1 100 Continue\r\n\r\n";
+        if stream.writer().write(interim).await.is_err() {
+            return Err(Next::Close);
+        }
+    }
+    let mut decoder = Decoder::new(request.framing);
+    let whole = stream.read_whole(&mut decoder, limits.body_bytes);
+    match within(BODY_TIME, whole).await {
+        Some(Ok(body)) => Ok(body),
+        Some(Err(error)) => Err(refuse_unread(node, stream, status_of(&error), &error).await),
+        None => Err(Answer::new(stream.writer(), false)
+            .refuse(node, 408, None, None)
+            .await),
+    }
+}
+
+/// Returns the status that tells a caller why its request can't be read; nothing if it is gone.
+fn status_of(error: &Error) -> Option<u16> {
+    match error {
+        Error::Malformed(_) => Some(400),
+        Error::HeadTooLong(_) => Some(431),
+        Error::BodyTooLong(_) => Some(413),
+        Error::Closed | Error::Truncated | Error::Io(_) => None,
+    }
+}
+
+async fn refuse_unread(node: &Node, stream: &Stream, status: Option<u16>, error: &Error) -> Next {
+    let Some(status) = status else {
+        return Next::Close;
+    };
+    log::info!(target: "front", status, error:% = error; "refused, the request can't be read");
+    let answer = Answer::new(stream.writer(), false);
+    answer.refuse(node, status, None, None).await
+}
+
+/// Waits for `work` for at most `limit`.
+pub async fn within<T>(limit: Duration, work: impl Future<Output = T>) -> Option<T> {
+    let work = async { Some(work.await) };
+    let limit = async {
+        Timer::after(limit).await;
+        None
+    };
+    future::or(work, limit).await
+}
+
+/// Waits for `work` until `deadline`.
+pub async fn until<T>(deadline: Moment, work: impl Future<Output = T>) -> Option<T> {
+    within(clock::now().until(deadline), work).await
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,29 @@
+//! The gateway: serves routes, between callers that connect to it and backend servers.
+//!
+//! A request goes one way: [`front`] reads it, [`exchange`] admits and places it, [`attempt`] sends
+//! it to a backend server, [`relay`] passes the answer on. [`follow`] keeps what the platform says,
+//! [`peers`] what other entries say. What this crate needs of the platform it states in [`port`];
+//! it knows none of the platform's names.
+//!
+//! Architecture invariant: no borrow of [`node::State`] lasts across an await.
+
+pub mod attempt;
+pub mod connections;
+pub mod doors;
+pub mod events;
+pub mod exchange;
+pub mod follow;
+pub mod front;
+pub mod logs;
+pub mod metrics;
+pub mod node;
+pub mod peers;
+pub mod port;
+pub mod relay;
+pub mod run;
+pub mod settings;
+
+pub use node::Node;
+pub use port::Dialect;
+pub use port::Platform;
+pub use settings::Settings;
--- /dev/null
+++ b/crates/gateway/src/metrics.rs
@@ -0,0 +1,173 @@
+//! Metrics for Prometheus.
+
+use std::time::Duration;
+
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::text;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::metrics::histogram::exponential_buckets;
+use prometheus_client::registry::Registry;
+
+/// The upper bound of the first bucket of a histogram of times, in seconds.
+const FIRST_BUCKET_S: f64 = 0.004;
+/// The number of buckets, each twice as wide as the one before.
+const BUCKETS: u16 = 13;
+
+/// Labels of requests that ended.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct Ending {
+    /// The route.
+    pub route: String,
+    /// How the request ended.
+    pub outcome: &'static str,
+}
+
+/// Labels by route.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ByRoute {
+    /// The route.
+    pub route: String,
+}
+
+/// Labels of calls to the platform.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct Call {
+    /// The list that was read or written.
+    pub list: &'static str,
+    /// `done`, `refused` or `unanswered`.
+    pub outcome: &'static str,
+}
+
+type Times = Family<ByRoute, Histogram, fn() -> Histogram>;
+
+/// All metrics of a gateway.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    /// Requests that ended.
+    pub requests: Family<Ending, Counter>,
+    /// Time to the first event of a stream, or to the whole answer.
+    pub first_token: Times,
+    /// Requests sent to another server after the first.
+    pub retries: Counter,
+    /// Repeats that the allowance did not permit.
+    pub retries_denied: Counter,
+    /// Requests in progress.
+    pub running: Gauge,
+    /// The version of the configuration in force.
+    pub config_version: Gauge,
+    /// Backend servers that take work.
+    pub servers: Gauge,
+    /// Calls to the platform.
+    pub platform_calls: Family<Call, Counter>,
+    /// Entries that count as alive, this one included.
+    pub entries_alive: Gauge,
+    /// Bytes of datagrams sent to other entries.
+    pub control_bytes: Counter,
+    /// Log lines left out since their part had used up its budget.
+    pub log_lines_dropped: Counter,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let mut it = Self {
+            registry: Registry::with_prefix("coriander"),
+            requests: Family::default(),
+            first_token: Family::new_with_constructor(times),
+            retries: Counter::default(),
+            retries_denied: Counter::default(),
+            running: Gauge::default(),
+            config_version: Gauge::default(),
+            servers: Gauge::default(),
+            platform_calls: Family::default(),
+            entries_alive: Gauge::default(),
+            control_bytes: Counter::default(),
+            log_lines_dropped: Counter::default(),
+        };
+        it.register();
+        it
+    }
+}
+
+impl Metrics {
+    /// Returns all metrics in the text format.
+    pub fn encode(&self) -> String {
+        let mut out = String::new();
+        if text::encode(&mut out, &self.registry).is_err() {
+            log::error!(target: "metrics", "the metrics can't be encoded, the page is cut short");
+        }
+        out
+    }
+
+    /// Notes the end of a request.
+    pub fn ended(&self, route: &str, outcome: &'static str) {
+        let ending = Ending {
+            route: route.to_owned(),
+            outcome,
+        };
+        self.requests.get_or_create(&ending).inc();
+    }
+
+    /// Notes the time to the first event of a stream, or to the whole answer.
+    pub fn began(&self, route: &str, after: Duration) {
+        let label = ByRoute {
+            route: route.to_owned(),
+        };
+        let histogram = self.first_token.get_or_create(&label);
+        histogram.observe(after.as_secs_f64());
+    }
+
+    fn register(&mut self) {
+        let it = &mut self.registry;
+        it.register("requests", "Requests that ended", self.requests.clone());
+        it.register(
+            "first_token_seconds",
+            "Time to the first event or the whole answer",
+            self.first_token.clone(),
+        );
+        it.register("retries", "Attempts after the first", self.retries.clone());
+        it.register(
+            "retries_denied",
+            "Repeats that the allowance did not permit",
+            self.retries_denied.clone(),
+        );
+        it.register("running", "Requests in progress", self.running.clone());
+        it.register(
+            "config_version",
+            "Version of the configuration in force",
+            self.config_version.clone(),
+        );
+        it.register(
+            "servers",
+            "Backend servers that take work",
+            self.servers.clone(),
+        );
+        it.register(
+            "platform_calls",
+            "Calls to the platform",
+            self.platform_calls.clone(),
+        );
+        it.register(
+            "entries_alive",
+            "Entries that count as alive",
+            self.entries_alive.clone(),
+        );
+        it.register(
+            "control_bytes",
+            "Bytes of datagrams to other entries",
+            self.control_bytes.clone(),
+        );
+        it.register(
+            "log_lines_dropped",
+            "Log lines left out",
+            self.log_lines_dropped.clone(),
+        );
+    }
+}
+
+fn times() -> Histogram {
+    Histogram::new(exponential_buckets(FIRST_BUCKET_S, 2.0, BUCKETS))
+}
--- /dev/null
+++ b/crates/gateway/src/node.rs
@@ -0,0 +1,196 @@
+//! All state of a gateway process, on one thread.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::UdpSocket;
+use std::rc::Rc;
+
+use async_channel::Receiver;
+use async_channel::Sender;
+use async_executor::LocalExecutor;
+use async_io::Async;
+use domain::Moment;
+use domain::key::Incarnation;
+use membership::Members;
+use membership::member::Member;
+use membership::member::Phase;
+use placement::Allowance;
+use placement::Board;
+use placement::JobId;
+use placement::Note;
+use placement::Servers;
+use placement::board::Change;
+use route::Table;
+use routing::Quarantine;
+
+use crate::connections::Connections;
+use crate::metrics::Metrics;
+use crate::peers;
+use crate::port::Dialect;
+use crate::settings::Settings;
+
+/// A gateway process.
+pub struct Node {
+    settings: RefCell<Rc<Settings>>,
+    /// The dialect of callers and backend servers.
+    pub dialect: Box<dyn Dialect>,
+    /// Runs all tasks.
+    pub executor: Rc<LocalExecutor<'static>>,
+    /// This life of the process.
+    pub incarnation: Incarnation,
+    /// What changes.
+    pub state: RefCell<State>,
+    /// Kept connections to backend servers.
+    pub connections: RefCell<Connections>,
+    /// Counters and histograms.
+    pub metrics: Metrics,
+    /// The socket for datagrams between entries.
+    pub datagrams: Async<UdpSocket>,
+    /// Requests in progress.
+    pub busy: Cell<usize>,
+    /// Bytes of callers' bodies in memory.
+    pub body_bytes: Cell<usize>,
+    numbers: Cell<u64>,
+    /// Closed once idle connections of callers are to be closed.
+    close: Sender<()>,
+    closed: Receiver<()>,
+}
+
+/// What changes.
+#[derive(Debug)]
+pub struct State {
+    /// The configuration in force; absent until one is known.
+    pub table: Option<Rc<Table>>,
+    /// The newest configuration record as it came, for peers that can't reach the platform.
+    pub table_record: Option<Rc<Vec<u8>>>,
+    /// The backend servers.
+    pub servers: Servers,
+    /// The work of all entries.
+    pub board: Board,
+    /// The entries.
+    pub members: Members,
+    /// Requests that bring backend servers down.
+    pub quarantine: Quarantine,
+    /// Repeats that may still be sent, by service.
+    pub allowances: HashMap<String, Allowance>,
+    /// Whether the process was told to stop.
+    pub is_stopping: bool,
+}
+
+impl Node {
+    /// Returns a node that knows nothing yet.
+    pub fn new(
+        settings: Settings,
+        dialect: Box<dyn Dialect>,
+        executor: Rc<LocalExecutor<'static>>,
+        datagrams: Async<UdpSocket>,
+    ) -> Rc<Self> {
+        let incarnation = Incarnation::from_random(rand::random());
+        let me = Member {
+            incarnation,
+            name: settings.name.clone(),
+            data_centre: settings.data_centre.clone(),
+            callers: settings.callers,
+            peers: settings.peers,
+            phase: Phase::Starting,
+            beat: 0,
+        };
+        let (close, closed) = async_channel::bounded(1);
+        Rc::new(Self {
+            dialect,
+            executor,
+            incarnation,
+            state: RefCell::new(State {
+                table: None,
+                table_record: None,
+                servers: Servers::default(),
+                board: Board::default(),
+                members: Members::new(me),
+                quarantine: Quarantine::default(),
+                allowances: HashMap::new(),
+                is_stopping: false,
+            }),
+            connections: RefCell::default(),
+            metrics: Metrics::default(),
+            datagrams,
+            busy: Cell::new(0),
+            body_bytes: Cell::new(0),
+            numbers: Cell::new(0),
+            close,
+            closed,
+            settings: RefCell::new(Rc::new(settings)),
+        })
+    }
+
+    /// Returns the settings in force.
+    pub fn settings(&self) -> Rc<Settings> {
+        self.settings.borrow().clone()
+    }
+
+    /// Puts changed settings in force. Addresses that are bound stay as they are until a restart.
+    pub fn adopt_settings(&self, settings: Settings) {
+        self.state.borrow_mut().members.list(&settings.seeds);
+        *self.settings.borrow_mut() = Rc::new(settings);
+    }
+
+    /// Returns a job that no other has.
+    pub fn next_job(&self) -> JobId {
+        let number = self.numbers.get();
+        self.numbers.set(number + 1);
+        JobId {
+            entry: self.incarnation,
+            number,
+        }
+    }
+
+    /// Closes callers' connections that are idle, and the others after their present request.
+    pub fn close(&self) {
+        self.close.close();
+    }
+
+    /// Completes once callers' connections are to be closed.
+    pub async fn closing(&self) {
+        // Nothing is ever sent: the only way to end is the close.
+        while self.closed.recv().await.is_ok() {}
+    }
+
+    /// Notes a change of a placed request, and tells the other entries.
+    pub fn note(&self, now: Moment, job: JobId, change: Change) {
+        let note = Note { job, change };
+        self.state.borrow_mut().board.take(now, &note);
+        peers::tell(self, note);
+    }
+
+    /// Tells whether this instance serves callers.
+    pub fn is_ready(&self) -> bool {
+        let state = self.state.borrow();
+        state.table.is_some() && !state.is_stopping
+    }
+}
+
+impl State {
+    /// Returns what this entry is ready for.
+    pub fn phase(&self) -> Phase {
+        match (&self.table, self.is_stopping) {
+            (_, true) => Phase::Leaving,
+            (Some(_), false) => Phase::Ready,
+            (None, false) => Phase::Starting,
+        }
+    }
+
+    /// Returns this entry's allowance for a service, and the number of entries that share it.
+    pub fn allowance(
+        &mut self,
+        now: Moment,
+        terms: &placement::allowance::Terms,
+        service: &str,
+    ) -> (&mut Allowance, usize) {
+        let entries = self.members.expected();
+        let allowance = self
+            .allowances
+            .entry(service.to_owned())
+            .or_insert_with(|| Allowance::new(now, terms, entries));
+        (allowance, entries)
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/peers.rs
@@ -0,0 +1,167 @@
+//! Other entries: membership, news, and notes on placed requests, as datagrams.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use domain::Moment;
+use domain::key::Incarnation;
+use futures_lite::future;
+use membership::members::Output;
+use membership::message::Event;
+use membership::message::Rumour;
+use placement::Note;
+use wire::Frame;
+
+use crate::Node;
+
+/// The time between two ticks of the membership.
+const TICK: Duration = Duration::from_millis(100);
+/// The time between two clean-ups of what is forgotten.
+const SWEEP: Duration = Duration::from_secs(2);
+/// The longest datagram, in bytes.
+const DATAGRAM_LIMIT: usize = 64 * 1024;
+
+/// Talks to the other entries until the process ends.
+pub async fn gossip(node: Rc<Node>) {
+    let mut buffer = vec![0; DATAGRAM_LIMIT];
+    let mut tick = clock::now();
+    let mut sweep = clock::now();
+    loop {
+        let received = async { Some(node.datagrams.recv_from(&mut buffer).await) };
+        let due = async {
+            clock::wait_until(tick).await;
+            None
+        };
+        let output = match future::or(due, received).await {
+            Some(Ok((length, from))) => receive(&node, from, &buffer[..length]),
+            Some(Err(error)) => {
+                log::debug!(target: "peers", error:% = error; "receive failed");
+                Output::default()
+            }
+            None => {
+                let now = clock::now();
+                tick = now + TICK;
+                if now >= sweep {
+                    sweep = now + SWEEP;
+                    clean(&node, now);
+                }
+                node.state.borrow_mut().members.tick(now, &mut rand::rng())
+            }
+        };
+        act(&node, output);
+    }
+}
+
+/// Tells all entries of a change of a placed request.
+pub fn tell(node: &Node, note: Note) {
+    let bytes = Frame::Work(vec![note]).encode();
+    let state = node.state.borrow();
+    for member in state.members.alive().skip(1) {
+        send(node, member.peers, &bytes);
+    }
+}
+
+/// Makes the phase known at once, before a planned stop goes on.
+pub fn announce(node: &Node) {
+    let sends = {
+        let mut state = node.state.borrow_mut();
+        let phase = state.phase();
+        state.members.enter(phase);
+        let member = state.members.me().clone();
+        state.members.broadcast(Rumour::Member {
+            member,
+            state: membership::member::State::Alive,
+        })
+    };
+    for it in sends {
+        send(node, it.to, &Frame::Message(it.message).encode());
+    }
+}
+
+fn clean(node: &Node, now: Moment) {
+    node.state.borrow_mut().board.expire(now);
+    node.connections.borrow_mut().expire(now);
+}
+
+fn receive(node: &Node, from: SocketAddr, bytes: &[u8]) -> Output {
+    let now = clock::now();
+    let mut state = node.state.borrow_mut();
+    match Frame::decode(bytes) {
+        Ok(Frame::Message(message)) => return state.members.receive(now, from, message),
+        Ok(Frame::Work(notes)) => {
+            for note in &notes {
+                state.board.take(now, note);
+            }
+        }
+        Ok(Frame::Loads(_)) => {
+            log::debug!(target: "peers", from:% = from; "load reports are not used here");
+        }
+        Err(error) => {
+            log::debug!(target: "peers", from:% = from, error:% = error; "a datagram can't be read");
+        }
+    }
+    Output::default()
+}
+
+fn act(node: &Rc<Node>, output: Output) {
+    for it in output.sends {
+        send(node, it.to, &Frame::Message(it.message).encode());
+    }
+    for event in output.events {
+        match event {
+            Event::Changed(incarnation) => changed(node, incarnation),
+            Event::News(rumour) => news(node, rumour),
+            Event::ConfigAhead { .. } => {}
+        }
+    }
+}
+
+/// Sends one datagram. A lost one is made up for by later ones.
+fn send(node: &Node, to: SocketAddr, bytes: &[u8]) {
+    node.metrics.control_bytes.inc_by(bytes.len() as u64);
+    if let Err(error) = node.datagrams.get_ref().send_to(bytes, to) {
+        log::debug!(target: "peers", to:% = to, error:% = error; "send failed");
+    }
+}
+
+fn changed(node: &Node, incarnation: Incarnation) {
+    let now = clock::now();
+    let mut state = node.state.borrow_mut();
+    let alive = state.members.alive().count();
+    node.metrics.entries_alive.set(alive as i64);
+    match state.members.get(incarnation) {
+        Some(member) => {
+            log::info!(target: "peers", peer = member.name.as_str(), phase:? = member.phase, alive; "an entry changed");
+        }
+        None => {
+            log::info!(target: "peers", incarnation:% = incarnation, alive; "an entry is gone");
+            state.board.forget_entry(now, incarnation);
+        }
+    }
+}
+
+/// Takes a piece of news and passes it on if it really is news.
+fn news(node: &Node, rumour: Rumour) {
+    let now = clock::now();
+    let mut state = node.state.borrow_mut();
+    let is_news = match &rumour {
+        Rumour::Member { .. } => false,
+        Rumour::Crash {
+            fingerprint,
+            server,
+        } => state.quarantine.crashed(now, *fingerprint, server),
+        Rumour::ServerLeaving { server } => {
+            let keys = state.servers.all().filter(|it| it.server.id == *server);
+            let keys: Vec<u64> = keys.map(|it| it.server.key()).collect();
+            let mut is_news = false;
+            for key in keys {
+                is_news |= state.servers.disown(now, key);
+            }
+            is_news
+        }
+    };
+    if is_news {
+        state.members.tell(rumour);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/relay.rs
@@ -0,0 +1,115 @@
+//! The answer that a caller receives: whole, or as a stream of events from one server or several.
+
+use std::time::Duration;
+
+use h1::Error;
+use h1::Framing;
+use h1::Response;
+use h1::body;
+use h1::stream::Writer;
+
+use crate::Node;
+use crate::front::Next;
+
+/// An answer to a caller.
+#[derive(Debug)]
+pub struct Answer {
+    writer: Writer,
+    is_persistent: bool,
+    state: State,
+}
+
+/// How much of an answer the caller has.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum State {
+    /// Nothing.
+    NotBegun,
+    /// The head and maybe some events.
+    Begun,
+    /// Everything.
+    Complete,
+}
+
+impl Answer {
+    /// Returns an answer of which nothing is sent. `is_persistent` is whether the connection stays
+    /// open after it.
+    pub fn new(writer: Writer, is_persistent: bool) -> Self {
+        Self {
+            writer,
+            is_persistent,
+            state: State::NotBegun,
+        }
+    }
+
+    /// Returns how much of it the caller has.
+    pub fn state(&self) -> State {
+        self.state
+    }
+
+    /// Returns what becomes of the connection. One with an answer that is cut short is closed.
+    pub fn next(&self) -> Next {
+        if self.is_persistent && self.state == State::Complete {
+            Next::Keep
+        } else {
+            Next::Close
+        }
+    }
+
+    /// Sends a whole answer.
+    pub async fn whole(&mut self, mut response: Response, body: &[u8]) -> Result<(), Error> {
+        response.headers.strip_hop_by_hop();
+        response.is_persistent = self.is_persistent;
+        if response.framing != Framing::Empty {
+            response.framing = Framing::Length(body.len() as u64);
+        }
+        let mut bytes = response.encode();
+        bytes.extend_from_slice(body);
+        self.state = State::Begun;
+        self.writer.write(&bytes).await?;
+        self.state = State::Complete;
+        Ok(())
+    }
+
+    /// Sends the head of a stream and its first events.
+    pub async fn begin(&mut self, mut response: Response, events: &[u8]) -> Result<(), Error> {
+        response.headers.strip_hop_by_hop();
+        response.is_persistent = self.is_persistent;
+        response.framing = Framing::Chunked;
+        let mut bytes = response.encode();
+        body::encode_chunk(events, &mut bytes);
+        self.state = State::Begun;
+        self.writer.write(&bytes).await
+    }
+
+    /// Sends further events.
+    pub async fn events(&mut self, events: &[u8]) -> Result<(), Error> {
+        let mut bytes = Vec::with_capacity(events.len() + 16);
+        body::encode_chunk(events, &mut bytes);
+        self.writer.write(&bytes).await
+    }
+
+    /// Sends the last events of a stream and its end.
+    pub async fn end(&mut self, events: &[u8]) -> Result<(), Error> {
+        let mut bytes = Vec::with_capacity(events.len() + 16);
+        body::encode_chunk(events, &mut bytes);
+        bytes.extend_from_slice(body::LAST_CHUNK);
+        self.writer.write(&bytes).await?;
+        self.state = State::Complete;
+        Ok(())
+    }
+
+    /// Answers with a status of the gateway's own.
+    pub async fn refuse(
+        mut self,
+        node: &Node,
+        status: u16,
+        id: Option<&str>,
+        retry_after: Option<Duration>,
+    ) -> Next {
+        let response = node.dialect.refusal(status, id, retry_after);
+        if let Err(error) = self.whole(response, b"").await {
+            log::debug!(target: "front", status, error:% = error; "the caller left before its answer");
+        }
+        self.next()
+    }
+}
--- /dev/null
+++ b/crates/h1/src/stream.rs
@@ -0,0 +1,235 @@
+//! A connection with what was read from it and not yet used.
+
+use std::io;
+use std::io::Read;
+use std::net::SocketAddr;
+use std::net::TcpStream;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_io::Async;
+use futures_lite::AsyncWriteExt;
+use socket2::SockRef;
+use socket2::TcpKeepalive;
+
+use crate::Error;
+use crate::Request;
+use crate::Response;
+use crate::body::Decoder;
+
+/// The bytes read at once.
+const READ_SIZE: usize = 16 * 1024;
+
+/// A connection.
+#[derive(Debug)]
+pub struct Stream {
+    socket: Rc<Async<TcpStream>>,
+    buffer: Vec<u8>,
+}
+
+/// The writing side of a connection.
+#[derive(Clone, Debug)]
+pub struct Writer {
+    socket: Rc<Async<TcpStream>>,
+}
+
+impl Writer {
+    /// Writes all bytes.
+    pub async fn write(&self, bytes: &[u8]) -> Result<(), Error> {
+        Ok((&*self.socket).write_all(bytes).await?)
+    }
+}
+
+impl Stream {
+    /// Connects to `address`. `silence` is the time after which a peer that acknowledges nothing
+    /// counts as lost; without it, writing into a partition would hang.
+    pub async fn connect(address: SocketAddr, silence: Duration) -> Result<Self, Error> {
+        let socket = Async::<TcpStream>::connect(address).await?;
+        Ok(Self::new(socket, silence)?)
+    }
+
+    /// Wraps a connected socket.
+    pub fn new(socket: Async<TcpStream>, silence: Duration) -> io::Result<Self> {
+        let options = SockRef::from(socket.get_ref());
+        options.set_tcp_nodelay(true)?;
+        options.set_tcp_user_timeout(Some(silence))?;
+        let probe = (silence / 3).max(Duration::from_secs(1));
+        let probes = TcpKeepalive::new().with_time(probe).with_interval(probe);
+        options.set_tcp_keepalive(&probes.with_retries(2))?;
+        Ok(Self {
+            socket: Rc::new(socket),
+            buffer: Vec::new(),
+        })
+    }
+
+    /// Returns the number of bytes that were read and not used.
+    pub fn unread(&self) -> usize {
+        self.buffer.len()
+    }
+
+    /// Reads more bytes into the buffer. Returns the number, 0 at the end of the connection. No
+    /// byte is lost if the future is dropped before it completes.
+    pub async fn fill(&mut self) -> Result<usize, Error> {
+        loop {
+            let start = self.buffer.len();
+            self.buffer.resize(start + READ_SIZE, 0);
+            let result = (&mut self.socket.get_ref()).read(&mut self.buffer[start..]);
+            self.buffer.truncate(start + *result.as_ref().unwrap_or(&0));
+            match result {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                    self.socket.readable().await?;
+                }
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                result => return Ok(result?),
+            }
+        }
+    }
+
+    /// Completes once the connection ends or fails. Bytes that arrive until then are kept, up to
+    /// `limit` of them.
+    pub async fn closed(&mut self, limit: usize) {
+        while self.buffer.len() < limit {
+            match self.fill().await {
+                Ok(0) | Err(_) => return,
+                Ok(_) => {}
+            }
+        }
+        futures_lite::future::pending().await
+    }
+
+    /// Tells whether an idle connection can carry another request: nothing was received on it and
+    /// its other end is open.
+    pub fn is_quiet(&self) -> bool {
+        let mut byte = [std::mem::MaybeUninit::uninit(); 1];
+        let peeked = SockRef::from(self.socket.get_ref()).peek(&mut byte);
+        let is_open = peeked.is_err_and(|it| it.kind() == io::ErrorKind::WouldBlock);
+        is_open && self.buffer.is_empty()
+    }
+
+    /// Completes once the first byte of a message is there.
+    pub async fn readable(&mut self) -> Result<(), Error> {
+        if self.buffer.is_empty() && self.fill().await? == 0 {
+            return Err(Error::Closed);
+        }
+        Ok(())
+    }
+
+    /// Reads the head of a request of at most `limit` bytes.
+    pub async fn read_request(&mut self, limit: usize) -> Result<Request, Error> {
+        loop {
+            self.skip_blank_lines();
+            if let Some((request, length)) = Request::parse(&self.buffer)? {
+                if length > limit {
+                    return Err(Error::HeadTooLong(limit));
+                }
+                self.buffer.drain(..length);
+                return Ok(request);
+            }
+            if self.buffer.len() > limit {
+                return Err(Error::HeadTooLong(limit));
+            }
+            self.fill_inside().await?;
+        }
+    }
+
+    /// Reads the head of a response to a request with `method`, of at most `limit` bytes. Interim
+    /// responses are skipped.
+    pub async fn read_response(&mut self, method: &str, limit: usize) -> Result<Response, Error> {
+        loop {
+            if let Some((response, length)) = Response::parse(&self.buffer, method)? {
+                self.buffer.drain(..length);
+                if response.is_interim() {
+                    continue;
+                }
+                return Ok(response);
+            }
+            if self.buffer.len() > limit {
+                return Err(Error::HeadTooLong(limit));
+            }
+            self.fill_inside().await?;
+        }
+    }
+
+    /// Reads the next bytes of a body and appends them to `out`. Returns whether the body goes on.
+    pub async fn read_body(
+        &mut self,
+        decoder: &mut Decoder,
+        out: &mut Vec<u8>,
+    ) -> Result<bool, Error> {
+        loop {
+            let before = out.len();
+            let used = decoder.decode(&self.buffer, out)?;
+            self.buffer.drain(..used);
+            if decoder.is_done() {
+                return Ok(false);
+            }
+            if out.len() > before {
+                return Ok(true);
+            }
+            if self.fill().await? == 0 {
+                decoder.end()?;
+            }
+        }
+    }
+
+    /// Reads a whole body of at most `limit` bytes.
+    pub async fn read_whole(
+        &mut self,
+        decoder: &mut Decoder,
+        limit: usize,
+    ) -> Result<Vec<u8>, Error> {
+        let mut body = Vec::new();
+        while self.read_body(decoder, &mut body).await? {
+            if body.len() > limit {
+                return Err(Error::BodyTooLong(limit));
+            }
+        }
+        if body.len() > limit {
+            return Err(Error::BodyTooLong(limit));
+        }
+        Ok(body)
+    }
+
+    /// Returns the writing side, which can be used while something is being read.
+    pub fn writer(&self) -> Writer {
+        Writer {
+            socket: self.socket.clone(),
+        }
+    }
+
+    /// Ends the writing side and reads for up to `limit` what the other side still sends, so that
+    /// closing does not reset the connection before the last answer is read.
+    pub async fn linger(&mut self, limit: Duration) {
+        if SockRef::from(self.socket.get_ref())
+            .shutdown(std::net::Shutdown::Write)
+            .is_err()
+        {
+            return;
+        }
+        let drain = async {
+            while matches!(self.fill().await, Ok(1..)) {
+                self.buffer.clear();
+            }
+        };
+        let pause = async {
+            async_io::Timer::after(limit).await;
+        };
+        futures_lite::future::or(drain, pause).await;
+    }
+
+    async fn fill_inside(&mut self) -> Result<(), Error> {
+        let is_start = self.buffer.is_empty();
+        match self.fill().await? {
+            0 if is_start => Err(Error::Closed),
+            0 => Err(Error::Truncated),
+            _ => Ok(()),
+        }
+    }
+
+    /// Some senders end a body with a line end too many; see RFC 9112, section 2.2.
+    fn skip_blank_lines(&mut self) {
+        while self.buffer.starts_with(b"\r\n") {
+            self.buffer.drain(..2);
+        }
+    }
+}
--- a/crates/membership/src/members.rs
+++ b/crates/membership/src/members.rs
@@ -154,6 +154,14 @@
         self.alive().filter(|it| it.phase == Phase::Ready)
     }
 
+    /// Returns the members that callers may be sent to and that answered lately, this entry first.
+    pub fn trusted(&self) -> impl Iterator<Item = &Member> {
+        let answer = |it: &&Known| it.state == State::Alive;
+        let others = self.known.values().filter(answer).map(|it| &it.member);
+        let all = std::iter::once(&self.me).chain(others);
+        all.filter(|it| it.phase == Phase::Ready)
+    }
+
     /// Returns a member that is not held dead.
     pub fn get(&self, incarnation: Incarnation) -> Option<&Member> {
         self.alive().find(|it| it.incarnation == incarnation)
--- /dev/null
+++ b/crates/placement/src/allowance.rs
@@ -0,0 +1,64 @@
+//! The allowance of requests that may be sent to a second backend server, shared by all entries.
+
+use domain::Moment;
+
+/// This entry's part of the allowance of one service.
+///
+/// It is a token bucket: in no stretch of time can more be spent than the bucket holds and the
+/// requests of that stretch add. The bucket of all entries together holds the fixed part.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Allowance {
+    tokens: f64,
+    filled: Moment,
+}
+
+/// The terms of the allowance of all entries together.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Terms {
+    /// Repeats allowed for each request.
+    pub ratio: f64,
+    /// Repeats allowed besides, in each window.
+    pub extra: f64,
+    /// The window, in seconds.
+    pub window_s: f64,
+}
+
+/// The part of the allowance that is used. The rest covers what other entries count differently:
+/// an entry that was restarted has a full bucket again, and one that joins lowers the part of the
+/// others only once they know of it.
+const USED_PART: f64 = 0.6;
+
+impl Allowance {
+    /// Returns a full bucket.
+    pub fn new(now: Moment, terms: &Terms, entries: usize) -> Self {
+        Self {
+            tokens: capacity(terms, entries),
+            filled: now,
+        }
+    }
+
+    /// Notes a request.
+    pub fn earn(&mut self, terms: &Terms, entries: usize) {
+        let most = capacity(terms, entries);
+        self.tokens = (self.tokens + terms.ratio * USED_PART).min(most);
+    }
+
+    /// Takes one repeat, if any is left.
+    pub fn spend(&mut self, now: Moment, terms: &Terms, entries: usize) -> bool {
+        let most = capacity(terms, entries);
+        let elapsed = now.since(self.filled).as_secs_f64();
+        self.filled = now;
+        // The fixed part returns over a window. Half of it is held in the bucket and half flows
+        // in, so that a burst and the flow after it stay within the part.
+        self.tokens = (self.tokens + most * elapsed / terms.window_s).min(most);
+        if self.tokens < 1.0 {
+            return false;
+        }
+        self.tokens -= 1.0;
+        true
+    }
+}
+
+fn capacity(terms: &Terms, entries: usize) -> f64 {
+    terms.extra * USED_PART / 2.0 / entries.max(1) as f64
+}
--- /dev/null
+++ b/crates/placement/src/board.rs
@@ -0,0 +1,262 @@
+//! The work that all entries have placed on the backend servers.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use domain::Moment;
+use domain::key::Incarnation;
+use route::Engine;
+
+/// The time after which work counts as ended if nobody said so; longer than any route's limit.
+const FORGOTTEN_AFTER: Duration = Duration::from_secs(40);
+/// Reading beside writers takes so much longer than alone, since each of its steps writes a token
+/// for them too; 1.02 ms beside the 10 ms in which a step reads its chunk.
+const READ_STRETCH: f64 = 1.1;
+
+/// A request that an entry has placed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct JobId {
+    /// The entry.
+    pub entry: Incarnation,
+    /// Its own number for the request and the attempt.
+    pub number: u64,
+}
+
+/// What an entry tells the others.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Note {
+    /// The request.
+    pub job: JobId,
+    /// What happened to it.
+    pub change: Change,
+}
+
+/// What happened to a request.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Change {
+    /// It was sent to some servers.
+    Placed(Placed),
+    /// Its first token came.
+    Started,
+    /// It ended or was given up.
+    Ended,
+}
+
+/// A request and the servers that work on it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Placed {
+    /// The time left until the first token is late, in milliseconds.
+    pub target_ms: u32,
+    /// The longest pause between two events that is still on time, in milliseconds; 0 for none.
+    pub pause_ms: u32,
+    /// What it is worth to its caller, a short request being worth 1.
+    pub value: f32,
+    /// The servers. The first one writes the answer.
+    pub parts: Vec<Part>,
+}
+
+/// What one server does for a request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Part {
+    /// The server's key.
+    pub server: u64,
+    /// The time that it reads, in milliseconds.
+    pub read_ms: f32,
+    /// Tokens that lie in its memory.
+    pub tokens: u32,
+}
+
+/// The work that all entries have placed.
+#[derive(Clone, Debug, Default)]
+pub struct Board {
+    queues: HashMap<u64, Queue>,
+    jobs: HashMap<JobId, Vec<u64>>,
+}
+
+/// The work on one server.
+#[derive(Clone, Debug, Default)]
+pub struct Queue {
+    tasks: Vec<Task>,
+    /// When the server was last seen to take up the next reading.
+    advanced: Moment,
+}
+
+/// One server's work on one request.
+#[derive(Clone, Debug)]
+pub struct Task {
+    /// The request.
+    pub job: JobId,
+    /// When it was placed.
+    pub placed: Moment,
+    /// When its first token is late.
+    pub target_at: Moment,
+    /// The longest pause that is still on time, in milliseconds.
+    pub pause_ms: Option<f64>,
+    /// What it is worth to its caller.
+    pub value: f64,
+    /// The time that the server reads, in milliseconds.
+    pub read_ms: f64,
+    /// Tokens that lie in the server's memory.
+    pub tokens: u64,
+    /// Whether the first token has come.
+    pub is_writing: bool,
+    /// Whether another server writes the answer.
+    pub is_helping: bool,
+}
+
+impl Board {
+    /// Takes a note of this entry or of another one.
+    pub fn take(&mut self, now: Moment, note: &Note) {
+        match &note.change {
+            Change::Placed(placed) => self.place(now, note.job, placed),
+            Change::Started => self.start(now, note.job),
+            Change::Ended => self.end(now, note.job),
+        }
+    }
+
+    /// Returns the work on a server.
+    pub fn queue(&self, server: u64) -> Option<&Queue> {
+        self.queues.get(&server)
+    }
+
+    /// Forgets the work of an entry that is gone: its connections have ended.
+    pub fn forget_entry(&mut self, now: Moment, entry: Incarnation) {
+        let jobs = self.jobs.keys().filter(|it| it.entry == entry);
+        for job in jobs.copied().collect::<Vec<_>>() {
+            self.end(now, job);
+        }
+    }
+
+    /// Forgets the work on a server that is gone.
+    pub fn forget_server(&mut self, server: u64) {
+        self.queues.remove(&server);
+    }
+
+    /// Forgets work of which nothing was heard for too long. To be called every few seconds.
+    pub fn expire(&mut self, now: Moment) {
+        for queue in self.queues.values_mut() {
+            queue
+                .tasks
+                .retain(|it| now.since(it.placed) < FORGOTTEN_AFTER);
+        }
+        self.queues.retain(|_, it| !it.tasks.is_empty());
+        let queues = &self.queues;
+        self.jobs.retain(|job, servers| {
+            let is_on = |it: &u64| {
+                let tasks = queues.get(it).map(|it| it.tasks.as_slice());
+                tasks.unwrap_or_default().iter().any(|it| it.job == *job)
+            };
+            servers.iter().any(is_on)
+        });
+    }
+
+    fn place(&mut self, now: Moment, job: JobId, placed: &Placed) {
+        if self.jobs.contains_key(&job) {
+            return;
+        }
+        for (index, part) in placed.parts.iter().enumerate() {
+            let queue = self.queues.entry(part.server).or_default();
+            if !queue.tasks.iter().any(Task::is_reading) {
+                queue.advanced = now;
+            }
+            queue.tasks.push(Task {
+                job,
+                placed: now,
+                target_at: now + Duration::from_millis(placed.target_ms.into()),
+                pause_ms: (placed.pause_ms > 0).then_some(placed.pause_ms.into()),
+                value: placed.value.into(),
+                read_ms: part.read_ms.into(),
+                tokens: part.tokens.into(),
+                is_writing: false,
+                is_helping: index > 0,
+            });
+        }
+        let servers = placed.parts.iter().map(|it| it.server);
+        self.jobs.insert(job, servers.collect());
+    }
+
+    fn start(&mut self, now: Moment, job: JobId) {
+        for server in self.jobs.get(&job).into_iter().flatten() {
+            let Some(queue) = self.queues.get_mut(server) else {
+                continue;
+            };
+            queue.advanced = now;
+            // Servers read in order, so what was placed before has been read too, if it is going
+            // to be; a helper's part is over.
+            queue.tasks.retain(|it| it.job != job || !it.is_helping);
+            for task in queue.tasks.iter_mut().filter(|it| it.job == job) {
+                task.is_writing = true;
+            }
+        }
+    }
+
+    fn end(&mut self, now: Moment, job: JobId) {
+        for server in self.jobs.remove(&job).into_iter().flatten() {
+            let Some(queue) = self.queues.get_mut(&server) else {
+                continue;
+            };
+            let was_reading = queue
+                .tasks
+                .iter()
+                .any(|it| it.job == job && it.is_reading());
+            if was_reading {
+                queue.advanced = now;
+            }
+            queue.tasks.retain(|it| it.job != job);
+        }
+    }
+}
+
+impl Task {
+    /// Tells whether the server has still to read for the request.
+    pub fn is_reading(&self) -> bool {
+        !self.is_writing
+    }
+}
+
+impl Queue {
+    /// Returns the work.
+    pub fn tasks(&self) -> &[Task] {
+        &self.tasks
+    }
+
+    /// Returns the milliseconds of reading that are still to be done.
+    pub fn backlog_ms(&self, now: Moment) -> f64 {
+        let reading = self.tasks.iter().filter(|it| it.is_reading());
+        let total: f64 = reading.map(|it| it.read_ms * READ_STRETCH).sum();
+        let done = now.since(self.advanced).as_secs_f64() * 1e3;
+        (total - done).max(0.0)
+    }
+
+    /// Returns the number of requests that write, and the tokens that they hold.
+    pub fn writers(&self) -> (usize, u64) {
+        let writing = self.tasks.iter().filter(|it| it.is_writing);
+        writing.fold((0, 0), |(count, tokens), it| {
+            (count + 1, tokens + it.tokens)
+        })
+    }
+
+    /// Returns the tokens in memory once all that is placed has been read.
+    pub fn tokens(&self) -> u64 {
+        self.tasks.iter().map(|it| it.tokens).sum()
+    }
+
+    /// Returns the requests in progress.
+    pub fn len(&self) -> usize {
+        self.tasks.len()
+    }
+
+    /// Tells whether nothing is in progress.
+    pub fn is_empty(&self) -> bool {
+        self.tasks.is_empty()
+    }
+
+    /// Returns the milliseconds of a pass without what is read in it.
+    pub fn pass_ms(&self, engine: &Engine) -> f64 {
+        let (writers, tokens) = self.writers();
+        if writers == 0 {
+            return 0.0;
+        }
+        engine.pass_ms(writers, tokens)
+    }
+}
--- /dev/null
+++ b/crates/placement/src/plan.rs
@@ -0,0 +1,286 @@
+//! Where a prompt is read and its answer written.
+//!
+//! Short prompts need an engine soon; long ones hold up everybody on the engine that reads them,
+//! since a pass lasts as long as what is read in it, and each writer gets one event a pass. A plan
+//! therefore weighs two losses: that of the request itself, if its first token is late, and that of
+//! the requests beside it, whose pauses or first tokens become late. Reading a long prompt in parts
+//! on many engines makes every pass a little longer; reading it on few makes some passes much
+//! longer. Which loses less depends on who is there, so both are tried.
+
+use std::time::Duration;
+
+use domain::Moment;
+use rand::Rng;
+use rand::RngExt;
+use route::Engine;
+
+use crate::Board;
+use crate::board::Part;
+use crate::board::Queue;
+use crate::servers::Known;
+
+/// The share of a request's value that is lost if it is late; from the users' sheets.
+const LATE_LOSS: f64 = 0.75;
+/// Forecasts are off by about this share of a limit: a first token that is forecast just at its
+/// target is late half of the time.
+const FORECAST_SPREAD: f64 = 0.15;
+/// What each further engine must gain, in the value of a short request: parts that gain nothing
+/// only add messages between engines.
+const PART_COST: f64 = 0.01;
+/// The loss of a full target's length of waiting, in the value of a short request. It breaks ties
+/// in favour of the sooner answer.
+const WAIT_COST: f64 = 0.05;
+/// The loss in a prompt that the engine's memory can't hold beside the rest, in the value of a
+/// short request: the newest request there is thrown out and read again.
+const MEMORY_LOSS: f64 = 5.0;
+/// Passes that a request waits for a slot where all are taken: about an eighth of an answer's usual
+/// 32 events, which is when the next of 16 writers ends.
+const FULL_PASSES: f64 = 4.0;
+/// The part of an engine's memory that is planned with; the rest is for answers that are longer
+/// than expected.
+const MEMORY_PART: f64 = 0.92;
+/// Engines beside the first one that read one prompt; from the platform's pages.
+const HELPER_LIMIT: usize = 16;
+/// Prompts that one engine reads faster than this are not read in parts, in milliseconds: about a
+/// pass of an idle engine.
+const WHOLE_MS: f64 = 60.0;
+
+/// What a request needs.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Need {
+    /// Tokens of its prompt.
+    pub prompt: u64,
+    /// Tokens of its answer, as expected.
+    pub output: u64,
+    /// The time left until its first token is late.
+    pub target: Duration,
+    /// The longest pause between two events that is still on time.
+    pub pause: Option<Duration>,
+    /// What it is worth to its caller, a short request being worth 1.
+    pub value: f64,
+}
+
+/// Where a request goes.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Plan {
+    /// The engines that read. The first one writes the answer.
+    pub parts: Vec<Part>,
+    /// The time until the first token, as forecast.
+    pub first_token: Duration,
+    /// What is expected to be lost, in the value of a short request.
+    pub loss: f64,
+}
+
+/// An engine as a candidate.
+#[derive(Clone, Copy, Debug)]
+struct Candidate<'a> {
+    key: u64,
+    queue: Option<&'a Queue>,
+    pace: f64,
+    /// The time until it would begin to read, in milliseconds.
+    wait_ms: f64,
+    /// What it has still to read, in milliseconds.
+    backlog_ms: f64,
+    /// The length of a pass without reading, in milliseconds.
+    pass_ms: f64,
+    writers: usize,
+    free_tokens: f64,
+    /// Breaks ties between engines that are alike.
+    jitter: f64,
+}
+
+/// An engine and what a part would lose on it.
+#[derive(Clone, Copy, Debug)]
+struct Ranked<'a> {
+    engine: &'a Candidate<'a>,
+    /// What the requests that are already there lose.
+    harm: f64,
+    /// What is lost in all.
+    rank: f64,
+}
+
+/// Chooses the plan that loses least, among engines that `servers` yields. Those in `tried` are
+/// left out, unless there are no others.
+pub fn choose<'a>(
+    now: Moment,
+    engine: &Engine,
+    servers: impl Iterator<Item = &'a Known>,
+    board: &Board,
+    need: &Need,
+    tried: &[u64],
+    random: &mut impl Rng,
+) -> Option<Plan> {
+    let usable: Vec<&Known> = servers.filter(|it| it.health.is_usable(now)).collect();
+    let is_fresh = |it: &&&Known| !tried.contains(&it.server.key());
+    let fresh: Vec<&Known> = usable.iter().filter(is_fresh).copied().collect();
+    let engines = if fresh.is_empty() { &usable } else { &fresh };
+    let candidates: Vec<Candidate<'_>> = engines
+        .iter()
+        .map(|it| Candidate::new(now, engine, it, board, random))
+        .collect();
+    let read_ms = engine.read_ms(need.prompt);
+    let mut best: Option<Plan> = None;
+    for parts in part_counts(read_ms, candidates.len()) {
+        let plan = plan_in_parts(now, engine, &candidates, need, read_ms, parts);
+        let is_better = |plan: &Plan| best.as_ref().is_none_or(|it| plan.loss < it.loss);
+        if let Some(plan) = plan.filter(is_better) {
+            best = Some(plan);
+        }
+    }
+    best
+}
+
+/// Returns the numbers of parts that are tried.
+fn part_counts(read_ms: f64, engines: usize) -> impl Iterator<Item = usize> {
+    let most = if read_ms < WHOLE_MS {
+        1
+    } else {
+        engines.min(HELPER_LIMIT)
+    };
+    (1..=most).filter(|it| *it <= 4 || it % 2 == 0)
+}
+
+fn plan_in_parts(
+    now: Moment,
+    engine: &Engine,
+    candidates: &[Candidate<'_>],
+    need: &Need,
+    read_ms: f64,
+    parts: usize,
+) -> Option<Plan> {
+    let part_ms = read_ms / parts as f64;
+    let is_split = parts > 1;
+    let harm = |it: &Candidate<'_>| it.harm(now, engine, part_ms, is_split);
+    let mut ranked: Vec<Ranked<'_>> = candidates
+        .iter()
+        .map(|it| {
+            let harm = harm(it);
+            let own = it.own_loss(engine, part_ms, need, is_split);
+            Ranked {
+                engine: it,
+                harm,
+                rank: harm + own + it.jitter,
+            }
+        })
+        .collect();
+    ranked.sort_by(|a, b| a.rank.total_cmp(&b.rank));
+    ranked.truncate(parts);
+    let held = (need.prompt + need.output) as f64;
+    if is_split {
+        // The engine that writes is the one that has most room for it.
+        let room =
+            |it: &Ranked<'_>| (it.engine.free_tokens - held).min(0.0) - it.engine.writers as f64;
+        let writer =
+            (0..ranked.len()).max_by(|a, b| room(&ranked[*a]).total_cmp(&room(&ranked[*b])))?;
+        ranked.swap(0, writer);
+    }
+    let first = ranked.first()?.engine;
+    let begin = ranked
+        .iter()
+        .map(|it| it.engine.wait_ms)
+        .fold(0.0, f64::max);
+    let pace = ranked.iter().map(|it| it.engine.pace).fold(1.0, f64::max);
+    let writing = engine.pass_ms(first.writers + 1, need.prompt);
+    let first_token_ms = begin + part_ms * pace + writing;
+    let harm: f64 = ranked.iter().map(|it| it.harm).sum();
+    let parts = ranked.iter().enumerate().map(|(index, it)| Part {
+        server: it.engine.key,
+        read_ms: part_ms as f32,
+        tokens: if index == 0 { held as u32 } else { 0 },
+    });
+    let parts: Vec<Part> = parts.collect();
+    let loss = need.loss(first_token_ms) + first.memory_loss(held) + harm;
+    Some(Plan {
+        loss: loss + PART_COST * parts.len() as f64,
+        parts,
+        first_token: Duration::from_secs_f64(first_token_ms / 1e3),
+    })
+}
+
+impl Need {
+    /// Returns what this request loses if its first token comes after `first_token_ms`.
+    fn loss(&self, first_token_ms: f64) -> f64 {
+        let target_ms = self.target.as_secs_f64() * 1e3;
+        LATE_LOSS * self.value * lateness(first_token_ms, target_ms)
+            + WAIT_COST * first_token_ms / target_ms.max(1.0)
+    }
+}
+
+impl<'a> Candidate<'a> {
+    fn new(
+        now: Moment,
+        engine: &Engine,
+        known: &Known,
+        board: &'a Board,
+        random: &mut impl Rng,
+    ) -> Self {
+        let key = known.server.key();
+        let queue = board.queue(key);
+        let (writers, _) = queue.map_or((0, 0), Queue::writers);
+        let pass_ms = queue.map_or(0.0, |it| it.pass_ms(engine)) * known.pace;
+        let backlog_ms = queue.map_or(0.0, |it| it.backlog_ms(now)) * known.pace;
+        let memory = engine.memory_tokens as f64 * MEMORY_PART;
+        let is_full = queue.is_some_and(|it| it.len() >= engine.slots);
+        let slot_wait_ms = if is_full { pass_ms * FULL_PASSES } else { 0.0 };
+        Self {
+            key,
+            queue,
+            pace: known.pace,
+            // A request that arrives in a pass waits for its end, half of it on average.
+            wait_ms: pass_ms / 2.0 + backlog_ms + slot_wait_ms,
+            backlog_ms,
+            pass_ms,
+            writers,
+            free_tokens: memory - queue.map_or(0, Queue::tokens) as f64,
+            jitter: random.random::<f64>() * 1e-3,
+        }
+    }
+
+    /// Returns what the requests on this engine lose if it reads for `part_ms` more.
+    fn harm(&self, now: Moment, engine: &Engine, part_ms: f64, is_split: bool) -> f64 {
+        let part_ms = part_ms * self.pace;
+        let most = engine.chunk as f64 * f64::from(engine.stride) / engine.read_per_ms;
+        let before = self.pass_ms + self.backlog_ms.min(most);
+        let after = self.pass_ms + (self.backlog_ms + part_ms).min(most);
+        let wait = self.wait_ms + self.pass_ms;
+        let tasks = self.queue.map(Queue::tasks).unwrap_or_default();
+        let losses = tasks.iter().map(|task| {
+            let more = match task.pause_ms {
+                Some(limit) if task.is_writing => lateness(after, limit) - lateness(before, limit),
+                // Parts for other engines are read ahead of what waits.
+                _ if task.is_reading() && is_split => {
+                    let limit = now.until(task.target_at).as_secs_f64() * 1e3;
+                    lateness(wait + part_ms, limit) - lateness(wait, limit)
+                }
+                _ => 0.0,
+            };
+            LATE_LOSS * task.value * more
+        });
+        losses.sum()
+    }
+
+    /// Returns what the request itself loses on this engine.
+    fn own_loss(&self, engine: &Engine, part_ms: f64, need: &Need, is_split: bool) -> f64 {
+        let writing = engine.pass_ms(self.writers + 1, need.prompt);
+        let loss = need.loss(self.wait_ms + part_ms * self.pace + writing);
+        if is_split {
+            return loss;
+        }
+        loss + self.memory_loss((need.prompt + need.output) as f64)
+    }
+
+    fn memory_loss(&self, tokens: f64) -> f64 {
+        if self.free_tokens < tokens {
+            MEMORY_LOSS
+        } else {
+            0.0
+        }
+    }
+}
+
+/// Returns how likely a time that is forecast to be `ms` exceeds `limit_ms`.
+fn lateness(ms: f64, limit_ms: f64) -> f64 {
+    let limit_ms = limit_ms.max(1.0);
+    let distance = (ms - limit_ms) / (FORECAST_SPREAD * limit_ms);
+    1.0 / (1.0 + (-distance).exp())
+}
--- /dev/null
+++ b/crates/placement/src/servers.rs
@@ -0,0 +1,214 @@
+//! The backend servers that are known, from the platform's list and from what they say themselves.
+
+use core::net::SocketAddr;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use domain::Moment;
+use domain::digest;
+use routing::health::Health;
+
+/// The time after the list's return in which a server that lapsed during its outage may come back;
+/// from the platform's pages, with its report lag added.
+const LAPSE_GRACE: Duration = Duration::from_millis(2_300);
+/// A silence of the list that counts as an outage: servers may have lapsed meanwhile.
+const OUTAGE: Duration = Duration::from_millis(2_500);
+/// The time for which the last report of a server that went is kept.
+const GONE_KEPT: Duration = Duration::from_secs(30);
+/// The time for which a server that said itself that it leaves, or turned out to be another one, is
+/// left alone if the list does not change.
+const DISOWNED_FOR: Duration = Duration::from_secs(10);
+
+/// A backend server as the platform lists it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Server {
+    /// The platform's name for this server.
+    pub id: String,
+    /// When the process started, in milliseconds since the Unix epoch; tells two lives apart.
+    pub born_ms: u64,
+    /// Its service.
+    pub service: String,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// The data centre that it stands in.
+    pub data_centre: String,
+    /// The number of its report; it grows within one life.
+    pub sequence: u64,
+    /// Requests that it runs at once.
+    pub slots: usize,
+    /// Whether it takes no new work.
+    pub is_leaving: bool,
+}
+
+impl Server {
+    /// Returns what names this life of the server among entries.
+    pub fn key(&self) -> u64 {
+        digest::seeded(self.id.as_bytes(), self.born_ms)
+    }
+}
+
+/// The backend servers that are known.
+#[derive(Clone, Debug, Default)]
+pub struct Servers {
+    known: BTreeMap<String, Known>,
+    /// Servers that went off the list, so that an older report does not bring them back.
+    gone: BTreeMap<String, Gone>,
+    heard: Option<Moment>,
+    returned: Option<Moment>,
+}
+
+/// The last report of a server that went off the list.
+#[derive(Clone, Copy, Debug)]
+struct Gone {
+    born_ms: u64,
+    sequence: u64,
+    at: Moment,
+}
+
+/// A server and what was found out about it.
+#[derive(Clone, Debug)]
+pub struct Known {
+    /// As the platform lists it.
+    pub server: Rc<Server>,
+    /// The circuit breaker.
+    pub health: Health,
+    /// How long its plain answers take, smoothed.
+    pub latency: Option<Duration>,
+    /// How many times longer than forecast its work takes, smoothed.
+    pub pace: f64,
+    lapsed: bool,
+    disowned: Option<Moment>,
+}
+
+impl Servers {
+    /// Takes the whole list.
+    pub fn replace(&mut self, now: Moment, listed: Vec<Server>) {
+        self.note_reading(now);
+        let missing: Vec<String> = self
+            .known
+            .keys()
+            .filter(|id| !listed.iter().any(|it| it.id == **id))
+            .cloned()
+            .collect();
+        for server in listed {
+            self.add(now, server);
+        }
+        for id in missing {
+            self.remove(now, &id);
+        }
+    }
+
+    /// Notes that the list was read, whether or not it had changed.
+    pub fn note_reading(&mut self, now: Moment) {
+        let was_out = self.heard.is_some_and(|it| now.since(it) > OUTAGE);
+        if was_out {
+            self.returned = Some(now);
+        }
+        self.heard = Some(now);
+        if !self.may_come_back(now) {
+            self.known.retain(|_, it| !it.lapsed);
+        }
+    }
+
+    /// Takes one entry of the list.
+    pub fn add(&mut self, now: Moment, server: Server) {
+        let newest = (server.born_ms, server.sequence);
+        let gone = self.gone.get(&server.id);
+        if gone
+            .is_some_and(|it| now.since(it.at) < GONE_KEPT && newest <= (it.born_ms, it.sequence))
+        {
+            return;
+        }
+        let Some(known) = self.known.get_mut(&server.id) else {
+            self.known.insert(server.id.clone(), Known::new(server));
+            return;
+        };
+        let before = (known.server.born_ms, known.server.sequence);
+        if newest < before {
+            return;
+        }
+        if before.0 != server.born_ms || known.server.address != server.address {
+            *known = Known::new(server);
+            return;
+        }
+        // A server that leaves stays one that leaves.
+        let is_leaving = known.server.is_leaving || server.is_leaving;
+        known.lapsed = false;
+        known.server = Rc::new(Server {
+            is_leaving,
+            ..server
+        });
+    }
+
+    /// Takes the removal of an entry from the list.
+    pub fn remove(&mut self, now: Moment, id: &str) {
+        let may_come_back = self.may_come_back(now);
+        let Some(known) = self.known.get_mut(id) else {
+            return;
+        };
+        if may_come_back {
+            known.lapsed = true;
+            return;
+        }
+        let gone = Gone {
+            born_ms: known.server.born_ms,
+            sequence: known.server.sequence,
+            at: now,
+        };
+        self.known.remove(id);
+        self.gone.retain(|_, it| now.since(it.at) < GONE_KEPT);
+        self.gone.insert(id.to_owned(), gone);
+    }
+
+    /// Notes that a server said itself that it takes no new work, or that another one answers at
+    /// its address. Returns whether this was news.
+    pub fn disown(&mut self, now: Moment, key: u64) -> bool {
+        let known = self.known.values_mut().find(|it| it.server.key() == key);
+        let Some(known) = known else {
+            return false;
+        };
+        let is_news = known.disowned.is_none();
+        known.disowned = Some(now);
+        is_news
+    }
+
+    /// Returns a server by its key.
+    pub fn get_mut(&mut self, key: u64) -> Option<&mut Known> {
+        self.known.values_mut().find(|it| it.server.key() == key)
+    }
+
+    /// Returns the servers of a service that take new work.
+    pub fn usable<'a>(&'a self, now: Moment, service: &'a str) -> impl Iterator<Item = &'a Known> {
+        self.known.values().filter(move |it| {
+            it.server.service == service && !it.server.is_leaving && !it.is_disowned(now)
+        })
+    }
+
+    /// Returns all servers.
+    pub fn all(&self) -> impl Iterator<Item = &Known> {
+        self.known.values()
+    }
+
+    fn may_come_back(&self, now: Moment) -> bool {
+        let is_out = self.heard.is_some_and(|it| now.since(it) > OUTAGE);
+        is_out || self.returned.is_some_and(|it| now.since(it) < LAPSE_GRACE)
+    }
+}
+
+impl Known {
+    fn new(server: Server) -> Self {
+        Self {
+            server: Rc::new(server),
+            health: Health::default(),
+            latency: None,
+            pace: 1.0,
+            lapsed: false,
+            disowned: None,
+        }
+    }
+
+    fn is_disowned(&self, now: Moment) -> bool {
+        self.disowned.is_some_and(|it| now.since(it) < DISOWNED_FOR)
+    }
+}
--- a/crates/wire/schema/peer.capnp
+++ b/crates/wire/schema/peer.capnp
@@ -60,6 +60,31 @@
   isLost @7 :Bool;
 }
 
+struct Work {
+  # What became of a request that an entry has placed on backend servers.
+  entry @0 :UInt64;
+  number @1 :UInt64;
+  union {
+    placed :group {
+      # The time left until the first token is late, in milliseconds.
+      targetMs @2 :UInt32;
+      # The longest pause between two events that is still on time; 0 for none.
+      pauseMs @3 :UInt32;
+      # What it is worth to its caller, a short request being worth 1.
+      value @4 :Float32;
+      parts @5 :List(Part);
+    }
+    started @6 :Void;
+    ended @7 :Void;
+  }
+
+  struct Part {
+    server @0 :UInt64;
+    readMs @1 :Float32;
+    tokens @2 :UInt32;
+  }
+}
+
 struct Datagram {
   from @0 :Member;
   configNext @1 :UInt64;
@@ -73,6 +98,7 @@
     }
     news @7 :Void;
     loads @8 :List(Load);
+    work @9 :List(Work);
   }
 }
 
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -12,10 +12,12 @@
 use membership::member::State;
 use membership::message::Kind;
 use membership::message::Rumour;
+use placement::Note;
 use routing::level::LEVELS;
 
 use crate::Error;
 use crate::address;
+use crate::note;
 use crate::peer_capnp::datagram;
 use crate::peer_capnp::load;
 use crate::peer_capnp::member;
@@ -25,12 +27,14 @@
 const PACKED_CAPACITY: usize = 256;
 
 /// One datagram between entries.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum Frame {
     /// Membership and news.
     Message(Message),
     /// Load reports from the home of some backend servers.
     Loads(Vec<Load>),
+    /// What became of requests that the sender has placed.
+    Work(Vec<Note>),
 }
 
 /// The load of one backend server, as its home read it.
@@ -57,6 +61,12 @@
                     write_load(it, list.reborrow().get(index as u32));
                 }
             }
+            Self::Work(notes) => {
+                let mut list = datagram.init_work(notes.len() as u32);
+                for (index, it) in notes.iter().enumerate() {
+                    note::write(it, list.reborrow().get(index as u32));
+                }
+            }
         }
         // Packing leaves out zeros, which make up half of a message.
         let mut bytes = Vec::with_capacity(PACKED_CAPACITY);
@@ -76,6 +86,10 @@
                 let loads = loads?.iter().map(read_load).collect::<Result<_, _>>()?;
                 return Ok(Self::Loads(loads));
             }
+            datagram::Work(notes) => {
+                let notes = notes?.iter().map(note::read).collect::<Result<_, _>>()?;
+                return Ok(Self::Work(notes));
+            }
             datagram::Probe(sequence) => Kind::Probe { sequence },
             datagram::Ack(sequence) => Kind::Ack { sequence },
             datagram::ProbeFor(it) => Kind::ProbeFor {
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod address;
 pub mod call;
 pub mod frame;
+mod note;
 
 pub use frame::Frame;
 
--- /dev/null
+++ b/crates/wire/src/note.rs
@@ -0,0 +1,60 @@
+//! Notes on requests that entries have placed.
+
+use domain::key::Incarnation;
+use placement::JobId;
+use placement::Note;
+use placement::board::Change;
+use placement::board::Part;
+use placement::board::Placed;
+
+use crate::Error;
+use crate::peer_capnp::work;
+
+/// Writes a note.
+pub fn write(note: &Note, mut builder: work::Builder<'_>) {
+    builder.set_entry(note.job.entry.0);
+    builder.set_number(note.job.number);
+    match &note.change {
+        Change::Started => builder.set_started(()),
+        Change::Ended => builder.set_ended(()),
+        Change::Placed(placed) => {
+            let mut group = builder.init_placed();
+            group.set_target_ms(placed.target_ms);
+            group.set_pause_ms(placed.pause_ms);
+            group.set_value(placed.value);
+            let mut parts = group.init_parts(placed.parts.len() as u32);
+            for (index, it) in placed.parts.iter().enumerate() {
+                let mut part = parts.reborrow().get(index as u32);
+                part.set_server(it.server);
+                part.set_read_ms(it.read_ms);
+                part.set_tokens(it.tokens);
+            }
+        }
+    }
+}
+
+/// Reads a note.
+pub fn read(reader: work::Reader<'_>) -> Result<Note, Error> {
+    let job = JobId {
+        entry: Incarnation(reader.get_entry()),
+        number: reader.get_number(),
+    };
+    let change = match reader.which()? {
+        work::Started(()) => Change::Started,
+        work::Ended(()) => Change::Ended,
+        work::Placed(group) => {
+            let parts = group.get_parts()?.iter().map(|it| Part {
+                server: it.get_server(),
+                read_ms: it.get_read_ms(),
+                tokens: it.get_tokens(),
+            });
+            Change::Placed(Placed {
+                target_ms: group.get_target_ms(),
+                pause_ms: group.get_pause_ms(),
+                value: group.get_value(),
+                parts: parts.collect(),
+            })
+        }
+    };
+    Ok(Note { job, change })
+}
--- a/crates/wire/src/peer_capnp.rs
+++ b/crates/wire/src/peer_capnp.rs
@@ -1988,8 +1988,888 @@
     }
 }
 
+pub mod work {
+    pub use self::Which::{Placed,Started,Ended};
+
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> Reader<'a,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_entry(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_number(self) -> u64 {
+            self.reader.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn which(self) -> ::core::result::Result<WhichReader<'a,>, ::capnp::NotInSchema> {
+            match self.reader.get_data_field::<u16>(14) {
+                0 => {
+                    ::core::result::Result::Ok(Placed(
+                        self.reader.into()
+                    ))
+                }
+                1 => {
+                    ::core::result::Result::Ok(Started(
+                        ()
+                    ))
+                }
+                2 => {
+                    ::core::result::Result::Ok(Ended(
+                        ()
+                    ))
+                }
+                x => ::core::result::Result::Err(::capnp::NotInSchema(x))
+            }
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 1 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_entry(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_entry(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_number(self) -> u64 {
+            self.builder.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn set_number(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(1, value);
+        }
+        #[inline]
+        pub fn init_placed(mut self, ) -> crate::peer_capnp::work::placed::Builder<'a> {
+            self.builder.set_data_field::<u16>(14, 0);
+            self.builder.set_data_field::<u32>(4, 0u32);
+            self.builder.set_data_field::<u32>(5, 0u32);
+            self.builder.set_data_field::<f32>(6, 0f32);
+            self.builder.reborrow().get_pointer_field(0).clear();
+            self.builder.into()
+        }
+        #[inline]
+        pub fn set_started(&mut self, _value: ())  {
+            self.builder.set_data_field::<u16>(14, 1);
+        }
+        #[inline]
+        pub fn set_ended(&mut self, _value: ())  {
+            self.builder.set_data_field::<u16>(14, 2);
+        }
+        #[inline]
+        pub fn which(self) -> ::core::result::Result<WhichBuilder<'a,>, ::capnp::NotInSchema> {
+            match self.builder.get_data_field::<u16>(14) {
+                0 => {
+                    ::core::result::Result::Ok(Placed(
+                        self.builder.into()
+                    ))
+                }
+                1 => {
+                    ::core::result::Result::Ok(Started(
+                        ()
+                    ))
+                }
+                2 => {
+                    ::core::result::Result::Ok(Ended(
+                        ()
+                    ))
+                }
+                x => ::core::result::Result::Err(::capnp::NotInSchema(x))
+            }
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 87] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(46, 195, 204, 216, 210, 74, 243, 151),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 4, 0),
+            ::capnp::word(70, 40, 94, 123, 201, 161, 243, 208),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 3, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 130, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 23, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 31, 1, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+            ::capnp::word(110, 112, 58, 87, 111, 114, 107, 0),
+            ::capnp::word(4, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(20, 251, 40, 196, 148, 211, 155, 193),
+            ::capnp::word(1, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(80, 97, 114, 116, 0, 0, 0, 0),
+            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(125, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(129, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 255, 255, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(40, 87, 8, 101, 126, 165, 82, 237),
+            ::capnp::word(133, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(3, 0, 254, 255, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(109, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 253, 255, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(113, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(120, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(101, 110, 116, 114, 121, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(110, 117, 109, 98, 101, 114, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 108, 97, 99, 101, 100, 0, 0),
+            ::capnp::word(115, 116, 97, 114, 116, 101, 100, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(101, 110, 100, 101, 100, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <crate::peer_capnp::work::placed::Owned as ::capnp::introspect::Introspect>::introspect(),
+                3 => <() as ::capnp::introspect::Introspect>::introspect(),
+                4 => <() as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[2,3,4];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[4,0,1,2,3];
+        pub(crate) const TYPE_ID: u64 = 0x97f3_4ad2_d8cc_c32e;
+    }
+    pub enum Which<A0> {
+        Placed(A0),
+        Started(()),
+        Ended(()),
+    }
+    pub type WhichReader<'a,> = Which<crate::peer_capnp::work::placed::Reader<'a>>;
+    pub type WhichBuilder<'a,> = Which<crate::peer_capnp::work::placed::Builder<'a>>;
+
+    pub mod part {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <> Reader<'_,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_server(self) -> u64 {
+                self.reader.get_data_field::<u64>(0)
+            }
+            #[inline]
+            pub fn get_read_ms(self) -> f32 {
+                self.reader.get_data_field::<f32>(2)
+            }
+            #[inline]
+            pub fn get_tokens(self) -> u32 {
+                self.reader.get_data_field::<u32>(3)
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 0 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_server(self) -> u64 {
+                self.builder.get_data_field::<u64>(0)
+            }
+            #[inline]
+            pub fn set_server(&mut self, value: u64)  {
+                self.builder.set_data_field::<u64>(0, value);
+            }
+            #[inline]
+            pub fn get_read_ms(self) -> f32 {
+                self.builder.get_data_field::<f32>(2)
+            }
+            #[inline]
+            pub fn set_read_ms(&mut self, value: f32)  {
+                self.builder.set_data_field::<f32>(2, value);
+            }
+            #[inline]
+            pub fn get_tokens(self) -> u32 {
+                self.builder.get_data_field::<u32>(3)
+            }
+            #[inline]
+            pub fn set_tokens(&mut self, value: u32)  {
+                self.builder.set_data_field::<u32>(3, value);
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 62] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(20, 251, 40, 196, 148, 211, 155, 193),
+                ::capnp::word(16, 0, 0, 0, 1, 0, 2, 0),
+                ::capnp::word(46, 195, 204, 216, 210, 74, 243, 151),
+                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 170, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+                ::capnp::word(110, 112, 58, 87, 111, 114, 107, 46),
+                ::capnp::word(80, 97, 114, 116, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(69, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(73, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(2, 0, 0, 0, 3, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(77, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(115, 101, 114, 118, 101, 114, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(114, 101, 97, 100, 77, 115, 0, 0),
+                ::capnp::word(10, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(10, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(116, 111, 107, 101, 110, 115, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <f32 as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0,2];
+            pub(crate) const TYPE_ID: u64 = 0xc19b_d394_c428_fb14;
+        }
+    }
+
+    pub mod placed {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> Reader<'a,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_target_ms(self) -> u32 {
+                self.reader.get_data_field::<u32>(4)
+            }
+            #[inline]
+            pub fn get_pause_ms(self) -> u32 {
+                self.reader.get_data_field::<u32>(5)
+            }
+            #[inline]
+            pub fn get_value(self) -> f32 {
+                self.reader.get_data_field::<f32>(6)
+            }
+            #[inline]
+            pub fn get_parts(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::peer_capnp::work::part::Owned>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_parts(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 1 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_target_ms(self) -> u32 {
+                self.builder.get_data_field::<u32>(4)
+            }
+            #[inline]
+            pub fn set_target_ms(&mut self, value: u32)  {
+                self.builder.set_data_field::<u32>(4, value);
+            }
+            #[inline]
+            pub fn get_pause_ms(self) -> u32 {
+                self.builder.get_data_field::<u32>(5)
+            }
+            #[inline]
+            pub fn set_pause_ms(&mut self, value: u32)  {
+                self.builder.set_data_field::<u32>(5, value);
+            }
+            #[inline]
+            pub fn get_value(self) -> f32 {
+                self.builder.get_data_field::<f32>(6)
+            }
+            #[inline]
+            pub fn set_value(&mut self, value: f32)  {
+                self.builder.set_data_field::<f32>(6, value);
+            }
+            #[inline]
+            pub fn get_parts(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::peer_capnp::work::part::Owned>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_parts(&mut self, value: ::capnp::struct_list::Reader<'_,crate::peer_capnp::work::part::Owned>) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+            }
+            #[inline]
+            pub fn init_parts(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::peer_capnp::work::part::Owned> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), size)
+            }
+            #[inline]
+            pub fn has_parts(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 81] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(40, 87, 8, 101, 126, 165, 82, 237),
+                ::capnp::word(16, 0, 0, 0, 1, 0, 4, 0),
+                ::capnp::word(46, 195, 204, 216, 210, 74, 243, 151),
+                ::capnp::word(1, 0, 7, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 186, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 231, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+                ::capnp::word(110, 112, 58, 87, 111, 114, 107, 46),
+                ::capnp::word(112, 108, 97, 99, 101, 100, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 4, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(97, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 5, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(105, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(2, 0, 0, 0, 6, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(109, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(113, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(108, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(116, 97, 114, 103, 101, 116, 77, 115),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(112, 97, 117, 115, 101, 77, 115, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(118, 97, 108, 117, 101, 0, 0, 0),
+                ::capnp::word(10, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(10, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(112, 97, 114, 116, 115, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(20, 251, 40, 196, 148, 211, 155, 193),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <f32 as ::capnp::introspect::Introspect>::introspect(),
+                    3 => <::capnp::struct_list::Owned<crate::peer_capnp::work::part::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[3,1,0,2];
+            pub(crate) const TYPE_ID: u64 = 0xed52_a57e_6508_5728;
+        }
+    }
+}
+
 pub mod datagram {
-    pub use self::Which::{Probe,Ack,ProbeFor,News,Loads};
+    pub use self::Which::{Probe,Ack,ProbeFor,News,Loads,Work};
 
     #[derive(Copy, Clone)]
     pub struct Owned(());
@@ -2077,6 +2957,11 @@
             !self.reader.get_pointer_field(2).is_null()
         }
         #[inline]
+        pub fn has_work(&self) -> bool {
+            if self.reader.get_data_field::<u16>(8) != 5 { return false; }
+            !self.reader.get_pointer_field(2).is_null()
+        }
+        #[inline]
         pub fn which(self) -> ::core::result::Result<WhichReader<'a,>, ::capnp::NotInSchema> {
             match self.reader.get_data_field::<u16>(8) {
                 0 => {
@@ -2104,6 +2989,11 @@
                         ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
                     ))
                 }
+                5 => {
+                    ::core::result::Result::Ok(Work(
+                        ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
+                    ))
+                }
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x))
             }
         }
@@ -2238,6 +3128,21 @@
             !self.builder.is_pointer_field_null(2)
         }
         #[inline]
+        pub fn set_work(&mut self, value: ::capnp::struct_list::Reader<'_,crate::peer_capnp::work::Owned>) -> ::capnp::Result<()> {
+            self.builder.set_data_field::<u16>(8, 5);
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(2), value, false)
+        }
+        #[inline]
+        pub fn init_work(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::peer_capnp::work::Owned> {
+            self.builder.set_data_field::<u16>(8, 5);
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(2), size)
+        }
+        #[inline]
+        pub fn has_work(&self) -> bool {
+            if self.builder.get_data_field::<u16>(8) != 5 { return false; }
+            !self.builder.is_pointer_field_null(2)
+        }
+        #[inline]
         pub fn which(self) -> ::core::result::Result<WhichBuilder<'a,>, ::capnp::NotInSchema> {
             match self.builder.get_data_field::<u16>(8) {
                 0 => {
@@ -2265,6 +3170,11 @@
                         ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
                     ))
                 }
+                5 => {
+                    ::core::result::Result::Ok(Work(
+                        ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
+                    ))
+                }
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x))
             }
         }
@@ -2282,80 +3192,87 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 140] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 159] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(253, 185, 205, 115, 77, 158, 110, 227),
             ::capnp::word(11, 0, 0, 0, 1, 0, 3, 0),
             ::capnp::word(70, 40, 94, 123, 201, 161, 243, 208),
-            ::capnp::word(3, 0, 7, 0, 0, 0, 5, 0),
+            ::capnp::word(3, 0, 7, 0, 0, 0, 6, 0),
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 162, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 199, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 255, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 68, 97, 116, 97, 103),
             ::capnp::word(114, 97, 109, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(32, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(36, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(209, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(237, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(244, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(213, 0, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(241, 0, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(212, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(224, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(240, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(252, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(221, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(249, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(216, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(244, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(244, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 255, 255, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(241, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(13, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(248, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(20, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 254, 255, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(245, 0, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(17, 1, 0, 0, 34, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(240, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(252, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 253, 255, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(248, 154, 62, 179, 21, 179, 197, 196),
-            ::capnp::word(249, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(21, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(6, 0, 252, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(229, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(1, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(224, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(236, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(252, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(8, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 251, 255, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(233, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(5, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(228, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(0, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(0, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(28, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 0, 250, 255, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(20, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(102, 114, 111, 109, 0, 0, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(68, 38, 79, 232, 15, 20, 34, 187),
@@ -2423,6 +3340,18 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(119, 111, 114, 107, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(46, 195, 204, 216, 210, 74, 243, 151),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -2434,6 +3363,7 @@
                 5 => <crate::peer_capnp::datagram::probe_for::Owned as ::capnp::introspect::Introspect>::introspect(),
                 6 => <() as ::capnp::introspect::Introspect>::introspect(),
                 7 => <::capnp::struct_list::Owned<crate::peer_capnp::load::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                8 => <::capnp::struct_list::Owned<crate::peer_capnp::work::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -2448,19 +3378,20 @@
             MEMBERS_BY_NAME
         );
         pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
-        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[3,4,5,6,7];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[4,1,0,7,6,3,5,2];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[3,4,5,6,7,8];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[4,1,0,7,6,3,5,2,8];
         pub(crate) const TYPE_ID: u64 = 0xe36e_9e4d_73cd_b9fd;
     }
-    pub enum Which<A0,A1> {
+    pub enum Which<A0,A1,A2> {
         Probe(u64),
         Ack(u64),
         ProbeFor(A0),
         News(()),
         Loads(A1),
+        Work(A2),
     }
-    pub type WhichReader<'a,> = Which<crate::peer_capnp::datagram::probe_for::Reader<'a>,::capnp::Result<::capnp::struct_list::Reader<'a,crate::peer_capnp::load::Owned>>>;
-    pub type WhichBuilder<'a,> = Which<crate::peer_capnp::datagram::probe_for::Builder<'a>,::capnp::Result<::capnp::struct_list::Builder<'a,crate::peer_capnp::load::Owned>>>;
+    pub type WhichReader<'a,> = Which<crate::peer_capnp::datagram::probe_for::Reader<'a>,::capnp::Result<::capnp::struct_list::Reader<'a,crate::peer_capnp::load::Owned>>,::capnp::Result<::capnp::struct_list::Reader<'a,crate::peer_capnp::work::Owned>>>;
+    pub type WhichBuilder<'a,> = Which<crate::peer_capnp::datagram::probe_for::Builder<'a>,::capnp::Result<::capnp::struct_list::Builder<'a,crate::peer_capnp::load::Owned>>,::capnp::Result<::capnp::struct_list::Builder<'a,crate::peer_capnp::work::Owned>>>;
 
     pub mod probe_for {
         #[derive(Copy, Clone)]
