--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -40,8 +40,6 @@
 /// The pauses after which a server whose connection broke is asked whether it is still there. A
 /// server that crashed stays away for longer.
 const CRASH_CHECKS: [Duration; 2] = [Duration::from_millis(50), Duration::from_millis(250)];
-/// The weight of the newest latency in the smoothed one.
-const LATENCY_WEIGHT: f64 = 0.2;
 
 /// Where an attempt goes.
 #[derive(Clone, Debug)]
@@ -414,10 +412,7 @@
         _ => known.health.succeeded(),
     }
     if !exchange.route.kind.is_stream() {
-        let latency = now.since(sent);
-        let before = known.latency.unwrap_or(latency);
-        let smoothed = before.mul_f64(1.0 - LATENCY_WEIGHT) + latency.mul_f64(LATENCY_WEIGHT);
-        known.latency = Some(smoothed);
+        known.note_latency(now, now.since(sent));
     }
 }
 
--- a/crates/placement/src/plain.rs
+++ b/crates/placement/src/plain.rs
@@ -9,8 +9,11 @@
 use crate::Board;
 use crate::servers::Known;
 
-/// The latency that a server is assumed to have before it has answered.
-const ASSUMED_LATENCY: Duration = Duration::from_millis(30);
+/// The time after which a latency says nothing more: a server that was slow then may be fast now,
+/// and nobody would find out if it got no work.
+const LATENCY_KEPT: Duration = Duration::from_secs(3);
+/// Latencies differ at random by about this share.
+const LATENCY_NOISE: f64 = 0.2;
 
 /// Chooses the server whose work in progress is likely to end first. Servers in `tried` come last,
 /// those whose breaker is open not at all.
@@ -21,16 +24,20 @@
     tried: &[u64],
     random: &mut impl Rng,
 ) -> Option<&'a Known> {
-    let usable = servers.filter(|it| it.health.is_usable(now));
-    let weighed = usable.map(|it| {
+    let usable: Vec<&Known> = servers.filter(|it| it.health.is_usable(now)).collect();
+    let recent = |it: &&Known| it.recent_latency(now, LATENCY_KEPT);
+    // A server of which nothing is known gets the benefit of the doubt.
+    let fastest = usable.iter().filter_map(recent).min();
+    let weighed = usable.iter().map(|it| {
         let key = it.server.key();
         let running = board.queue(key).map_or(0, |it| it.len());
         let rounds = 1.0 + running as f64 / it.server.slots.max(1) as f64;
-        let latency = it.latency.unwrap_or(ASSUMED_LATENCY).as_secs_f64();
-        let jitter = 1.0 + 0.1 * random.random::<f64>();
+        let latency = recent(it).or(fastest).unwrap_or_default().as_secs_f64();
+        let noise = 1.0 + LATENCY_NOISE * random.random::<f64>();
         let is_full = running >= it.server.slots;
-        (tried.contains(&key), is_full, rounds * latency * jitter, it)
+        let rank = (tried.contains(&key), is_full);
+        (rank, rounds * latency * noise, *it)
     });
-    let best = weighed.min_by(|a, b| (a.0, a.1).cmp(&(b.0, b.1)).then(a.2.total_cmp(&b.2)));
-    best.map(|it| it.3)
+    let best = weighed.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
+    best.map(|it| it.2)
 }
--- a/crates/placement/src/servers.rs
+++ b/crates/placement/src/servers.rs
@@ -14,6 +14,8 @@
 const LAPSE_GRACE: Duration = Duration::from_millis(2_300);
 /// A silence of the list that counts as an outage: servers may have lapsed meanwhile.
 const OUTAGE: Duration = Duration::from_millis(2_500);
+/// The weight of the newest latency in the smoothed one.
+const LATENCY_WEIGHT: f64 = 0.2;
 /// The time for which the last report of a server that went is kept.
 const GONE_KEPT: Duration = Duration::from_secs(30);
 /// The time for which a server that said itself that it leaves, or turned out to be another one, is
@@ -73,8 +75,8 @@
     pub server: Rc<Server>,
     /// The circuit breaker.
     pub health: Health,
-    /// How long its plain answers take, smoothed.
-    pub latency: Option<Duration>,
+    /// How long its plain answers take, smoothed, and when the last one came.
+    latency: Option<(Duration, Moment)>,
     /// How many times longer than forecast its work takes, smoothed.
     pub pace: f64,
     lapsed: bool,
@@ -208,6 +210,19 @@
         }
     }
 
+    /// Notes how long a plain answer took.
+    pub fn note_latency(&mut self, now: Moment, latency: Duration) {
+        let before = self.latency.map_or(latency, |it| it.0);
+        let smoothed = before.mul_f64(1.0 - LATENCY_WEIGHT) + latency.mul_f64(LATENCY_WEIGHT);
+        self.latency = Some((smoothed, now));
+    }
+
+    /// Returns how long plain answers take, if one came within `kept`.
+    pub fn recent_latency(&self, now: Moment, kept: Duration) -> Option<Duration> {
+        let (latency, at) = self.latency?;
+        (now.since(at) < kept).then_some(latency)
+    }
+
     fn is_disowned(&self, now: Moment) -> bool {
         self.disowned.is_some_and(|it| now.since(it) < DISOWNED_FOR)
     }
