Read prompts beyond one engine's memory on reservations

Cause: every prompt of more than 232,000 tokens was refused, one in seven of the long ones. Change: a plan spreads tokens over engines; the gateway reserves them on short leases, renews and releases them. Orders never wait for memory, so no two requests wait for each other.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -28,6 +28,7 @@
 use crate::port::Verdict;
 use crate::relay::Answer;
 use crate::relay::State;
+use crate::reserve;
 
 /// The time for a connection. Servers accept within milliseconds; a partition never does.
 const CONNECT_TIME: Duration = Duration::from_millis(400);
@@ -74,7 +75,7 @@
     pub fn planned(plan: Plan, servers: Vec<Rc<Server>>) -> Option<Self> {
         let (server, helpers) = servers.split_first()?;
         let helpers = helpers.iter().map(|it| Helper {
-            address: it.address,
+            server: it.clone(),
             ticket: None,
         });
         Some(Self {
@@ -97,6 +98,8 @@
     CallerLeft,
     /// No connection came about: nothing was sent.
     Unreached,
+    /// A server has no room to set aside: nothing was sent.
+    NoRoom,
     /// The server says that it did not run the request.
     NotRun,
     /// Another server listens at the address; it did not run the request.
@@ -113,6 +116,7 @@
             Self::Answered(..) => "answered",
             Self::CallerLeft => "caller_left",
             Self::Unreached => "unreached",
+            Self::NoRoom => "no_room",
             Self::NotRun => "not_run",
             Self::OtherServer => "other_server",
             Self::Broken => "broken",
@@ -157,14 +161,26 @@
 pub async fn run(
     node: &Rc<Node>,
     exchange: &mut Exchange,
-    target: &Target,
+    target: &mut Target,
     answer: &mut Answer,
 ) -> Outcome {
     let now = clock::now();
     let entry = Entry::new(node, now, exchange, target);
-    let Some(mut stream) = open(node, now, target).await else {
-        lost(node, target.server.key());
-        return Outcome::Unreached;
+    let _held = if target.parts.iter().skip(1).any(|it| it.tokens > 0) {
+        match reserve::acquire(node, entry.job, target).await {
+            Some(held) => Some(held),
+            None => return Outcome::NoRoom,
+        }
+    } else {
+        None
+    };
+    let mut stream = match connect(node, &target.server).await {
+        Ok(stream) => stream,
+        Err(error) => {
+            log::info!(target: "server", server = target.server.id.as_str(), error:% = error; "can't connect");
+            lost(node, target.server.key());
+            return Outcome::Unreached;
+        }
     };
     exchange.attempts += 1;
     let sent = clock::now();
@@ -224,22 +240,26 @@
     reuse: Option<Option<Duration>>,
 }
 
-async fn open(node: &Node, now: Moment, target: &Target) -> Option<Stream> {
-    let key = target.server.key();
-    if let Some(stream) = node.connections.borrow_mut().take(now, key) {
-        return Some(stream);
+/// Returns a connection to a server, a kept one if there is any.
+pub async fn connect(node: &Node, server: &Server) -> Result<Stream, Error> {
+    let kept = node
+        .connections
+        .borrow_mut()
+        .take(clock::now(), server.key());
+    if let Some(stream) = kept {
+        return Ok(stream);
     }
-    let connect = Stream::connect(target.server.address, SILENCE);
-    match front::within(CONNECT_TIME, connect).await {
-        Some(Ok(stream)) => Some(stream),
-        Some(Err(error)) => {
-            log::info!(target: "server", server = target.server.id.as_str(), error:% = error; "can't connect");
-            None
-        }
-        None => {
-            log::info!(target: "server", server = target.server.id.as_str(); "no connection in time");
-            None
-        }
+    let connect = Stream::connect(server.address, SILENCE);
+    let connected = front::within(CONNECT_TIME, connect).await;
+    connected.unwrap_or(Err(Error::Io(std::io::ErrorKind::TimedOut.into())))
+}
+
+/// Keeps a connection whose last answer was read in full, if it can be used again.
+pub fn keep(node: &Node, server: &Server, stream: Stream, response: &Response) {
+    if response.is_persistent && stream.unread() == 0 {
+        let now = clock::now();
+        let mut connections = node.connections.borrow_mut();
+        connections.keep(now, server.key(), stream, keep_alive(response));
     }
 }
 
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use async_io::Timer;
 use domain::Moment;
 use domain::digest;
 use futures_lite::future;
@@ -36,6 +37,8 @@
 /// When to come back if no server can take the request: the time in which the platform's list and
 /// the breakers show what changed.
 const NO_SERVER_RETRY: Duration = Duration::from_millis(600);
+/// The pause between two looks for memory; requests end several times in it.
+const ROOM_CHECK: Duration = Duration::from_millis(80);
 /// Tokens that make a prompt worth as much again as a short request; from the users' sheets, where
 /// worth grows by about one for each 10,000 tokens.
 const TOKENS_OF_VALUE: f64 = 10_000.0;
@@ -83,6 +86,7 @@
     UnknownKey,
     Quarantined,
     NoServer,
+    NoRoom,
     TooLate,
     NotRun,
     Failed,
@@ -99,6 +103,7 @@
             Self::Unconfigured
             | Self::Quarantined
             | Self::NoServer
+            | Self::NoRoom
             | Self::TooLate
             | Self::NotRun => 503,
         }
@@ -111,6 +116,7 @@
             Self::UnknownKey => "unknown_key",
             Self::Quarantined => "quarantined",
             Self::NoServer => "no_server",
+            Self::NoRoom => "no_room",
             Self::TooLate => "too_late",
             Self::NotRun => "not_run",
             Self::Failed => "failed",
@@ -121,7 +127,7 @@
     fn retry_after(self) -> Option<Duration> {
         match self {
             Self::Unconfigured => Some(UNCONFIGURED_RETRY),
-            Self::NoServer | Self::NotRun | Self::TooLate => Some(NO_SERVER_RETRY),
+            Self::NoServer | Self::NoRoom | Self::NotRun | Self::TooLate => Some(NO_SERVER_RETRY),
             _ => None,
         }
     }
@@ -247,13 +253,19 @@
         self.earn(node);
         let mut failure: Option<(Response, Vec<u8>)> = None;
         loop {
-            let target = match self.place(node) {
+            let mut target = match self.place(node) {
                 Ok(target) => target,
+                Err(Refusal::NoRoom) if self.may_wait_for_room() => {
+                    Timer::after(ROOM_CHECK).await;
+                    continue;
+                }
                 Err(refusal) => return self.give_up(answer, failure, refusal).await,
             };
-            let outcome = attempt::run(node, self, &target, answer).await;
+            let outcome = attempt::run(node, self, &mut target, answer).await;
             self.note_attempt(node, &target, &outcome);
-            self.tried.push(target.server.key());
+            if !matches!(outcome, Outcome::NoRoom) {
+                self.tried.push(target.server.key());
+            }
             match outcome {
                 Outcome::Delivered => return Ok("delivered"),
                 Outcome::Answered(response, body) => {
@@ -270,6 +282,12 @@
                     return Ok(passed_on.map_or("caller_left", |()| "answered"));
                 }
                 Outcome::CallerLeft => return Ok("caller_left"),
+                Outcome::NoRoom => {
+                    if !self.may_wait_for_room() {
+                        return self.give_up(answer, failure, Refusal::NoRoom).await;
+                    }
+                    Timer::after(ROOM_CHECK).await;
+                }
                 Outcome::Unreached => {
                     if self.tried.len() > CONNECT_LIMIT {
                         return self.give_up(answer, failure, Refusal::NoServer).await;
@@ -362,6 +380,9 @@
             &mut random,
         );
         let plan = plan.ok_or(Refusal::NoServer)?;
+        if !plan.has_room && prompt.tokens + prompt.output > engine.memory_tokens {
+            return Err(Refusal::NoRoom);
+        }
         if now + plan.first_token > self.patience() && self.attempts == 0 {
             return Err(Refusal::TooLate);
         }
@@ -373,6 +394,11 @@
         Target::planned(plan, addressed.unwrap_or_default()).ok_or(Refusal::NoServer)
     }
 
+    /// Tells whether the request is better off waiting for memory than coming back later.
+    fn may_wait_for_room(&self) -> bool {
+        clock::now() < self.arrived + self.route.target
+    }
+
     fn need(&self, now: Moment, tokens: u64, output: u64, expected: Option<u64>) -> Need {
         let usual = self.service.engine.as_ref().map_or(0, |it| it.usual_output);
         Need {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod peers;
 pub mod port;
 pub mod relay;
+pub mod reserve;
 pub mod run;
 pub mod settings;
 
--- a/crates/gateway/src/port.rs
+++ b/crates/gateway/src/port.rs
@@ -3,6 +3,7 @@
 
 use std::future::Future;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use h1::Request;
@@ -110,6 +111,12 @@
     /// Returns the id of the request that a backend server answers, if the answer has one.
     fn answered_id<'a>(&self, response: &'a Response) -> Option<&'a str>;
 
+    /// Returns the order that sets memory aside at a server, or renews that.
+    fn reserve(&self, reservation: &Reservation<'_>) -> Order;
+
+    /// Returns the order that gives memory back.
+    fn release(&self, id: &str) -> Order;
+
     /// Returns the head of an answer of the gateway's own.
     fn refusal(&self, status: u16, id: Option<&str>, retry_after: Option<Duration>) -> Response;
 
@@ -168,11 +175,31 @@
     pub rank: Option<u8>,
 }
 
-/// A server that reads a part of a prompt.
+/// Memory of a server that is to be set aside.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Reservation<'a> {
+    /// Its name.
+    pub id: &'a str,
+    /// The tokens that it holds.
+    pub tokens: u32,
+    /// The time after which it ends unless it is renewed.
+    pub lease: Duration,
+}
+
+/// An order to a server.
 #[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Order {
+    /// The head; the body's length is not yet in it.
+    pub head: Request,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
+/// A server that reads a part of a prompt.
+#[derive(Clone, Debug, PartialEq)]
 pub struct Helper {
-    /// Where it listens.
-    pub address: SocketAddr,
+    /// The server.
+    pub server: Rc<Server>,
     /// The reservation that holds its part.
     pub ticket: Option<String>,
 }
--- a/crates/placement/src/board.rs
+++ b/crates/placement/src/board.rs
@@ -62,7 +62,8 @@
     pub server: u64,
     /// The time that it reads, in milliseconds.
     pub read_ms: f32,
-    /// Tokens that lie in its memory.
+    /// Tokens that lie in its memory. Those of a server that only reads are set aside by a
+    /// reservation and stay there until the request ends.
     pub tokens: u32,
 }
 
@@ -181,9 +182,9 @@
                 continue;
             };
             queue.advanced = now;
-            // Servers read in order, so what was placed before has been read too, if it is going
-            // to be; a helper's part is over.
-            queue.tasks.retain(|it| it.job != job || !it.is_helping);
+            // A helper's part is over, unless it holds memory: then it goes on with each step.
+            let is_over = |it: &Task| it.job == job && it.is_helping && it.tokens == 0;
+            queue.tasks.retain(|it| !is_over(it));
             for task in queue.tasks.iter_mut().filter(|it| it.job == job) {
                 task.is_writing = true;
             }
--- a/crates/placement/src/plan.rs
+++ b/crates/placement/src/plan.rs
@@ -27,6 +27,11 @@
 /// What each further engine must gain, in the value of a short request: parts that gain nothing
 /// only add messages between engines.
 const PART_COST: f64 = 0.01;
+/// What a reservation of memory must gain, in the value of a short request: the orders that make,
+/// renew and release it.
+const RESERVATION_COST: f64 = 0.1;
+/// The smallest reservation, in tokens.
+const SMALLEST_RESERVATION: f64 = 4_096.0;
 /// The loss of a full target's length of waiting, in the value of a short request. It breaks ties
 /// in favour of the sooner answer.
 const WAIT_COST: f64 = 0.05;
@@ -69,6 +74,8 @@
     pub first_token: Duration,
     /// What is expected to be lost, in the value of a short request.
     pub loss: f64,
+    /// Whether the engines' memory has room for the prompt and its answer.
+    pub has_room: bool,
 }
 
 /// An engine as a candidate.
@@ -175,6 +182,7 @@
         ranked.swap(0, writer);
     }
     let first = ranked.first()?.engine;
+    let held = holdings(&ranked, held);
     let begin = ranked
         .iter()
         .map(|it| it.engine.wait_ms)
@@ -183,20 +191,56 @@
     let writing = engine.pass_ms(first.writers + 1, need.prompt);
     let first_token_ms = begin + part_ms * pace + writing;
     let harm: f64 = ranked.iter().map(|it| it.harm).sum();
-    let parts = ranked.iter().enumerate().map(|(index, it)| Part {
+    let parts = ranked.iter().zip(&held.tokens).map(|(it, tokens)| Part {
         server: it.engine.key,
         read_ms: part_ms as f32,
-        tokens: if index == 0 { held as u32 } else { 0 },
+        tokens: *tokens as u32,
     });
     let parts: Vec<Part> = parts.collect();
-    let loss = need.loss(first_token_ms) + first.memory_loss(held) + harm;
+    let reservations = parts.iter().skip(1).filter(|it| it.tokens > 0).count();
+    let memory_loss = if held.is_enough { 0.0 } else { MEMORY_LOSS };
+    let loss = need.loss(first_token_ms) + memory_loss + harm;
+    let cost = PART_COST * parts.len() as f64 + RESERVATION_COST * reservations as f64;
     Some(Plan {
-        loss: loss + PART_COST * parts.len() as f64,
+        has_room: held.is_enough,
+        loss: loss + cost,
         parts,
         first_token: Duration::from_secs_f64(first_token_ms / 1e3),
     })
 }
 
+/// What each engine of a plan holds of a prompt and its answer.
+struct Holdings {
+    tokens: Vec<f64>,
+    /// Whether there is room for everything.
+    is_enough: bool,
+}
+
+/// Spreads tokens over the memory of engines. The first one holds what it can, and the roomiest of
+/// the others the rest, so that few reservations are needed.
+fn holdings(ranked: &[Ranked<'_>], total: f64) -> Holdings {
+    let mut tokens = vec![0.0; ranked.len()];
+    let mut left = total;
+    let mut order: Vec<usize> = (1..ranked.len()).collect();
+    let free = |it: usize| ranked[it].engine.free_tokens.max(0.0);
+    order.sort_by(|a, b| free(*b).total_cmp(&free(*a)));
+    for index in std::iter::once(0).chain(order) {
+        let taken = left.min(free(index)).floor();
+        // Small reservations are not worth their order.
+        if index > 0 && taken < SMALLEST_RESERVATION.min(left) {
+            continue;
+        }
+        tokens[index] = taken;
+        left -= taken;
+    }
+    let is_enough = left < 1.0;
+    if !is_enough {
+        tokens.fill(0.0);
+        tokens[0] = total;
+    }
+    Holdings { tokens, is_enough }
+}
+
 impl Need {
     /// Returns what this request loses if its first token comes after `first_token_ms`.
     fn loss(&self, first_token_ms: f64) -> f64 {
