Keep short requests together on some engines, so that long reading harms few

Ruled out: bad forecasts; more parts (each part harms someone). Change: writing for a tight caller on an engine that has none costs, the more the fewer such engines are left; pauses are forecast more sharply; one pass reads so many tokens and no more.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -53,6 +53,8 @@
     pub parts: Vec<Part>,
     /// The time until the first token, as forecast.
     pub first_token: Duration,
+    /// What the plan expects to be lost, in the value of a short request.
+    pub loss: f64,
 }
 
 impl Target {
@@ -68,6 +70,7 @@
             helpers: Vec::new(),
             parts: vec![part],
             first_token: Duration::ZERO,
+            loss: 0.0,
         }
     }
 
@@ -83,6 +86,7 @@
             helpers: helpers.collect(),
             parts: plan.parts,
             first_token: plan.first_token,
+            loss: plan.loss,
         })
     }
 }
@@ -348,6 +352,9 @@
             has_started = true;
             entry.started();
         }
+        if !ready.is_empty() {
+            exchange.pace.note(clock::now());
+        }
         let is_first = answer.state() == State::NotBegun;
         let sent = match response.take().filter(|_| is_first) {
             Some(response) if !ready.is_empty() || !goes_on => {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -72,12 +72,33 @@
     pub last_event: Option<u64>,
     /// Attempts that were sent.
     pub attempts: u32,
+    /// When its events came.
+    pub pace: Pace,
     /// Whether a server may have run it.
     pub may_have_run: bool,
     /// What names the same work when the caller sends it again.
     pub fingerprint: u64,
 }
 
+/// When the events of a stream came.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Pace {
+    first: Option<Moment>,
+    last: Option<Moment>,
+    longest_pause: Duration,
+}
+
+impl Pace {
+    /// Notes that events came.
+    pub fn note(&mut self, now: Moment) {
+        self.first = self.first.or(Some(now));
+        if let Some(last) = self.last {
+            self.longest_pause = self.longest_pause.max(now.since(last));
+        }
+        self.last = Some(now);
+    }
+}
+
 /// Why a request was refused, for logs and metrics.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Refusal {
@@ -191,6 +212,7 @@
         last_event: ask.last_event,
         tried: Vec::new(),
         attempts: 0,
+        pace: Pace::default(),
         may_have_run: false,
         request,
         body,
@@ -427,6 +449,10 @@
             forecast_ms = target.first_token.as_millis() as u64,
             config = node.state.borrow().table.as_ref().map_or(0, |it| it.version()),
             attempt = self.attempts,
+            tokens = self.ask.prompt.map_or(0, |it| it.tokens),
+            loss = target.loss,
+            first_event_ms = self.pace.first.map_or(0, |it| it.since(self.arrived).as_millis() as u64),
+            longest_pause_ms = self.pace.longest_pause.as_millis() as u64,
             elapsed_ms = clock::now().since(self.arrived).as_millis() as u64,
             outcome = outcome.name();
             "attempt ended"
--- a/crates/gateway/src/logs.rs
+++ b/crates/gateway/src/logs.rs
@@ -143,7 +143,9 @@
 
 impl<'a> kv::VisitSource<'a> for Fields {
     fn visit_pair(&mut self, key: kv::Key<'a>, value: kv::Value<'a>) -> Result<(), kv::Error> {
-        let value = if let Some(number) = value.to_u64() {
+        let value = if let Some(flag) = value.to_bool() {
+            flag.into()
+        } else if let Some(number) = value.to_u64() {
             number.into()
         } else if let Some(number) = value.to_f64() {
             number.into()
--- a/crates/placement/src/plan.rs
+++ b/crates/placement/src/plan.rs
@@ -17,13 +17,24 @@
 use crate::Board;
 use crate::board::Part;
 use crate::board::Queue;
+use crate::board::Task;
 use crate::servers::Known;
 
 /// The share of a request's value that is lost if it is late; from the users' sheets.
 const LATE_LOSS: f64 = 0.75;
-/// Forecasts are off by about this share of a limit: a first token that is forecast just at its
-/// target is late half of the time.
-const FORECAST_SPREAD: f64 = 0.15;
+/// Forecasts of first tokens are off by about this share of the target: one that is forecast just
+/// at its target is late half of the time.
+const FIRST_TOKEN_SPREAD: f64 = 0.15;
+/// Forecasts of pauses are off by about this share of the limit.
+const PAUSE_SPREAD: f64 = 0.1;
+/// Pauses up to this length are tight: a prompt of usual length that is read beside such a writer
+/// makes it late.
+const TIGHT_PAUSE: Duration = Duration::from_millis(400);
+/// The loss in writing for a tight request on an engine that has none yet, in the value of a short
+/// request: while the others have them all, nobody is harmed by long reading there. It grows with
+/// the share of engines that already have some, up to the sum of both.
+const FIRST_OPENING_COST: f64 = 0.05;
+const LAST_OPENING_COST: f64 = 0.5;
 /// What each further engine must gain, in the value of a short request: parts that gain nothing
 /// only add messages between engines.
 const PART_COST: f64 = 0.01;
@@ -91,6 +102,8 @@
     /// The length of a pass without reading, in milliseconds.
     pass_ms: f64,
     writers: usize,
+    /// Whether it writes, or will write, for somebody whose pauses must be short.
+    has_tight_writers: bool,
     free_tokens: f64,
     /// Breaks ties between engines that are alike.
     jitter: f64,
@@ -157,16 +170,23 @@
 ) -> Option<Plan> {
     let part_ms = read_ms / parts as f64;
     let is_split = parts > 1;
-    let harm = |it: &Candidate<'_>| it.harm(now, engine, part_ms, is_split);
+    let part_tokens = need.prompt as f64 / parts as f64;
+    let harm = |it: &Candidate<'_>| it.harm(now, engine, part_ms, part_tokens, is_split);
+    let opening_cost = opening_cost(candidates, need);
     let mut ranked: Vec<Ranked<'_>> = candidates
         .iter()
         .map(|it| {
             let harm = harm(it);
             let own = it.own_loss(engine, part_ms, need, is_split);
+            let opening = if it.has_tight_writers {
+                0.0
+            } else {
+                opening_cost
+            };
             Ranked {
                 engine: it,
                 harm,
-                rank: harm + own + it.jitter,
+                rank: harm + own + opening + it.jitter,
             }
         })
         .collect();
@@ -182,6 +202,11 @@
         ranked.swap(0, writer);
     }
     let first = ranked.first()?.engine;
+    let opening = if first.has_tight_writers {
+        0.0
+    } else {
+        opening_cost
+    };
     let held = holdings(&ranked, held);
     let begin = ranked
         .iter()
@@ -199,7 +224,7 @@
     let parts: Vec<Part> = parts.collect();
     let reservations = parts.iter().skip(1).filter(|it| it.tokens > 0).count();
     let memory_loss = if held.is_enough { 0.0 } else { MEMORY_LOSS };
-    let loss = need.loss(first_token_ms) + memory_loss + harm;
+    let loss = need.loss(first_token_ms) + memory_loss + harm + opening;
     let cost = PART_COST * parts.len() as f64 + RESERVATION_COST * reservations as f64;
     Some(Plan {
         has_room: held.is_enough,
@@ -209,6 +234,16 @@
     })
 }
 
+/// Returns the loss in writing for `need` on an engine that has no tight writer yet.
+fn opening_cost(candidates: &[Candidate<'_>], need: &Need) -> f64 {
+    if need.pause.is_none_or(|it| it > TIGHT_PAUSE) {
+        return 0.0;
+    }
+    let open = candidates.iter().filter(|it| it.has_tight_writers).count();
+    let share = open as f64 / candidates.len().max(1) as f64;
+    FIRST_OPENING_COST + LAST_OPENING_COST * share
+}
+
 /// What each engine of a plan holds of a prompt and its answer.
 struct Holdings {
     tokens: Vec<f64>,
@@ -245,7 +280,7 @@
     /// Returns what this request loses if its first token comes after `first_token_ms`.
     fn loss(&self, first_token_ms: f64) -> f64 {
         let target_ms = self.target.as_secs_f64() * 1e3;
-        LATE_LOSS * self.value * lateness(first_token_ms, target_ms)
+        LATE_LOSS * self.value * lateness(first_token_ms, target_ms, FIRST_TOKEN_SPREAD)
             + WAIT_COST * first_token_ms / target_ms.max(1.0)
     }
 }
@@ -265,6 +300,9 @@
         let backlog_ms = queue.map_or(0.0, |it| it.backlog_ms(now)) * known.pace;
         let memory = engine.memory_tokens as f64 * MEMORY_PART;
         let is_full = queue.is_some_and(|it| it.len() >= engine.slots);
+        let tight_ms = TIGHT_PAUSE.as_secs_f64() * 1e3;
+        let is_tight = |it: &Task| !it.is_helping && it.pause_ms.is_some_and(|it| it <= tight_ms);
+        let tasks = queue.map(Queue::tasks).unwrap_or_default();
         let slot_wait_ms = if is_full { pass_ms * FULL_PASSES } else { 0.0 };
         Self {
             key,
@@ -275,26 +313,38 @@
             backlog_ms,
             pass_ms,
             writers,
+            has_tight_writers: tasks.iter().any(is_tight),
             free_tokens: memory - queue.map_or(0, Queue::tokens) as f64,
             jitter: random.random::<f64>() * 1e-3,
         }
     }
 
     /// Returns what the requests on this engine lose if it reads for `part_ms` more.
-    fn harm(&self, now: Moment, engine: &Engine, part_ms: f64, is_split: bool) -> f64 {
+    fn harm(
+        &self,
+        now: Moment,
+        engine: &Engine,
+        part_ms: f64,
+        part_tokens: f64,
+        is_split: bool,
+    ) -> f64 {
         let part_ms = part_ms * self.pace;
-        let most = engine.chunk as f64 * f64::from(engine.stride) / engine.read_per_ms;
-        let before = self.pass_ms + self.backlog_ms.min(most);
-        let after = self.pass_ms + (self.backlog_ms + part_ms).min(most);
+        // One pass reads so many tokens and no more.
+        let in_pass = (engine.chunk * u64::from(engine.stride)) as f64 / part_tokens.max(1.0);
+        let before = self.pass_ms + self.backlog_ms;
+        let after = before + part_ms * in_pass.min(1.0);
         let wait = self.wait_ms + self.pass_ms;
         let tasks = self.queue.map(Queue::tasks).unwrap_or_default();
         let losses = tasks.iter().map(|task| {
             let more = match task.pause_ms {
-                Some(limit) if task.is_writing => lateness(after, limit) - lateness(before, limit),
+                Some(limit) if task.is_writing => {
+                    lateness(after, limit, PAUSE_SPREAD) - lateness(before, limit, PAUSE_SPREAD)
+                }
                 // Parts for other engines are read ahead of what waits.
                 _ if task.is_reading() && is_split => {
                     let limit = now.until(task.target_at).as_secs_f64() * 1e3;
-                    lateness(wait + part_ms, limit) - lateness(wait, limit)
+                    lateness(wait + part_ms, limit, FIRST_TOKEN_SPREAD)
+                        - lateness(wait, limit, FIRST_TOKEN_SPREAD)
                 }
                 _ => 0.0,
             };
@@ -322,9 +372,10 @@
     }
 }
 
-/// Returns how likely a time that is forecast to be `ms` exceeds `limit_ms`.
-fn lateness(ms: f64, limit_ms: f64) -> f64 {
+/// Returns how likely a time that is forecast to be `ms` exceeds `limit_ms`, if forecasts are off by
+/// the share `spread` of the limit.
+fn lateness(ms: f64, limit_ms: f64, spread: f64) -> f64 {
     let limit_ms = limit_ms.max(1.0);
-    let distance = (ms - limit_ms) / (FORECAST_SPREAD * limit_ms);
+    let distance = (ms - limit_ms) / (spread * limit_ms);
     1.0 / (1.0 + (-distance).exp())
 }
