Rosters make up for lost notes and teach entries that have just started

Change: each entry sends its whole roster once a second and to each entry that appears; an entry that knows nobody asks eight addresses at once.

--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -19,6 +19,8 @@
 const TICK: Duration = Duration::from_millis(100);
 /// The time between two clean-ups of what is forgotten.
 const SWEEP: Duration = Duration::from_secs(2);
+/// The time between two rosters, which make up for notes that were lost.
+const ROSTER_INTERVAL: Duration = Duration::from_millis(1_000);
 /// The longest datagram, in bytes.
 const DATAGRAM_LIMIT: usize = 64 * 1024;
 
@@ -27,6 +29,7 @@
     let mut buffer = vec![0; DATAGRAM_LIMIT];
     let mut tick = clock::now();
     let mut sweep = clock::now();
+    let mut roster = clock::now();
     loop {
         let received = async { Some(node.datagrams.recv_from(&mut buffer).await) };
         let due = async {
@@ -46,6 +49,10 @@
                     sweep = now + SWEEP;
                     clean(&node, now);
                 }
+                if now >= roster {
+                    roster = now + ROSTER_INTERVAL;
+                    tell_roster(&node);
+                }
                 node.state.borrow_mut().members.tick(now, &mut rand::rng())
             }
         };
@@ -62,6 +69,16 @@
     }
 }
 
+/// Tells all entries what this one has placed.
+fn tell_roster(node: &Node) {
+    let state = node.state.borrow();
+    let roster = state.board.roster(node.incarnation);
+    let bytes = Frame::Roster(roster).encode();
+    for member in state.members.alive().skip(1) {
+        send(node, member.peers, &bytes);
+    }
+}
+
 /// Makes the phase known at once, before a planned stop goes on.
 pub fn announce(node: &Node) {
     let sends = {
@@ -94,6 +111,7 @@
                 state.board.take(now, note);
             }
         }
+        Ok(Frame::Roster(roster)) => state.board.reconcile(now, &roster),
         Ok(Frame::Loads(_)) => {
             log::debug!(target: "peers", from:% = from; "load reports are not used here");
         }
@@ -133,6 +151,9 @@
     match state.members.get(incarnation) {
         Some(member) => {
             log::info!(target: "peers", peer = member.name.as_str(), phase:? = member.phase, alive; "an entry changed");
+            // One that has just started knows nothing of the work in progress.
+            let roster = state.board.roster(node.incarnation);
+            send(node, member.peers, &Frame::Roster(roster).encode());
         }
         None => {
             log::info!(target: "peers", incarnation:% = incarnation, alive; "an entry is gone");
--- a/crates/membership/src/members.rs
+++ b/crates/membership/src/members.rs
@@ -33,6 +33,8 @@
 /// The members that are asked to probe for another.
 const HELPERS: usize = 2;
 
+/// The addresses that an entry which knows nobody asks at once.
+const FIRST_CONTACTS: usize = 8;
 /// A pause between two ticks that means that this process was stopped itself.
 const PAUSE_LIMIT: Duration = Duration::from_millis(1_000);
 
@@ -341,7 +343,16 @@
     }
 
     fn probe_next(&mut self, now: Moment, random: &mut impl Rng, output: &mut Output) {
-        if let Some(to) = self.contacts.pop() {
+        // One that knows nobody yet asks several at once, so that it is not alone for long.
+        let contacts = if self.known.is_empty() {
+            FIRST_CONTACTS
+        } else {
+            1
+        };
+        for _ in 0..contacts {
+            let Some(to) = self.contacts.pop() else {
+                break;
+            };
             let sequence = self.next_sequence();
             let message = self.message(Kind::Probe { sequence });
             output.sends.push(Send { to, message });
--- a/crates/placement/src/board.rs
+++ b/crates/placement/src/board.rs
@@ -31,6 +31,17 @@
     pub change: Change,
 }
 
+/// All requests that an entry has placed and that go on.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Roster {
+    /// The entry.
+    pub entry: Incarnation,
+    /// What it has placed.
+    pub placed: Vec<Note>,
+    /// The numbers of the requests whose first token has come.
+    pub started: Vec<u64>,
+}
+
 /// What happened to a request.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Change {
@@ -71,7 +82,14 @@
 #[derive(Clone, Debug, Default)]
 pub struct Board {
     queues: HashMap<u64, Queue>,
-    jobs: HashMap<JobId, Vec<u64>>,
+    jobs: HashMap<JobId, Job>,
+}
+
+#[derive(Clone, Debug)]
+struct Job {
+    placed: Placed,
+    at: Moment,
+    is_started: bool,
 }
 
 /// The work on one server.
@@ -115,6 +133,45 @@
         }
     }
 
+    /// Returns the roster of an entry.
+    pub fn roster(&self, entry: Incarnation) -> Roster {
+        let own = self.jobs.iter().filter(|it| it.0.entry == entry);
+        let started = own.clone().filter(|it| it.1.is_started);
+        Roster {
+            entry,
+            started: started.map(|it| it.0.number).collect(),
+            placed: own
+                .map(|(job, it)| Note {
+                    job: *job,
+                    change: Change::Placed(it.placed.clone()),
+                })
+                .collect(),
+        }
+    }
+
+    /// Takes a roster: makes up for notes that were lost.
+    pub fn reconcile(&mut self, now: Moment, roster: &Roster) {
+        let is_over = |it: &&JobId| {
+            it.entry == roster.entry && !roster.placed.iter().any(|note| note.job == **it)
+        };
+        let over: Vec<JobId> = self.jobs.keys().filter(is_over).copied().collect();
+        for job in over {
+            self.end(now, job);
+        }
+        for note in &roster.placed {
+            self.take(now, note);
+        }
+        for number in &roster.started {
+            let job = JobId {
+                entry: roster.entry,
+                number: *number,
+            };
+            if self.jobs.get(&job).is_some_and(|it| !it.is_started) {
+                self.start(now, job);
+            }
+        }
+    }
+
     /// Returns the work on a server.
     pub fn queue(&self, server: u64) -> Option<&Queue> {
         self.queues.get(&server)
@@ -135,20 +192,12 @@
 
     /// Forgets work of which nothing was heard for too long. To be called every few seconds.
     pub fn expire(&mut self, now: Moment) {
-        for queue in self.queues.values_mut() {
-            queue
-                .tasks
-                .retain(|it| now.since(it.placed) < FORGOTTEN_AFTER);
+        let is_old = |it: &&JobId| now.since(self.jobs[*it].at) >= FORGOTTEN_AFTER;
+        let old: Vec<JobId> = self.jobs.keys().filter(is_old).copied().collect();
+        for job in old {
+            self.end(now, job);
         }
         self.queues.retain(|_, it| !it.tasks.is_empty());
-        let queues = &self.queues;
-        self.jobs.retain(|job, servers| {
-            let is_on = |it: &u64| {
-                let tasks = queues.get(it).map(|it| it.tasks.as_slice());
-                tasks.unwrap_or_default().iter().any(|it| it.job == *job)
-            };
-            servers.iter().any(is_on)
-        });
     }
 
     fn place(&mut self, now: Moment, job: JobId, placed: &Placed) {
@@ -172,13 +221,23 @@
                 is_helping: index > 0,
             });
         }
-        let servers = placed.parts.iter().map(|it| it.server);
-        self.jobs.insert(job, servers.collect());
+        self.jobs.insert(
+            job,
+            Job {
+                placed: placed.clone(),
+                at: now,
+                is_started: false,
+            },
+        );
     }
 
     fn start(&mut self, now: Moment, job: JobId) {
-        for server in self.jobs.get(&job).into_iter().flatten() {
-            let Some(queue) = self.queues.get_mut(server) else {
+        let Some(known) = self.jobs.get_mut(&job) else {
+            return;
+        };
+        known.is_started = true;
+        for part in &known.placed.parts {
+            let Some(queue) = self.queues.get_mut(&part.server) else {
                 continue;
             };
             queue.advanced = now;
@@ -192,8 +251,11 @@
     }
 
     fn end(&mut self, now: Moment, job: JobId) {
-        for server in self.jobs.remove(&job).into_iter().flatten() {
-            let Some(queue) = self.queues.get_mut(&server) else {
+        let Some(known) = self.jobs.remove(&job) else {
+            return;
+        };
+        for part in &known.placed.parts {
+            let Some(queue) = self.queues.get_mut(&part.server) else {
                 continue;
             };
             let was_reading = queue
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -16,6 +16,7 @@
 pub use board::Board;
 pub use board::JobId;
 pub use board::Note;
+pub use board::Roster;
 pub use plan::Plan;
 pub use servers::Server;
 pub use servers::Servers;
--- a/crates/wire/schema/peer.capnp
+++ b/crates/wire/schema/peer.capnp
@@ -99,6 +99,13 @@
     news @7 :Void;
     loads @8 :List(Load);
     work @9 :List(Work);
+    roster :group {
+      # All requests that an entry has placed and that go on, so that lost notes are made up for.
+      entry @10 :UInt64;
+      placed @11 :List(Work);
+      # The numbers of those whose first token has come.
+      started @12 :List(UInt64);
+    }
   }
 }
 
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -13,6 +13,7 @@
 use membership::message::Kind;
 use membership::message::Rumour;
 use placement::Note;
+use placement::Roster;
 use routing::level::LEVELS;
 
 use crate::Error;
@@ -35,6 +36,8 @@
     Loads(Vec<Load>),
     /// What became of requests that the sender has placed.
     Work(Vec<Note>),
+    /// All requests that an entry has placed and that go on.
+    Roster(Roster),
 }
 
 /// The load of one backend server, as its home read it.
@@ -55,6 +58,7 @@
         let datagram = message.init_root::<datagram::Builder<'_>>();
         match self {
             Self::Message(it) => write_message(it, datagram),
+            Self::Roster(roster) => note::write_roster(roster, datagram.init_roster()),
             Self::Loads(loads) => {
                 let mut list = datagram.init_loads(loads.len() as u32);
                 for (index, it) in loads.iter().enumerate() {
@@ -86,6 +90,7 @@
                 let loads = loads?.iter().map(read_load).collect::<Result<_, _>>()?;
                 return Ok(Self::Loads(loads));
             }
+            datagram::Roster(roster) => return Ok(Self::Roster(note::read_roster(roster)?)),
             datagram::Work(notes) => {
                 let notes = notes?.iter().map(note::read).collect::<Result<_, _>>()?;
                 return Ok(Self::Work(notes));
--- a/crates/wire/src/note.rs
+++ b/crates/wire/src/note.rs
@@ -3,11 +3,13 @@
 use domain::key::Incarnation;
 use placement::JobId;
 use placement::Note;
+use placement::Roster;
 use placement::board::Change;
 use placement::board::Part;
 use placement::board::Placed;
 
 use crate::Error;
+use crate::peer_capnp::datagram;
 use crate::peer_capnp::work;
 
 /// Writes a note.
@@ -33,6 +35,33 @@
     }
 }
 
+/// Writes a roster.
+pub fn write_roster(roster: &Roster, mut builder: datagram::roster::Builder<'_>) {
+    builder.set_entry(roster.entry.0);
+    let count = roster.placed.len() as u32;
+    let mut placed = builder.reborrow().init_placed(count);
+    for (index, it) in roster.placed.iter().enumerate() {
+        write(it, placed.reborrow().get(index as u32));
+    }
+    let mut started = builder.init_started(roster.started.len() as u32);
+    for (index, it) in roster.started.iter().enumerate() {
+        started.set(index as u32, *it);
+    }
+}
+
+/// Reads a roster.
+pub fn read_roster(reader: datagram::roster::Reader<'_>) -> Result<Roster, Error> {
+    Ok(Roster {
+        entry: Incarnation(reader.get_entry()),
+        placed: reader
+            .get_placed()?
+            .iter()
+            .map(read)
+            .collect::<Result<_, _>>()?,
+        started: reader.get_started()?.iter().collect(),
+    })
+}
+
 /// Reads a note.
 pub fn read(reader: work::Reader<'_>) -> Result<Note, Error> {
     let job = JobId {
--- a/crates/wire/src/peer_capnp.rs
+++ b/crates/wire/src/peer_capnp.rs
@@ -2869,7 +2869,7 @@
 }
 
 pub mod datagram {
-    pub use self::Which::{Probe,Ack,ProbeFor,News,Loads,Work};
+    pub use self::Which::{Probe,Ack,ProbeFor,News,Loads,Work,Roster};
 
     #[derive(Copy, Clone)]
     pub struct Owned(());
@@ -2994,6 +2994,11 @@
                         ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
                     ))
                 }
+                6 => {
+                    ::core::result::Result::Ok(Roster(
+                        self.reader.into()
+                    ))
+                }
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x))
             }
         }
@@ -3001,7 +3006,7 @@
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 3 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 4 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -3143,6 +3148,14 @@
             !self.builder.is_pointer_field_null(2)
         }
         #[inline]
+        pub fn init_roster(mut self, ) -> crate::peer_capnp::datagram::roster::Builder<'a> {
+            self.builder.set_data_field::<u16>(8, 6);
+            self.builder.set_data_field::<u64>(1, 0u64);
+            self.builder.reborrow().get_pointer_field(2).clear();
+            self.builder.reborrow().get_pointer_field(3).clear();
+            self.builder.into()
+        }
+        #[inline]
         pub fn which(self) -> ::core::result::Result<WhichBuilder<'a,>, ::capnp::NotInSchema> {
             match self.builder.get_data_field::<u16>(8) {
                 0 => {
@@ -3175,6 +3188,11 @@
                         ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
                     ))
                 }
+                6 => {
+                    ::core::result::Result::Ok(Roster(
+                        self.builder.into()
+                    ))
+                }
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x))
             }
         }
@@ -3192,87 +3210,94 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 159] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 167] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(253, 185, 205, 115, 77, 158, 110, 227),
             ::capnp::word(11, 0, 0, 0, 1, 0, 3, 0),
             ::capnp::word(70, 40, 94, 123, 201, 161, 243, 208),
-            ::capnp::word(3, 0, 7, 0, 0, 0, 6, 0),
+            ::capnp::word(4, 0, 7, 0, 0, 0, 7, 0),
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 162, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 255, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 55, 2, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 68, 97, 116, 97, 103),
             ::capnp::word(114, 97, 109, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(36, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(40, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(237, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(9, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(244, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(241, 0, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(13, 1, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(240, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(252, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(249, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(21, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(244, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(16, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(16, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(44, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 255, 255, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(13, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(41, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(20, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(36, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 254, 255, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(17, 1, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(45, 1, 0, 0, 34, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(40, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 253, 255, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(248, 154, 62, 179, 21, 179, 197, 196),
-            ::capnp::word(21, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(49, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(6, 0, 252, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(1, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(29, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(252, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(8, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(24, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(36, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 251, 255, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(5, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(33, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(28, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(28, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(56, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 250, 255, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(53, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(48, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(9, 0, 249, 255, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(23, 173, 186, 99, 42, 161, 51, 218),
+            ::capnp::word(73, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(20, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(48, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(102, 114, 111, 109, 0, 0, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(68, 38, 79, 232, 15, 20, 34, 187),
@@ -3352,6 +3377,7 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 111, 115, 116, 101, 114, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -3364,6 +3390,7 @@
                 6 => <() as ::capnp::introspect::Introspect>::introspect(),
                 7 => <::capnp::struct_list::Owned<crate::peer_capnp::load::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 8 => <::capnp::struct_list::Owned<crate::peer_capnp::work::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                9 => <crate::peer_capnp::datagram::roster::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -3378,20 +3405,21 @@
             MEMBERS_BY_NAME
         );
         pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
-        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[3,4,5,6,7,8];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[4,1,0,7,6,3,5,2,8];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[3,4,5,6,7,8,9];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[4,1,0,7,6,3,5,9,2,8];
         pub(crate) const TYPE_ID: u64 = 0xe36e_9e4d_73cd_b9fd;
     }
-    pub enum Which<A0,A1,A2> {
+    pub enum Which<A0,A1,A2,A3> {
         Probe(u64),
         Ack(u64),
         ProbeFor(A0),
         News(()),
         Loads(A1),
         Work(A2),
+        Roster(A3),
     }
-    pub type WhichReader<'a,> = Which<crate::peer_capnp::datagram::probe_for::Reader<'a>,::capnp::Result<::capnp::struct_list::Reader<'a,crate::peer_capnp::load::Owned>>,::capnp::Result<::capnp::struct_list::Reader<'a,crate::peer_capnp::work::Owned>>>;
-    pub type WhichBuilder<'a,> = Which<crate::peer_capnp::datagram::probe_for::Builder<'a>,::capnp::Result<::capnp::struct_list::Builder<'a,crate::peer_capnp::load::Owned>>,::capnp::Result<::capnp::struct_list::Builder<'a,crate::peer_capnp::work::Owned>>>;
+    pub type WhichReader<'a,> = Which<crate::peer_capnp::datagram::probe_for::Reader<'a>,::capnp::Result<::capnp::struct_list::Reader<'a,crate::peer_capnp::load::Owned>>,::capnp::Result<::capnp::struct_list::Reader<'a,crate::peer_capnp::work::Owned>>,crate::peer_capnp::datagram::roster::Reader<'a>>;
+    pub type WhichBuilder<'a,> = Which<crate::peer_capnp::datagram::probe_for::Builder<'a>,::capnp::Result<::capnp::struct_list::Builder<'a,crate::peer_capnp::load::Owned>>,::capnp::Result<::capnp::struct_list::Builder<'a,crate::peer_capnp::work::Owned>>,crate::peer_capnp::datagram::roster::Builder<'a>>;
 
     pub mod probe_for {
         #[derive(Copy, Clone)]
@@ -3470,7 +3498,7 @@
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 3 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 4 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -3563,7 +3591,7 @@
                 ::capnp::word(248, 154, 62, 179, 21, 179, 197, 196),
                 ::capnp::word(20, 0, 0, 0, 1, 0, 3, 0),
                 ::capnp::word(253, 185, 205, 115, 77, 158, 110, 227),
-                ::capnp::word(3, 0, 7, 0, 1, 0, 0, 0),
+                ::capnp::word(4, 0, 7, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 234, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -3631,6 +3659,289 @@
             pub(crate) const TYPE_ID: u64 = 0xc4c5_b315_b33e_9af8;
         }
     }
+
+    pub mod roster {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> Reader<'a,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_entry(self) -> u64 {
+                self.reader.get_data_field::<u64>(1)
+            }
+            #[inline]
+            pub fn get_placed(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::peer_capnp::work::Owned>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_placed(&self) -> bool {
+                !self.reader.get_pointer_field(2).is_null()
+            }
+            #[inline]
+            pub fn get_started(self) -> ::capnp::Result<::capnp::primitive_list::Reader<'a,u64>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(3), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_started(&self) -> bool {
+                !self.reader.get_pointer_field(3).is_null()
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 4 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_entry(self) -> u64 {
+                self.builder.get_data_field::<u64>(1)
+            }
+            #[inline]
+            pub fn set_entry(&mut self, value: u64)  {
+                self.builder.set_data_field::<u64>(1, value);
+            }
+            #[inline]
+            pub fn get_placed(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::peer_capnp::work::Owned>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_placed(&mut self, value: ::capnp::struct_list::Reader<'_,crate::peer_capnp::work::Owned>) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(2), value, false)
+            }
+            #[inline]
+            pub fn init_placed(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::peer_capnp::work::Owned> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(2), size)
+            }
+            #[inline]
+            pub fn has_placed(&self) -> bool {
+                !self.builder.is_pointer_field_null(2)
+            }
+            #[inline]
+            pub fn get_started(self) -> ::capnp::Result<::capnp::primitive_list::Builder<'a,u64>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(3), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_started(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::primitive_list::Owned<u64>>) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(3), value, false)
+            }
+            #[inline]
+            pub fn init_started(self, size: u32) -> ::capnp::primitive_list::Builder<'a,u64> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(3), size)
+            }
+            #[inline]
+            pub fn has_started(&self) -> bool {
+                !self.builder.is_pointer_field_null(3)
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 70] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(23, 173, 186, 99, 42, 161, 51, 218),
+                ::capnp::word(20, 0, 0, 0, 1, 0, 3, 0),
+                ::capnp::word(253, 185, 205, 115, 77, 158, 110, 227),
+                ::capnp::word(4, 0, 7, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 218, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+                ::capnp::word(110, 112, 58, 68, 97, 116, 97, 103),
+                ::capnp::word(114, 97, 109, 46, 114, 111, 115, 116),
+                ::capnp::word(101, 114, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(69, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(73, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(96, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(2, 0, 0, 0, 3, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(93, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(88, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(101, 110, 116, 114, 121, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(112, 108, 97, 99, 101, 100, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(46, 195, 204, 216, 210, 74, 243, 151),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(115, 116, 97, 114, 116, 101, 100, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <::capnp::struct_list::Owned<crate::peer_capnp::work::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <::capnp::primitive_list::Owned<u64> as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1,2];
+            pub(crate) const TYPE_ID: u64 = 0xda33_a12a_63ba_ad17;
+        }
+    }
 }
 
 pub mod key {
