Do not bring an earlier life of an entry back by hearsay

Change: a life that another process replaced at its address is over; hearsay does not replace one that answers. members_restarted_entry_replaces_its_earlier_life_for_good failed before.

--- a/crates/membership/src/members.rs
+++ b/crates/membership/src/members.rs
@@ -44,6 +44,8 @@
     me: Member,
     config_next: u64,
     known: BTreeMap<Incarnation, Known>,
+    /// Lives that ended since another process answers from their address, and when that was seen.
+    over: BTreeMap<Incarnation, Moment>,
     /// Addresses from the platform's list that nobody answers from.
     contacts: Vec<SocketAddr>,
     listed: usize,
@@ -64,6 +66,13 @@
     since: Moment,
 }
 
+/// Who says something of a member.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Source {
+    Itself,
+    Hearsay,
+}
+
 #[derive(Clone, Debug)]
 struct Probe {
     target: Incarnation,
@@ -94,6 +103,7 @@
             me,
             config_next: 0,
             known: BTreeMap::new(),
+            over: BTreeMap::new(),
             contacts: Vec::new(),
             listed: 1,
             probes: BTreeMap::new(),
@@ -232,11 +242,13 @@
             });
         }
         let sender = message.from.incarnation;
-        self.learn(now, message.from, State::Alive, &mut output);
+        self.learn(now, message.from, State::Alive, Source::Itself, &mut output);
         self.let_object(sender);
         for rumour in message.rumours {
             match rumour {
-                Rumour::Member { member, state } => self.learn(now, member, state, &mut output),
+                Rumour::Member { member, state } => {
+                    self.learn(now, member, state, Source::Hearsay, &mut output);
+                }
                 other => output.events.push(Event::News(other)),
             }
         }
@@ -338,6 +350,7 @@
                 state: State::Dead,
             });
         }
+        self.over.retain(|_, at| now.since(*at) < DEAD_KEPT);
         self.known
             .retain(|_, it| it.state != State::Dead || now.since(it.since) < DEAD_KEPT);
     }
@@ -433,7 +446,14 @@
     }
 
     /// Takes what is said of a member, if it is newer than what is known.
-    fn learn(&mut self, now: Moment, member: Member, state: State, output: &mut Output) {
+    fn learn(
+        &mut self,
+        now: Moment,
+        member: Member,
+        state: State,
+        source: Source,
+        output: &mut Output,
+    ) {
         let incarnation = member.incarnation;
         if incarnation == self.me.incarnation {
             if state != State::Alive && member.beat >= self.me.beat {
@@ -445,6 +465,10 @@
             }
             return;
         }
+        if member.peers == self.me.peers || self.over.contains_key(&incarnation) {
+            // An earlier life at this entry's address, or at that of another one.
+            return;
+        }
         if let Some(known) = self.known.get(&incarnation) {
             let is_newer = (member.beat, state) > (known.member.beat, known.state);
             if !is_newer {
@@ -453,11 +477,20 @@
         } else if state == State::Dead {
             return;
         }
+        // An address belongs to the process that answers from it: an earlier life is over. Which
+        // of two lives is the earlier one, hearsay can't tell while one of them answers.
+        let at_address =
+            |it: &&Known| it.member.peers == member.peers && it.member.incarnation != incarnation;
+        if let Some(other) = self.known.values().find(at_address) {
+            if source == Source::Hearsay && other.state == State::Alive {
+                return;
+            }
+            let other = other.member.incarnation;
+            self.known.remove(&other);
+            self.over.insert(other, now);
+            output.events.push(Event::Changed(other));
+        }
         self.contacts.retain(|it| *it != member.peers);
-        // An address belongs to the process that answers from it: an earlier life is over.
-        self.known.retain(|_, it| {
-            it.member.peers != member.peers || it.member.incarnation == incarnation
-        });
         self.known.insert(
             incarnation,
             Known {
--- a/crates/membership/tests/members.rs
+++ b/crates/membership/tests/members.rs
@@ -220,3 +220,33 @@
     heard.extend(network.events.iter().map(|(index, _)| *index));
     assert!(heard.len() >= 39, "{}", heard.len());
 }
+
+#[test]
+fn members_restarted_entry_replaces_its_earlier_life_for_good() {
+    let mut network = Network::new(6);
+    network.run(Duration::from_secs(3));
+    for life in 0..6 {
+        // Some already suspect the earlier life, and their rumours are on the way.
+        network.cut_off.insert(2);
+        network.run(Duration::from_millis(500 + 300 * life));
+        network.cut_off.clear();
+        let restarted = Member {
+            incarnation: Incarnation(100 + life),
+            ..member(2)
+        };
+        network.members[2] = Members::new(restarted);
+        let listed: Vec<SocketAddr> = (0..6).map(|index| address(index, 2)).collect();
+        network.members[2].list(&listed);
+        network.run(Duration::from_secs(3));
+        network.events.clear();
+        network.run(Duration::from_secs(20));
+        assert_eq!(network.events, [], "nothing changes any more");
+        for members in &network.members {
+            let alive = members.alive().map(|it| it.incarnation);
+            let mut alive: Vec<Incarnation> = alive.collect();
+            alive.sort();
+            let expected = [1, 2, 4, 5, 6, 100 + life].map(Incarnation);
+            assert_eq!(alive, expected);
+        }
+    }
+}
