--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -427,6 +427,7 @@
             prompt: tokens,
             output: expected.unwrap_or(usual).min(output),
             target: now.until(self.arrived + self.route.target),
+            whole_target: self.route.target,
             pause: self.route.pause_target,
             value: value(tokens),
         }
--- a/crates/placement/src/plan.rs
+++ b/crates/placement/src/plan.rs
@@ -70,6 +70,8 @@
     pub output: u64,
     /// The time left until its first token is late.
     pub target: Duration,
+    /// The time that it had for its first token when it arrived.
+    pub whole_target: Duration,
     /// The longest pause between two events that is still on time.
     pub pause: Option<Duration>,
     /// What it is worth to its caller, a short request being worth 1.
@@ -281,7 +283,7 @@
     fn loss(&self, first_token_ms: f64) -> f64 {
         let target_ms = self.target.as_secs_f64() * 1e3;
         LATE_LOSS * self.value * lateness(first_token_ms, target_ms, FIRST_TOKEN_SPREAD)
-            + WAIT_COST * first_token_ms / target_ms.max(1.0)
+            + WAIT_COST * first_token_ms / (self.whole_target.as_secs_f64() * 1e3).max(1.0)
     }
 }
 
