--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -18,6 +18,7 @@
 use placement::board::Change;
 use placement::board::Part;
 use placement::board::Placed;
+use placement::plan::Basis;
 
 use crate::Node;
 use crate::events::Events;
@@ -55,6 +56,8 @@
     pub first_token: Duration,
     /// What the plan expects to be lost, in the value of a short request.
     pub loss: f64,
+    /// What was known of the server.
+    pub basis: Basis,
 }
 
 impl Target {
@@ -71,9 +74,16 @@
             parts: vec![part],
             first_token: Duration::ZERO,
             loss: 0.0,
+            basis: Basis::default(),
         }
     }
 
+    /// Returns the ids of the servers that read parts, for logs.
+    pub fn helper_names(&self) -> String {
+        let names: Vec<&str> = self.helpers.iter().map(|it| it.server.id.as_str()).collect();
+        names.join(",")
+    }
+
     /// Returns an attempt by a plan whose parts go to `servers`.
     pub fn planned(plan: Plan, servers: Vec<Rc<Server>>) -> Option<Self> {
         let (server, helpers) = servers.split_first()?;
@@ -87,6 +97,7 @@
             parts: plan.parts,
             first_token: plan.first_token,
             loss: plan.loss,
+            basis: plan.basis,
         })
     }
 }
--- a/crates/placement/src/plan.rs
+++ b/crates/placement/src/plan.rs
@@ -49,9 +49,9 @@
 /// The loss in a prompt that the engine's memory can't hold beside the rest, in the value of a
 /// short request: the newest request there is thrown out and read again.
 const MEMORY_LOSS: f64 = 5.0;
-/// Passes that a request waits for a slot where all are taken: about an eighth of an answer's usual
-/// 32 events, which is when the next of 16 writers ends.
-const FULL_PASSES: f64 = 4.0;
+/// Passes after which one of an engine's full slots is free again: the 32 events of a usual answer
+/// over its 16 slots.
+const SLOT_PASSES: f64 = 2.0;
 /// The part of an engine's memory that is planned with; the rest is for answers that are longer
 /// than expected.
 const MEMORY_PART: f64 = 0.92;
@@ -89,6 +89,21 @@
     pub loss: f64,
     /// Whether the engines' memory has room for the prompt and its answer.
     pub has_room: bool,
+    /// What was known of the first engine.
+    pub basis: Basis,
+}
+
+/// What was known of an engine when it was chosen, for logs.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Basis {
+    /// Requests that it wrote for.
+    pub writers: usize,
+    /// Requests placed on it.
+    pub placed: usize,
+    /// The length of its passes without reading, in milliseconds.
+    pub pass_ms: f64,
+    /// What it had still to read, in milliseconds.
+    pub backlog_ms: f64,
 }
 
 /// An engine as a candidate.
@@ -230,6 +245,7 @@
     let cost = PART_COST * parts.len() as f64 + RESERVATION_COST * reservations as f64;
     Some(Plan {
         has_room: held.is_enough,
+        basis: first.basis(),
         loss: loss + cost,
         parts,
         first_token: Duration::from_secs_f64(first_token_ms / 1e3),
@@ -301,11 +317,11 @@
         let pass_ms = queue.map_or(0.0, |it| it.pass_ms(engine)) * known.pace;
         let backlog_ms = queue.map_or(0.0, |it| it.backlog_ms(now)) * known.pace;
         let memory = engine.memory_tokens as f64 * MEMORY_PART;
-        let is_full = queue.is_some_and(|it| it.len() >= engine.slots);
         let tight_ms = TIGHT_PAUSE.as_secs_f64() * 1e3;
         let is_tight = |it: &Task| !it.is_helping && it.pause_ms.is_some_and(|it| it <= tight_ms);
         let tasks = queue.map(Queue::tasks).unwrap_or_default();
-        let slot_wait_ms = if is_full { pass_ms * FULL_PASSES } else { 0.0 };
+        let over = (tasks.len() + 1).saturating_sub(engine.slots);
+        let slot_wait_ms = pass_ms * SLOT_PASSES * over as f64;
         Self {
             key,
             queue,
@@ -321,6 +337,15 @@
         }
     }
 
+    fn basis(&self) -> Basis {
+        Basis {
+            writers: self.writers,
+            placed: self.queue.map_or(0, Queue::len),
+            pass_ms: self.pass_ms,
+            backlog_ms: self.backlog_ms,
+        }
+    }
+
     /// Returns what the requests on this engine lose if it reads for `part_ms` more.
     fn harm(
         &self,
