Let requests that will be late yield to those that can be in time

Change: a request whose forecast is beyond its target waits at the engine behind those that can be in time; the board and the forecast know of it.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -18,6 +18,7 @@
 use placement::board::Change;
 use placement::board::Part;
 use placement::board::Placed;
+use placement::board::Standing;
 use placement::plan::Basis;
 
 use crate::Node;
@@ -43,6 +44,10 @@
 /// server that crashed stays away for longer.
 const CRASH_CHECKS: [Duration; 2] = [Duration::from_millis(50), Duration::from_millis(250)];
 
+/// Ranks of waiting requests at an engine, 0 to 9, lower ones first.
+const RANK_ON_TIME: u8 = 3;
+const RANK_LATE: u8 = 7;
+
 /// Where an attempt goes.
 #[derive(Clone, Debug)]
 pub struct Target {
@@ -58,6 +63,8 @@
     pub loss: f64,
     /// What was known of the server.
     pub basis: Basis,
+    /// Whether the request can still be in time; absent for plain services.
+    pub standing: Option<Standing>,
 }
 
 impl Target {
@@ -75,12 +82,25 @@
             first_token: Duration::ZERO,
             loss: 0.0,
             basis: Basis::default(),
+            standing: None,
         }
     }
 
+    /// Returns the rank among the requests that wait at an engine.
+    fn rank(&self) -> Option<u8> {
+        self.standing.map(|it| match it {
+            Standing::OnTime => RANK_ON_TIME,
+            Standing::Late => RANK_LATE,
+        })
+    }
+
     /// Returns the ids of the servers that read parts, for logs.
     pub fn helper_names(&self) -> String {
-        let names: Vec<&str> = self.helpers.iter().map(|it| it.server.id.as_str()).collect();
+        let names: Vec<&str> = self
+            .helpers
+            .iter()
+            .map(|it| it.server.id.as_str())
+            .collect();
         names.join(",")
     }
 
@@ -98,6 +118,7 @@
             first_token: plan.first_token,
             loss: plan.loss,
             basis: plan.basis,
+            standing: Some(plan.standing),
         })
     }
 }
@@ -155,6 +176,7 @@
             target_ms: millis(target_left),
             pause_ms: exchange.route.pause_target.map_or(0, millis),
             value: crate::exchange::value(tokens) as f32,
+            standing: target.standing.unwrap_or(Standing::OnTime),
             parts: target.parts.clone(),
         };
         node.note(now, job, Change::Placed(placed));
@@ -210,7 +232,7 @@
             organisation: exchange.organisation.as_ref().map(|it| it.name.as_str()),
             last_event: exchange.last_event,
             helpers: &target.helpers,
-            rank: None,
+            rank: target.rank(),
         },
     );
     let result = converse(node, exchange, &mut stream, &head, answer, &entry).await;
--- a/crates/placement/src/board.rs
+++ b/crates/placement/src/board.rs
@@ -62,10 +62,22 @@
     pub pause_ms: u32,
     /// What it is worth to its caller, a short request being worth 1.
     pub value: f32,
+    /// Whether it can still be in time.
+    pub standing: Standing,
     /// The servers. The first one writes the answer.
     pub parts: Vec<Part>,
 }
 
+/// Whether a request can still be in time. One that can't yields to those that can: it has lost most
+/// of its value already, and they have not.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    /// Its first token is expected in time.
+    OnTime,
+    /// Its first token will be late.
+    Late,
+}
+
 /// What one server does for a request.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Part {
@@ -115,6 +127,8 @@
     pub value: f64,
     /// The time that the server reads, in milliseconds.
     pub read_ms: f64,
+    /// Whether it could still be in time when it was placed.
+    pub standing: Standing,
     /// Tokens that lie in the server's memory.
     pub tokens: u64,
     /// Whether the first token has come.
@@ -215,6 +229,7 @@
                 target_at: now + Duration::from_millis(placed.target_ms.into()),
                 pause_ms: (placed.pause_ms > 0).then_some(placed.pause_ms.into()),
                 value: placed.value.into(),
+                standing: placed.standing,
                 read_ms: part.read_ms.into(),
                 tokens: part.tokens.into(),
                 is_writing: false,
@@ -283,14 +298,22 @@
         &self.tasks
     }
 
-    /// Returns the milliseconds of reading that are still to be done.
-    pub fn backlog_ms(&self, now: Moment) -> f64 {
-        let reading = self.tasks.iter().filter(|it| it.is_reading());
+    /// Returns the milliseconds of reading that are still to be done ahead of a request of this
+    /// standing.
+    pub fn backlog_ms(&self, now: Moment, standing: Standing) -> f64 {
+        let reading = self.ahead_of(standing).filter(|it| it.is_reading());
         let total: f64 = reading.map(|it| it.read_ms * READ_STRETCH).sum();
         let done = now.since(self.advanced).as_secs_f64() * 1e3;
         (total - done).max(0.0)
     }
 
+    /// Returns the work that goes ahead of a request of this standing.
+    pub fn ahead_of(&self, standing: Standing) -> impl Iterator<Item = &Task> {
+        self.tasks.iter().filter(move |it| {
+            it.is_writing || it.standing == Standing::OnTime || standing == Standing::Late
+        })
+    }
+
     /// Returns the number of requests that write, and the tokens that they hold.
     pub fn writers(&self) -> (usize, u64) {
         let writing = self.tasks.iter().filter(|it| it.is_writing);
--- a/crates/placement/src/plan.rs
+++ b/crates/placement/src/plan.rs
@@ -17,6 +17,7 @@
 use crate::Board;
 use crate::board::Part;
 use crate::board::Queue;
+use crate::board::Standing;
 use crate::board::Task;
 use crate::servers::Known;
 
@@ -25,6 +26,9 @@
 /// Forecasts of first tokens are off by about this share of the target: one that is forecast just
 /// at its target is late half of the time.
 const FIRST_TOKEN_SPREAD: f64 = 0.15;
+/// A request counts as one that can be in time up to this part of its target: beyond it, it is late
+/// in nine of ten cases.
+const STANDING_MARGIN: f64 = 1.3;
 /// Forecasts of pauses are off by about this share of the limit.
 const PAUSE_SPREAD: f64 = 0.1;
 /// Pauses up to this length are tight: a prompt of usual length that is read beside such a writer
@@ -85,6 +89,8 @@
     pub parts: Vec<Part>,
     /// The time until the first token, as forecast.
     pub first_token: Duration,
+    /// Whether it can still be in time.
+    pub standing: Standing,
     /// What is expected to be lost, in the value of a short request.
     pub loss: f64,
     /// Whether the engines' memory has room for the prompt and its answer.
@@ -112,9 +118,11 @@
     key: u64,
     queue: Option<&'a Queue>,
     pace: f64,
-    /// The time until it would begin to read, in milliseconds.
+    /// The time until it would begin to read for a request that can be in time, in milliseconds.
     wait_ms: f64,
-    /// What it has still to read, in milliseconds.
+    /// The same for one that can't.
+    late_wait_ms: f64,
+    /// What it has still to read, in milliseconds, without what yields.
     backlog_ms: f64,
     /// The length of a pass without reading, in milliseconds.
     pass_ms: f64,
@@ -225,13 +233,15 @@
         opening_cost
     };
     let held = holdings(&ranked, held);
-    let begin = ranked
-        .iter()
-        .map(|it| it.engine.wait_ms)
-        .fold(0.0, f64::max);
-    let pace = ranked.iter().map(|it| it.engine.pace).fold(1.0, f64::max);
-    let writing = engine.pass_ms(first.writers + 1, need.prompt);
-    let first_token_ms = begin + part_ms * pace + writing;
+    let longest = |it: fn(&Candidate<'_>) -> f64| {
+        let times = ranked.iter().map(|ranked| it(ranked.engine));
+        times.fold(0.0, f64::max)
+    };
+    let working = part_ms * longest(|it| it.pace) + engine.pass_ms(first.writers + 1, need.prompt);
+    let forecast = need.forecast(
+        longest(|it| it.wait_ms) + working,
+        longest(|it| it.late_wait_ms) + working,
+    );
     let harm: f64 = ranked.iter().map(|it| it.harm).sum();
     let parts = ranked.iter().zip(&held.tokens).map(|(it, tokens)| Part {
         server: it.engine.key,
@@ -241,14 +251,15 @@
     let parts: Vec<Part> = parts.collect();
     let reservations = parts.iter().skip(1).filter(|it| it.tokens > 0).count();
     let memory_loss = if held.is_enough { 0.0 } else { MEMORY_LOSS };
-    let loss = need.loss(first_token_ms) + memory_loss + harm + opening;
+    let loss = need.loss(forecast.first_token_ms) + memory_loss + harm + opening;
     let cost = PART_COST * parts.len() as f64 + RESERVATION_COST * reservations as f64;
     Some(Plan {
         has_room: held.is_enough,
         basis: first.basis(),
         loss: loss + cost,
         parts,
-        first_token: Duration::from_secs_f64(first_token_ms / 1e3),
+        first_token: Duration::from_secs_f64(forecast.first_token_ms / 1e3),
+        standing: forecast.standing,
     })
 }
 
@@ -294,7 +305,29 @@
     Holdings { tokens, is_enough }
 }
 
+/// When the first token is expected.
+struct Forecast {
+    first_token_ms: f64,
+    standing: Standing,
+}
+
 impl Need {
+    /// Returns when the first token is expected, given the time that it takes if the request goes
+    /// ahead of those that will be late, and if it is one of them.
+    fn forecast(&self, ahead_ms: f64, behind_ms: f64) -> Forecast {
+        let target_ms = self.target.as_secs_f64() * 1e3;
+        if ahead_ms <= target_ms * STANDING_MARGIN {
+            return Forecast {
+                first_token_ms: ahead_ms,
+                standing: Standing::OnTime,
+            };
+        }
+        Forecast {
+            first_token_ms: behind_ms,
+            standing: Standing::Late,
+        }
+    }
+
     /// Returns what this request loses if its first token comes after `first_token_ms`.
     fn loss(&self, first_token_ms: f64) -> f64 {
         let target_ms = self.target.as_secs_f64() * 1e3;
@@ -315,20 +348,25 @@
         let queue = board.queue(key);
         let (writers, _) = queue.map_or((0, 0), Queue::writers);
         let pass_ms = queue.map_or(0.0, |it| it.pass_ms(engine)) * known.pace;
-        let backlog_ms = queue.map_or(0.0, |it| it.backlog_ms(now)) * known.pace;
         let memory = engine.memory_tokens as f64 * MEMORY_PART;
         let tight_ms = TIGHT_PAUSE.as_secs_f64() * 1e3;
         let is_tight = |it: &Task| !it.is_helping && it.pause_ms.is_some_and(|it| it <= tight_ms);
         let tasks = queue.map(Queue::tasks).unwrap_or_default();
-        let over = (tasks.len() + 1).saturating_sub(engine.slots);
-        let slot_wait_ms = pass_ms * SLOT_PASSES * over as f64;
+        let backlog_ms =
+            |standing| queue.map_or(0.0, |it| it.backlog_ms(now, standing)) * known.pace;
+        let wait_ms = |standing| {
+            let ahead = queue.map_or(0, |it| it.ahead_of(standing).count());
+            let over = (ahead + 1).saturating_sub(engine.slots);
+            // A request that arrives in a pass waits for its end, half of it on average.
+            pass_ms / 2.0 + backlog_ms(standing) + pass_ms * SLOT_PASSES * over as f64
+        };
         Self {
             key,
             queue,
             pace: known.pace,
-            // A request that arrives in a pass waits for its end, half of it on average.
-            wait_ms: pass_ms / 2.0 + backlog_ms + slot_wait_ms,
-            backlog_ms,
+            wait_ms: wait_ms(Standing::OnTime),
+            late_wait_ms: wait_ms(Standing::Late),
+            backlog_ms: backlog_ms(Standing::OnTime),
             pass_ms,
             writers,
             has_tight_writers: tasks.iter().any(is_tight),
@@ -382,8 +420,9 @@
 
     /// Returns what the request itself loses on this engine.
     fn own_loss(&self, engine: &Engine, part_ms: f64, need: &Need, is_split: bool) -> f64 {
-        let writing = engine.pass_ms(self.writers + 1, need.prompt);
-        let loss = need.loss(self.wait_ms + part_ms * self.pace + writing);
+        let working = part_ms * self.pace + engine.pass_ms(self.writers + 1, need.prompt);
+        let forecast = need.forecast(self.wait_ms + working, self.late_wait_ms + working);
+        let loss = need.loss(forecast.first_token_ms);
         if is_split {
             return loss;
         }
--- a/crates/wire/schema/peer.capnp
+++ b/crates/wire/schema/peer.capnp
@@ -73,6 +73,8 @@
       # What it is worth to its caller, a short request being worth 1.
       value @4 :Float32;
       parts @5 :List(Part);
+      # Whether its first token was expected to be late already when it was placed.
+      isLate @8 :Bool;
     }
     started @6 :Void;
     ended @7 :Void;
--- a/crates/wire/src/note.rs
+++ b/crates/wire/src/note.rs
@@ -7,6 +7,7 @@
 use placement::board::Change;
 use placement::board::Part;
 use placement::board::Placed;
+use placement::board::Standing;
 
 use crate::Error;
 use crate::peer_capnp::datagram;
@@ -24,6 +25,7 @@
             group.set_target_ms(placed.target_ms);
             group.set_pause_ms(placed.pause_ms);
             group.set_value(placed.value);
+            group.set_is_late(placed.standing == Standing::Late);
             let mut parts = group.init_parts(placed.parts.len() as u32);
             for (index, it) in placed.parts.iter().enumerate() {
                 let mut part = parts.reborrow().get(index as u32);
@@ -81,6 +83,11 @@
                 target_ms: group.get_target_ms(),
                 pause_ms: group.get_pause_ms(),
                 value: group.get_value(),
+                standing: if group.get_is_late() {
+                    Standing::Late
+                } else {
+                    Standing::OnTime
+                },
                 parts: parts.collect(),
             })
         }
--- a/crates/wire/src/peer_capnp.rs
+++ b/crates/wire/src/peer_capnp.rs
@@ -2157,6 +2157,7 @@
             self.builder.set_data_field::<u32>(5, 0u32);
             self.builder.set_data_field::<f32>(6, 0f32);
             self.builder.reborrow().get_pointer_field(0).clear();
+            self.builder.set_bool_field(240, false);
             self.builder.into()
         }
         #[inline]
@@ -2653,6 +2654,10 @@
             pub fn has_parts(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
+            #[inline]
+            pub fn get_is_late(self) -> bool {
+                self.reader.get_bool_field(240)
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
@@ -2747,6 +2752,14 @@
             pub fn has_parts(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
+            #[inline]
+            pub fn get_is_late(self) -> bool {
+                self.builder.get_bool_field(240)
+            }
+            #[inline]
+            pub fn set_is_late(&mut self, value: bool)  {
+                self.builder.set_bool_field(240, value);
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -2758,7 +2771,7 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 81] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 96] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(40, 87, 8, 101, 126, 165, 82, 237),
                 ::capnp::word(16, 0, 0, 0, 1, 0, 4, 0),
@@ -2768,41 +2781,48 @@
                 ::capnp::word(21, 0, 0, 0, 186, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 231, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 31, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 87, 111, 114, 107, 46),
                 ::capnp::word(112, 108, 97, 99, 101, 100, 0, 0),
-                ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 4, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(97, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(125, 0, 0, 0, 74, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 5, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(105, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(133, 0, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(2, 0, 0, 0, 6, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(109, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(137, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(132, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(144, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(113, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(141, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(108, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(136, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(4, 0, 0, 0, 240, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(161, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(116, 97, 114, 103, 101, 116, 77, 115),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
@@ -2840,6 +2860,14 @@
                 ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(105, 115, 76, 97, 116, 101, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
@@ -2847,6 +2875,7 @@
                     1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                     2 => <f32 as ::capnp::introspect::Introspect>::introspect(),
                     3 => <::capnp::struct_list::Owned<crate::peer_capnp::work::part::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                    4 => <bool as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -2860,9 +2889,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[3,1,0,2];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[4,3,1,0,2];
             pub(crate) const TYPE_ID: u64 = 0xed52_a57e_6508_5728;
         }
     }
