--- /dev/null
+++ b/crates/h1/tests/messages.rs
@@ -0,0 +1,157 @@
+//! Heads and bodies are read as they came, or refused.
+
+use h1::Error;
+use h1::Framing;
+use h1::Headers;
+use h1::Request;
+use h1::Response;
+use h1::body::Decoder;
+use h1::body::LAST_CHUNK;
+use h1::body::encode_chunk;
+use proptest::prelude::*;
+
+fn check_framing(fields: &str, expected: Option<Framing>) {
+    let text = format!("POST /a HTTP/1.1\r\nHost: h\r\n{fields}\r\n");
+    let parsed = Request::parse(text.as_bytes());
+    match expected {
+        Some(framing) => {
+            let (request, length) = parsed.expect("proper").expect("whole");
+            assert_eq!((request.framing, length), (framing, text.len()), "{fields}");
+        }
+        None => assert!(matches!(parsed, Err(Error::Malformed(_))), "{fields}"),
+    }
+}
+
+/// Decodes `bytes` in pieces of `size` and returns the body, if it came to its end.
+fn decode(framing: Framing, bytes: &[u8], size: usize) -> Result<Option<Vec<u8>>, Error> {
+    let mut decoder = Decoder::new(framing);
+    let mut buffer = Vec::new();
+    let mut body = Vec::new();
+    for piece in bytes.chunks(size.max(1)) {
+        buffer.extend_from_slice(piece);
+        let used = decoder.decode(&buffer, &mut body)?;
+        buffer.drain(..used);
+    }
+    Ok(decoder.is_done().then_some(body))
+}
+
+#[test]
+fn framing_is_read_or_refused() {
+    check_framing("", Some(Framing::Empty));
+    check_framing("Content-Length: 7\r\n", Some(Framing::Length(7)));
+    check_framing("transfer-encoding: Chunked\r\n", Some(Framing::Chunked));
+    check_framing("Content-Length: 7\r\nContent-Length: 7\r\n", None);
+    check_framing("Content-Length: 7, 7\r\n", None);
+    check_framing("Content-Length: -7\r\n", None);
+    check_framing("Content-Length: 99999999999999999999999\r\n", None);
+    check_framing("Content-Length: 7\r\nTransfer-Encoding: chunked\r\n", None);
+    check_framing("Transfer-Encoding: chunked, gzip\r\n", None);
+    check_framing(
+        "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+        None,
+    );
+}
+
+#[test]
+fn request_head_without_or_with_two_hosts_is_refused() {
+    let parse = |text: &str| Request::parse(text.as_bytes());
+    assert!(parse("GET / HTTP/1.1\r\n\r\n").is_err());
+    assert!(parse("GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n").is_err());
+    assert!(parse("GET http://a/ HTTP/1.1\r\nHost: a\r\n\r\n").is_err());
+    assert!(parse("GET / HTTP/1.1\r\nHost : a\r\n\r\n").is_err());
+}
+
+#[test]
+fn response_body_depends_on_method_and_status() {
+    let framing = |method: &str, text: &str| {
+        let parsed = Response::parse(text.as_bytes(), method).expect("proper");
+        parsed.expect("whole").0.framing
+    };
+    let whole = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n";
+    assert_eq!(framing("GET", whole), Framing::Length(3));
+    assert_eq!(framing("HEAD", whole), Framing::Empty);
+    assert_eq!(framing("GET", "HTTP/1.1 204 N\r\n\r\n"), Framing::Empty);
+    assert_eq!(
+        framing("GET", "HTTP/1.1 200 OK\r\n\r\n"),
+        Framing::UntilClose
+    );
+}
+
+#[test]
+fn headers_of_one_connection_are_stripped() {
+    let mut headers = Headers::default();
+    let fields = [
+        ("Connection", "close, X-Mine"),
+        ("X-Mine", "1"),
+        ("X-Other", "2"),
+        ("Keep-Alive", "timeout=3"),
+        ("TE", "trailers"),
+    ];
+    for (name, value) in fields {
+        headers.push(name, value);
+    }
+    headers.strip_hop_by_hop();
+    let left: Vec<&str> = headers.iter().map(|it| it.0).collect();
+    assert_eq!(left, ["X-Other"]);
+}
+
+#[test]
+fn decoder_truncated_body_does_not_end() {
+    for (framing, bytes) in [
+        (Framing::Length(5), &b"abcd"[..]),
+        (Framing::Chunked, b"4\r\nabcd\r\n"),
+        (Framing::Chunked, b"4\r\nabcd\r\n0\r\n"),
+    ] {
+        let mut decoder = Decoder::new(framing);
+        decoder.decode(bytes, &mut Vec::new()).expect("proper");
+        assert!(decoder.end().is_err());
+    }
+    let mut decoder = Decoder::new(Framing::UntilClose);
+    decoder.decode(b"abcd", &mut Vec::new()).expect("proper");
+    assert!(decoder.end().is_ok());
+}
+
+#[test]
+fn decoder_malformed_chunks_are_refused() {
+    for bytes in [
+        &b"zz\r\n"[..],
+        b"4\r\nabcdX\r\n",
+        b"-1\r\n",
+        b"4 4\r\nabcd\r\n",
+    ] {
+        assert!(decode(Framing::Chunked, bytes, 64).is_err());
+    }
+}
+
+#[test]
+fn decoder_leaves_the_next_message() {
+    let mut decoder = Decoder::new(Framing::Length(2));
+    let mut body = Vec::new();
+    let used = decoder.decode(b"okHTTP/1.1", &mut body).expect("proper");
+    assert_eq!((used, body), (2, b"ok".to_vec()));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(256))]
+
+    #[test]
+    fn decoder_chunks_come_back_whole(
+        pieces in prop::collection::vec(prop::collection::vec(any::<u8>(), 0..40), 0..8),
+        size in 1_usize..20,
+    ) {
+        let mut bytes = Vec::new();
+        for piece in &pieces {
+            encode_chunk(piece, &mut bytes);
+        }
+        bytes.extend_from_slice(LAST_CHUNK);
+        let body = decode(Framing::Chunked, &bytes, size).expect("proper");
+        prop_assert_eq!(body, Some(pieces.concat()));
+    }
+
+    #[test]
+    fn decoder_never_panics(bytes in prop::collection::vec(any::<u8>(), 0..200), size in 1_usize..20) {
+        let _ = decode(Framing::Chunked, &bytes, size);
+        let _ = Request::parse(&bytes);
+        let _ = Response::parse(&bytes, "GET");
+    }
+}
--- a/crates/placement/src/plain.rs
+++ b/crates/placement/src/plain.rs
@@ -12,6 +12,9 @@
 /// The time after which a latency says nothing more: a server that was slow then may be fast now,
 /// and nobody would find out if it got no work.
 const LATENCY_KEPT: Duration = Duration::from_secs(3);
+/// The latency that all servers are assumed to have while none has answered; only that it is not
+/// zero matters, so that running work counts.
+const ASSUMED_LATENCY: Duration = Duration::from_millis(30);
 /// Latencies differ at random by about this share.
 const LATENCY_NOISE: f64 = 0.2;
 
@@ -32,7 +35,10 @@
         let key = it.server.key();
         let running = board.queue(key).map_or(0, |it| it.len());
         let rounds = 1.0 + running as f64 / it.server.slots.max(1) as f64;
-        let latency = recent(it).or(fastest).unwrap_or_default().as_secs_f64();
+        let latency = recent(it)
+            .or(fastest)
+            .unwrap_or(ASSUMED_LATENCY)
+            .as_secs_f64();
         let noise = 1.0 + LATENCY_NOISE * random.random::<f64>();
         let is_full = running >= it.server.slots;
         let rank = (tried.contains(&key), is_full);
--- /dev/null
+++ b/crates/placement/tests/plain.rs
@@ -0,0 +1,116 @@
+//! Calls to plain services go where they are likely to end first.
+
+use std::time::Duration;
+
+use domain::Moment;
+use domain::key::Incarnation;
+use placement::Board;
+use placement::JobId;
+use placement::Note;
+use placement::Server;
+use placement::Servers;
+use placement::board::Change;
+use placement::board::Part;
+use placement::board::Placed;
+use placement::board::Standing;
+use placement::plain;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+const NOW: Moment = Moment::from_millis(10_000);
+
+fn servers() -> Servers {
+    let mut servers = Servers::default();
+    for id in ["a", "b"] {
+        let server = Server {
+            id: id.to_owned(),
+            born_ms: 1,
+            service: "app".to_owned(),
+            address: ([10, 0, 0, 1], 80).into(),
+            data_centre: "dc".to_owned(),
+            sequence: 1,
+            slots: 2,
+            is_leaving: false,
+        };
+        servers.add(NOW, server);
+    }
+    servers
+}
+
+fn key(servers: &Servers, id: &str) -> u64 {
+    let mut known = servers.all().filter(|it| it.server.id == id);
+    known.next().expect("the server").server.key()
+}
+
+/// Returns how often each server is chosen of 100 times.
+fn count(servers: &Servers, board: &Board, tried: &[u64]) -> (usize, usize) {
+    let mut random = StdRng::seed_from_u64(3);
+    let chosen = (0..100).filter_map(|_| {
+        let usable = servers.usable(NOW, "app");
+        plain::choose(NOW, usable, board, tried, &mut random)
+    });
+    let chosen: Vec<&str> = chosen.map(|it| it.server.id.as_str()).collect();
+    let count = |id| chosen.iter().filter(|it| **it == id).count();
+    (count("a"), count("b"))
+}
+
+#[test]
+fn choose_both_while_nothing_is_known() {
+    let (a, b) = count(&servers(), &Board::default(), &[]);
+    assert!(a > 20 && b > 20);
+}
+
+#[test]
+fn choose_server_that_has_not_answered_yet() {
+    let mut servers = servers();
+    let key = key(&servers, "a");
+    let known = servers.get_mut(key).expect("the server");
+    known.note_latency(NOW, Duration::from_millis(1));
+    let (a, b) = count(&servers, &Board::default(), &[]);
+    assert!(a > 20 && b > 20, "{a} {b}");
+}
+
+#[test]
+fn choose_server_that_is_not_slow_until_that_is_old_news() {
+    let mut servers = servers();
+    for (id, millis) in [("a", 200), ("b", 20)] {
+        let key = key(&servers, id);
+        let known = servers.get_mut(key).expect("the server");
+        known.note_latency(NOW, Duration::from_millis(millis));
+    }
+    assert_eq!(count(&servers, &Board::default(), &[]), (0, 100));
+    let later = NOW + Duration::from_secs(4);
+    let mut random = StdRng::seed_from_u64(3);
+    let chosen = (0..100).filter(|_| {
+        let usable = servers.usable(later, "app");
+        let known = plain::choose(later, usable, &Board::default(), &[], &mut random);
+        known.is_some_and(|it| it.server.id == "a")
+    });
+    assert!(chosen.count() > 20);
+}
+
+#[test]
+fn choose_server_with_free_slots_and_untried_first() {
+    let servers = servers();
+    let mut board = Board::default();
+    for number in 0..2 {
+        let part = Part {
+            server: key(&servers, "a"),
+            read_ms: 0.0,
+            tokens: 0,
+        };
+        let placed = Placed {
+            target_ms: 100,
+            pause_ms: 0,
+            value: 1.0,
+            standing: Standing::OnTime,
+            parts: vec![part],
+        };
+        let entry = Incarnation(1);
+        let job = JobId { entry, number };
+        let change = Change::Placed(placed);
+        board.take(NOW, &Note { job, change });
+    }
+    assert_eq!(count(&servers, &board, &[]), (0, 100));
+    assert_eq!(count(&servers, &board, &[key(&servers, "b")]), (100, 0));
+}
--- /dev/null
+++ b/crates/route/tests/table.rs
@@ -0,0 +1,105 @@
+//! The longest prefix of the host decides, and a key names its organisation.
+
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use route::Engine;
+use route::Kind;
+use route::Limits;
+use route::Match;
+use route::Organisation;
+use route::Route;
+use route::Table;
+
+fn route(name: &str, prefix: &str) -> Route {
+    Route {
+        name: name.to_owned(),
+        host: "A.example".to_owned(),
+        prefix: prefix.to_owned(),
+        kind: Kind::Idempotent,
+        time_limit: Duration::from_secs(1),
+        target: Duration::from_millis(100),
+        pause_target: None,
+        priority: 1,
+        services: vec![("s1".to_owned(), 90), ("s2".to_owned(), 10)],
+        attempts: 2,
+        is_public: name == "public",
+    }
+}
+
+fn table() -> Table {
+    let routes = vec![
+        route("short", "/a/"),
+        route("long", "/a/b/"),
+        route("public", "/p/"),
+    ];
+    let organisation = Rc::new(Organisation {
+        name: "org1".to_owned(),
+        priority: None,
+    });
+    let keys = HashMap::from([("k1".to_owned(), organisation)]);
+    Table::new(1, routes, Vec::new(), Some(keys), Limits::default())
+}
+
+/// Checks which route is found: a name, `-` for none, or `?` for an unknown key.
+fn check(host: &str, path: &str, key: Option<&str>, expected: &str) {
+    let found = match table().find(host, path, key) {
+        Match::Found { route, .. } => route.name.clone(),
+        Match::NoRoute => "-".to_owned(),
+        Match::UnknownKey => "?".to_owned(),
+    };
+    assert_eq!(found, expected, "{host} {path} {key:?}");
+}
+
+#[test]
+fn find_longest_prefix_of_the_host() {
+    check("a.example", "/a/x", Some("k1"), "short");
+    check("a.example:8080", "/a/b/x", Some("k1"), "long");
+    check("a.EXAMPLE", "/a/bx", Some("k1"), "short");
+    check("a.example", "/a", Some("k1"), "-");
+    check("a.example", "/A/x", Some("k1"), "-");
+    check("a.example", "//a/x", Some("k1"), "-");
+    check("b.example", "/a/x", Some("k1"), "-");
+}
+
+#[test]
+fn find_needs_a_key_that_is_held() {
+    check("a.example", "/a/x", None, "?");
+    check("a.example", "/a/x", Some("k2"), "?");
+    check("a.example", "/p/x", None, "public");
+    check("a.example", "/none/", None, "-");
+}
+
+#[test]
+fn service_follows_the_weights() {
+    let route = route("short", "/a/");
+    let count = |name: &str| {
+        let points = (0..1_000).map(|it| f64::from(it) / 1_000.0);
+        points.filter(|it| route.service(*it) == Some(name)).count()
+    };
+    assert_eq!((count("s1"), count("s2")), (900, 100));
+    assert_eq!(route.service(1.0), Some("s2"));
+}
+
+#[test]
+fn engine_reading_grows_faster_than_the_prompt() {
+    let engine = Engine {
+        slots: 16,
+        memory_tokens: 232_000,
+        stride: 43,
+        step_ms: 1.02,
+        writer_ms: 0.002_26,
+        context_ms: 0.004_31,
+        read_per_ms: 206.0,
+        pairs_ms: 0.138,
+        chunk: 2_048,
+        hop_ms: 0.075,
+        usual_output: 1_303,
+    };
+    // 133,000 tokens take 0.65 s of reading and 1.22 s of pairs.
+    assert_eq!(engine.read_ms(133_000).round(), 1_866.0);
+    assert_eq!(engine.read_ms(5_000).round(), 26.0);
+    assert_eq!(engine.pass_ms(0, 0).round(), 44.0);
+    assert!(engine.pass_ms(16, 100_000) < 70.0);
+}
--- /dev/null
+++ b/crates/wire/tests/notes.rs
@@ -0,0 +1,64 @@
+//! Notes and rosters come back as they were written.
+
+use domain::key::Incarnation;
+use placement::JobId;
+use placement::Note;
+use placement::Roster;
+use placement::board::Change;
+use placement::board::Part;
+use placement::board::Placed;
+use placement::board::Standing;
+use wire::Frame;
+
+fn note(number: u64, change: Change) -> Note {
+    let entry = Incarnation(9);
+    Note {
+        job: JobId { entry, number },
+        change,
+    }
+}
+
+fn placed(standing: Standing) -> Change {
+    let part = |server| Part {
+        server,
+        read_ms: 12.5,
+        tokens: 90_000,
+    };
+    Change::Placed(Placed {
+        target_ms: 300,
+        pause_ms: 250,
+        value: 1.5,
+        standing,
+        parts: vec![part(u64::MAX), part(0)],
+    })
+}
+
+fn check(frame: Frame) {
+    assert_eq!(Frame::decode(&frame.encode()).expect("a frame"), frame);
+}
+
+#[test]
+fn work_comes_back() {
+    check(Frame::Work(vec![
+        note(1, placed(Standing::OnTime)),
+        note(2, placed(Standing::Late)),
+        note(1, Change::Started),
+        note(2, Change::Ended),
+    ]));
+}
+
+#[test]
+fn roster_comes_back() {
+    check(Frame::Roster(Roster {
+        entry: Incarnation(9),
+        placed: vec![note(7, placed(Standing::OnTime))],
+        started: vec![7],
+    }));
+}
+
+#[test]
+fn decode_anything_else_is_an_error() {
+    for bytes in [&b""[..], b"x", &[0xff; 64]] {
+        assert!(Frame::decode(bytes).is_err());
+    }
+}
