--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -13,24 +13,21 @@
 use h1::body::Decoder;
 use membership::message::Rumour;
 use placement::JobId;
-use placement::Plan;
 use placement::Server;
 use placement::board::Change;
-use placement::board::Part;
 use placement::board::Placed;
 use placement::board::Standing;
-use placement::plan::Basis;
 
 use crate::Node;
 use crate::events::Events;
 use crate::exchange::Exchange;
 use crate::front;
-use crate::port::Helper;
 use crate::port::Send;
 use crate::port::Verdict;
 use crate::relay::Answer;
 use crate::relay::State;
 use crate::reserve;
+use crate::target::Target;
 
 /// The time for a connection. Servers accept within milliseconds; a partition never does.
 const CONNECT_TIME: Duration = Duration::from_millis(400);
@@ -44,85 +41,6 @@
 /// server that crashed stays away for longer.
 const CRASH_CHECKS: [Duration; 2] = [Duration::from_millis(50), Duration::from_millis(250)];
 
-/// Ranks of waiting requests at an engine, 0 to 9, lower ones first.
-const RANK_ON_TIME: u8 = 3;
-const RANK_LATE: u8 = 7;
-
-/// Where an attempt goes.
-#[derive(Clone, Debug)]
-pub struct Target {
-    /// The server that answers.
-    pub server: Rc<Server>,
-    /// Servers that read parts of the prompt.
-    pub helpers: Vec<Helper>,
-    /// What each server does.
-    pub parts: Vec<Part>,
-    /// The time until the first token, as forecast.
-    pub first_token: Duration,
-    /// What the plan expects to be lost, in the value of a short request.
-    pub loss: f64,
-    /// What was known of the server.
-    pub basis: Basis,
-    /// Whether the request can still be in time; absent for plain services.
-    pub standing: Option<Standing>,
-}
-
-impl Target {
-    /// Returns an attempt at a plain service.
-    pub fn plain(server: Rc<Server>) -> Self {
-        let part = Part {
-            server: server.key(),
-            read_ms: 0.0,
-            tokens: 0,
-        };
-        Self {
-            server,
-            helpers: Vec::new(),
-            parts: vec![part],
-            first_token: Duration::ZERO,
-            loss: 0.0,
-            basis: Basis::default(),
-            standing: None,
-        }
-    }
-
-    /// Returns the rank among the requests that wait at an engine.
-    fn rank(&self) -> Option<u8> {
-        self.standing.map(|it| match it {
-            Standing::OnTime => RANK_ON_TIME,
-            Standing::Late => RANK_LATE,
-        })
-    }
-
-    /// Returns the ids of the servers that read parts, for logs.
-    pub fn helper_names(&self) -> String {
-        let names: Vec<&str> = self
-            .helpers
-            .iter()
-            .map(|it| it.server.id.as_str())
-            .collect();
-        names.join(",")
-    }
-
-    /// Returns an attempt by a plan whose parts go to `servers`.
-    pub fn planned(plan: Plan, servers: Vec<Rc<Server>>) -> Option<Self> {
-        let (server, helpers) = servers.split_first()?;
-        let helpers = helpers.iter().map(|it| Helper {
-            server: it.clone(),
-            ticket: None,
-        });
-        Some(Self {
-            server: server.clone(),
-            helpers: helpers.collect(),
-            parts: plan.parts,
-            first_token: plan.first_token,
-            loss: plan.loss,
-            basis: plan.basis,
-            standing: Some(plan.standing),
-        })
-    }
-}
-
 /// How an attempt ended.
 #[derive(Debug)]
 pub enum Outcome {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -23,20 +23,16 @@
 use crate::Node;
 use crate::attempt;
 use crate::attempt::Outcome;
-use crate::attempt::Target;
 use crate::front;
 use crate::front::Next;
 use crate::port::Ask;
+use crate::refusal::Refusal;
 use crate::relay::Answer;
 use crate::relay::State;
+use crate::target::Target;
 
 /// Bytes of a further request that are kept while one is being answered.
 const PIPELINE_LIMIT: usize = 64 * 1024;
-/// When to come back if no configuration is known: about the time of a restart's first reading.
-const UNCONFIGURED_RETRY: Duration = Duration::from_millis(500);
-/// When to come back if no server can take the request: the time in which the platform's list and
-/// the breakers show what changed.
-const NO_SERVER_RETRY: Duration = Duration::from_millis(600);
 /// The pause between two looks for memory; requests end several times in it.
 const ROOM_CHECK: Duration = Duration::from_millis(80);
 /// Tokens that make a prompt worth as much again as a short request; from the users' sheets, where
@@ -99,61 +95,6 @@
     }
 }
 
-/// Why a request was refused, for logs and metrics.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Refusal {
-    Unconfigured,
-    NoRoute,
-    UnknownKey,
-    Quarantined,
-    NoServer,
-    NoRoom,
-    TooLate,
-    NotRun,
-    Failed,
-    TimedOut,
-}
-
-impl Refusal {
-    fn status(self) -> u16 {
-        match self {
-            Self::NoRoute => 404,
-            Self::UnknownKey => 401,
-            Self::Failed => 502,
-            Self::TimedOut => 504,
-            Self::Unconfigured
-            | Self::Quarantined
-            | Self::NoServer
-            | Self::NoRoom
-            | Self::TooLate
-            | Self::NotRun => 503,
-        }
-    }
-
-    fn name(self) -> &'static str {
-        match self {
-            Self::Unconfigured => "unconfigured",
-            Self::NoRoute => "no_route",
-            Self::UnknownKey => "unknown_key",
-            Self::Quarantined => "quarantined",
-            Self::NoServer => "no_server",
-            Self::NoRoom => "no_room",
-            Self::TooLate => "too_late",
-            Self::NotRun => "not_run",
-            Self::Failed => "failed",
-            Self::TimedOut => "timed_out",
-        }
-    }
-
-    fn retry_after(self) -> Option<Duration> {
-        match self {
-            Self::Unconfigured => Some(UNCONFIGURED_RETRY),
-            Self::NoServer | Self::NoRoom | Self::NotRun | Self::TooLate => Some(NO_SERVER_RETRY),
-            _ => None,
-        }
-    }
-}
-
 /// Serves one request and returns what becomes of the caller's connection.
 pub async fn run(
     node: &Rc<Node>,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,10 +19,12 @@
 pub mod node;
 pub mod peers;
 pub mod port;
+pub mod refusal;
 pub mod relay;
 pub mod reserve;
 pub mod run;
 pub mod settings;
+pub mod target;
 
 pub use node::Node;
 pub use port::Dialect;
--- a/crates/gateway/src/reserve.rs
+++ b/crates/gateway/src/reserve.rs
@@ -18,10 +18,10 @@
 
 use crate::Node;
 use crate::attempt;
-use crate::attempt::Target;
 use crate::front;
 use crate::port::Order;
 use crate::port::Reservation;
+use crate::target::Target;
 
 /// The lease. Memory must be free 4 s after its request has ended, also if this process is gone.
 const LEASE: Duration = Duration::from_millis(3_200);
--- a/crates/membership/src/members.rs
+++ b/crates/membership/src/members.rs
@@ -21,6 +21,7 @@
 use crate::news::News;
 
 mod homes;
+mod views;
 
 /// The time between two probes that one entry sends.
 pub const PROBE_INTERVAL: Duration = Duration::from_millis(300);
@@ -149,36 +150,6 @@
         self.contacts = peers.iter().filter(is_silent).copied().collect();
     }
 
-    /// Returns the number of entries that there should be: those listed or those alive, whichever
-    /// is more.
-    pub fn expected(&self) -> usize {
-        self.listed.max(self.alive().count())
-    }
-
-    /// Returns all members that are not held dead, this entry first.
-    pub fn alive(&self) -> impl Iterator<Item = &Member> {
-        let others = self.known.values().filter(|it| it.state != State::Dead);
-        std::iter::once(&self.me).chain(others.map(|it| &it.member))
-    }
-
-    /// Returns the members that callers may be sent to, this entry first.
-    pub fn ready(&self) -> impl Iterator<Item = &Member> {
-        self.alive().filter(|it| it.phase == Phase::Ready)
-    }
-
-    /// Returns the members that callers may be sent to and that answered lately, this entry first.
-    pub fn trusted(&self) -> impl Iterator<Item = &Member> {
-        let answer = |it: &&Known| it.state == State::Alive;
-        let others = self.known.values().filter(answer).map(|it| &it.member);
-        let all = std::iter::once(&self.me).chain(others);
-        all.filter(|it| it.phase == Phase::Ready)
-    }
-
-    /// Returns a member that is not held dead.
-    pub fn get(&self, incarnation: Incarnation) -> Option<&Member> {
-        self.alive().find(|it| it.incarnation == incarnation)
-    }
-
     /// Passes a piece of news on to the others with the next datagrams.
     pub fn tell(&mut self, rumour: Rumour) {
         self.news.tell(rumour);
--- a/xtask/tests/tidy.rs
+++ b/xtask/tests/tidy.rs
@@ -4,12 +4,14 @@
 use std::path::PathBuf;
 
 /// Crates that decide and do no I/O.
-const DECISION_CRATES: [&str; 8] = [
+const DECISION_CRATES: [&str; 10] = [
     "domain",
     "config",
     "claim",
     "assembly",
     "routing",
+    "route",
+    "placement",
     "limit",
     "membership",
     "burn/src/ledger",
@@ -25,6 +27,25 @@
     "SystemTime",
     "rand::rng()",
 ];
+/// Names of the users' platform, which only the adapter knows.
+const PLATFORM_NAMES: [&str; 14] = [
+    "X-Request-Id",
+    "X-Deadline-Ms",
+    "X-Expect-Instance",
+    "X-Tenant",
+    "X-Not-Run",
+    "X-Token-Count",
+    "X-Helpers",
+    "At-Server",
+    "keyed.",
+    "pathPrefix",
+    "goalMs",
+    "/api/",
+    "holdMs",
+    "CORIANDERARCH_NODE_FILE",
+];
+/// The folder of the adapter.
+const ADAPTER: &str = "platform/";
 /// Words of licence texts and file banners.
 const BANNERS: [&str; 4] = [
     "Copyright",
@@ -74,6 +95,7 @@
 fn files() -> Vec<File> {
     let mut files = Vec::new();
     collect(&root().join("crates"), &mut files);
+    collect(&root().join("platform"), &mut files);
     collect(&root().join("xtask"), &mut files);
     files.retain(|it| !it.path.ends_with("_capnp.rs"));
     assert!(files.len() > 50);
@@ -173,8 +195,38 @@
 #[test]
 fn programs_start_no_process() {
     check(|file| {
-        let may = ["crates/harness", "crates/bench", "crates/demo", "xtask"];
+        let may = [
+            "crates/harness",
+            "crates/bench",
+            "crates/demo",
+            "platform/tests",
+            "xtask",
+        ];
         let starts = file.text.contains("process::Command");
         (starts && !may.iter().any(|it| file.path.starts_with(it))).then(|| "Command".to_owned())
     });
 }
+
+#[test]
+fn platform_names_stay_in_the_adapter() {
+    check(|file| {
+        let is_this_test = file.path.ends_with("tests/tidy.rs");
+        let may = is_this_test || file.path.starts_with(ADAPTER);
+        let found = PLATFORM_NAMES.iter().find(|it| file.text.contains(**it));
+        found.filter(|_| !may).map(|it| (*it).to_owned())
+    });
+}
+
+#[test]
+fn adapter_holds_no_state_but_connections() {
+    check(|file| {
+        let is_source = file.path.starts_with("platform/src");
+        let kept = ["HashMap<String", "Cell<", "\nstatic "];
+        let found = kept.iter().find(|it| file.text.contains(**it));
+        let may = ["platform/src/store.rs", "platform/src/config.rs"];
+        let may = may.contains(&file.path.as_str());
+        found
+            .filter(|_| is_source && !may)
+            .map(|it| (*it).to_owned())
+    });
+}
