--- /dev/null
+++ b/crates/ctl/src/lib.rs
@@ -0,0 +1,3 @@
+//! What operators ask, as functions that a test can call.
+
+pub mod story;
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -4,6 +4,7 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 
+use anyhow::Context;
 use clap::Parser;
 use clap::Subcommand;
 
@@ -71,6 +72,13 @@
         #[arg(long)]
         entry: SocketAddr,
     },
+    /// Tell what happened to a request, and why, from the logs of several processes.
+    Story {
+        /// The identifier of the request.
+        request: String,
+        /// The log files; standard input if none is given.
+        logs: Vec<PathBuf>,
+    },
     /// Begin a planned stop of an entry instance, which cuts off no request.
     Drain {
         /// The operators' address of the entry instance.
@@ -128,6 +136,30 @@
         Command::Show { platform, entry } => async_io::block_on(ask::show(platform, entry)),
         Command::Watch { platform } => async_io::block_on(ask::watch(platform)),
         Command::Explain { request, entry } => async_io::block_on(ask::explain(entry, &request)),
+        Command::Story { request, logs } => story(&request, &logs),
         Command::Drain { entry } => async_io::block_on(ask::drain(entry)),
     }
 }
+
+/// Prints the story of a request. Exits 2 if no log names it.
+fn story(request: &str, logs: &[PathBuf]) -> anyhow::Result<ExitCode> {
+    let mut text = String::new();
+    if logs.is_empty() {
+        text = std::io::read_to_string(std::io::stdin())?;
+    }
+    for path in logs {
+        let log = std::fs::read_to_string(path)
+            .with_context(|| format!("{} can't be read: name another file", path.display()))?;
+        text.push_str(&log);
+        text.push('\n');
+    }
+    let Some(story) = ctl::story::tell(text.lines(), request) else {
+        eprintln!("no line names {request}: add the logs of the instance that took it");
+        return Ok(ExitCode::from(REFUSED));
+    };
+    for event in &story.events {
+        println!("{event}");
+    }
+    println!("cause: {}", story.cause);
+    Ok(ExitCode::SUCCESS)
+}
