--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,11 +1,13 @@
 //! One attempt: a request on one backend server.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use async_io::Timer;
 use domain::Moment;
+use futures_lite::future;
 use h1::Error;
 use h1::Framing;
 use h1::Response;
@@ -24,6 +26,7 @@
 use crate::front;
 use crate::port::Send;
 use crate::port::Verdict;
+use crate::quiet::Quiet;
 use crate::relay::Answer;
 use crate::relay::State;
 use crate::reserve;
@@ -82,6 +85,8 @@
 struct Entry<'a> {
     node: &'a Node,
     job: JobId,
+    /// When the last event came, or the attempt began.
+    progress: Cell<Moment>,
 }
 
 impl<'a> Entry<'a> {
@@ -98,7 +103,11 @@
             parts: target.parts.clone(),
         };
         node.note(now, job, Change::Placed(placed));
-        Self { node, job }
+        Self {
+            node,
+            job,
+            progress: Cell::new(now),
+        }
     }
 
     fn started(&self) {
@@ -153,8 +162,13 @@
             rank: target.rank(),
         },
     );
-    let result = converse(node, exchange, &mut stream, &head, answer, &entry).await;
-    match result {
+    let quiet = Quiet::of(exchange, target);
+    let conversation = converse(node, exchange, &mut stream, &head, answer, &entry);
+    let silence = async {
+        quiet.passed(node, &entry.progress).await;
+        Err(Error::Io(std::io::ErrorKind::TimedOut.into()))
+    };
+    match future::or(conversation, silence).await {
         Ok(Reply { outcome, reuse }) => {
             note_health(node, exchange, target, sent, &outcome);
             if matches!(outcome, Outcome::OtherServer) {
@@ -242,13 +256,12 @@
     let mut bytes = head.encode();
     bytes.extend_from_slice(&exchange.body);
     let writer = stream.writer();
-    // A server may answer before it has read the body. The rest of the body is still written, so
-    // that the server does not take something else for it.
-    let write = async { writer.write(&bytes).await };
-    let read = stream.read_response(&head.method, HEAD_LIMIT);
-    let (written, response) = futures_lite::future::zip(write, read).await;
-    let response = response?;
-    let is_written = written.is_ok();
+    // A server may answer before it has read the body. The rest of the body is still written beside
+    // that, so that the server does not take something else for it; the answer does not wait.
+    let writing = node
+        .executor
+        .spawn(async move { writer.write(&bytes).await });
+    let response = stream.read_response(&head.method, HEAD_LIMIT).await?;
     let ours = exchange.ask.id.as_deref();
     if let Some(id) = node.dialect.answered_id(&response)
         && ours.is_some_and(|it| it != id)
@@ -258,11 +271,14 @@
     let verdict = node.dialect.verdict(&response);
     let is_stream = verdict == Verdict::Ran && exchange.route.kind.is_stream();
     if is_stream && response.status == 200 {
-        return relay_events(node, exchange, stream, response, answer, entry).await;
+        let mut reply = relay_events(node, exchange, stream, response, answer, entry).await?;
+        reply.reuse = reply.reuse.filter(|_| writing.is_finished());
+        return Ok(reply);
     }
     let mut decoder = Decoder::new(response.framing);
     let body = stream.read_whole(&mut decoder, ANSWER_LIMIT).await?;
-    let reuse = (response.is_persistent && is_written).then(|| keep_alive(&response));
+    let is_reusable = response.is_persistent && writing.is_finished();
+    let reuse = is_reusable.then(|| keep_alive(&response));
     let outcome = match verdict {
         Verdict::Ran if answer.state() != State::NotBegun => {
             return Err(Error::Malformed("the stream was not taken up again"));
@@ -305,6 +321,7 @@
         }
         if !ready.is_empty() {
             exchange.pace.note(clock::now());
+            entry.progress.set(clock::now());
         }
         let is_first = answer.state() == State::NotBegun;
         let sent = match response.take().filter(|_| is_first) {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -106,14 +106,17 @@
     let ask = node.dialect.ask(&request);
     let is_persistent = request.is_persistent && !node.state.borrow().is_stopping;
     let answer = Answer::new(caller.writer(), is_persistent);
-    let table = node.state.borrow().table.clone();
+    let table = {
+        let state = node.state.borrow();
+        state.table.clone().filter(|_| state.can_serve())
+    };
     let admitted = match table {
         Some(table) => admit(&table, request, body, ask, arrived).map_err(|it| *it),
         None => Err((Refusal::Unconfigured, ask)),
     };
     let exchange = match admitted {
         Ok(exchange) => exchange,
-        Err((refusal, ask)) => return refuse(node, answer, refusal, &ask, "").await,
+        Err((refusal, ask)) => return refuse(node, answer, refusal, &ask, "", arrived).await,
     };
     exchange.serve(node, caller, answer).await
 }
@@ -187,7 +190,8 @@
             }
             Some(Some(Err(refusal))) => {
                 if answer.state() == State::NotBegun {
-                    return refuse(node, answer, refusal, &self.ask, &route.name).await;
+                    return refuse(node, answer, refusal, &self.ask, &route.name, self.arrived)
+                        .await;
                 }
                 self.note_end(node, "cut_short");
                 answer.next()
@@ -197,7 +201,15 @@
                 Next::Close
             }
             None if answer.state() == State::NotBegun => {
-                refuse(node, answer, Refusal::TimedOut, &self.ask, &route.name).await
+                refuse(
+                    node,
+                    answer,
+                    Refusal::TimedOut,
+                    &self.ask,
+                    &route.name,
+                    self.arrived,
+                )
+                .await
             }
             None => {
                 self.note_end(node, "cut_by_time_limit");
@@ -433,7 +445,14 @@
 /// Servers that can't be reached before a request is refused.
 const CONNECT_LIMIT: usize = 4;
 
-async fn refuse(node: &Node, answer: Answer, refusal: Refusal, ask: &Ask, route: &str) -> Next {
+async fn refuse(
+    node: &Node,
+    answer: Answer,
+    refusal: Refusal,
+    ask: &Ask,
+    route: &str,
+    arrived: Moment,
+) -> Next {
     node.metrics.ended(route, refusal.name());
     let retry_after = refusal
         .retry_after()
@@ -444,6 +463,7 @@
         route,
         host = ask.host.as_str(),
         status = refusal.status(),
+        elapsed_ms = clock::now().since(arrived).as_millis() as u64,
         retry_after_ms = retry_after.map_or(0, |it| it.as_millis() as u64),
         config = node.state.borrow().table.as_ref().map_or(0, |it| it.version()),
         reason = refusal.name();
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -39,6 +39,8 @@
 /// The pauses after a failed call.
 const FIRST_RETRY: Duration = Duration::from_millis(100);
 const LONGEST_RETRY: Duration = Duration::from_millis(800);
+/// The longest such pause while nothing can be served for want of the answer.
+const LONGEST_RETRY_UNSERVED: Duration = Duration::from_millis(160);
 
 /// Follows the configuration of routes until the process ends.
 pub async fn routes<P: Platform>(node: Rc<Node>, platform: Rc<P>) {
@@ -58,7 +60,7 @@
             Ok(Err(Error::Gone)) => next = None,
             Ok(Err(error)) => {
                 ask_peers(&node, List::Routes).await;
-                retry.pause("routes", &error).await;
+                retry.pause(&node, "routes", &error).await;
             }
             Err(peer) => {
                 log::info!(target: "config", peer:% = peer; "a peer knows a later configuration");
@@ -127,7 +129,7 @@
                 if next.is_none() {
                     ask_peers(&node, List::Servers).await;
                 }
-                retry.pause("servers", &error).await;
+                retry.pause(&node, "servers", &error).await;
             }
         }
     }
@@ -185,7 +187,7 @@
         count(&node, List::Entries, &announced);
         match announced {
             Ok(()) => break,
-            Err(error) => retry.pause("entries", &error).await,
+            Err(error) => retry.pause(&node, "entries", &error).await,
         }
     }
     loop {
@@ -202,7 +204,7 @@
                 node.state.borrow_mut().members.list(&peers);
                 Timer::after(ENTRIES_PAUSE).await;
             }
-            Err(error) => retry.pause("entries", &error).await,
+            Err(error) => retry.pause(&node, "entries", &error).await,
         }
     }
 }
@@ -325,6 +327,8 @@
     state.knowledge.note_servers(now, from, changes.next, news);
     let usable = state.servers.all().filter(|it| !it.server.is_leaving);
     node.metrics.servers.set(usable.count() as i64);
+    let phase = state.phase();
+    state.members.enter(phase);
 }
 
 /// Pauses between calls that fail.
@@ -341,11 +345,16 @@
         self.failures = 0;
     }
 
-    async fn pause(&mut self, part: &'static str, error: &Error) {
+    async fn pause(&mut self, node: &Node, part: &'static str, error: &Error) {
         if self.failures == 0 {
             log::warn!(target: "platform", list = part, error:% = error; "the platform can't be read, what is known stays in force");
         }
-        let pause = (FIRST_RETRY * 2_u32.pow(self.failures.min(8))).min(LONGEST_RETRY);
+        let longest = if node.state.borrow().can_serve() {
+            LONGEST_RETRY
+        } else {
+            LONGEST_RETRY_UNSERVED
+        };
+        let pause = (FIRST_RETRY * 2_u32.pow(self.failures.min(8))).min(longest);
         self.failures += 1;
         let jitter = 0.5 + rand::rng().random::<f64>();
         Timer::after(pause.mul_f64(jitter)).await;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -178,17 +178,22 @@
     /// Tells whether this instance serves callers.
     pub fn is_ready(&self) -> bool {
         let state = self.state.borrow();
-        state.table.is_some() && !state.is_stopping
+        state.can_serve() && !state.is_stopping
     }
 }
 
 impl State {
+    /// Tells whether enough is known to serve: the routes and the servers.
+    pub fn can_serve(&self) -> bool {
+        self.table.is_some() && self.knowledge.servers_next().is_some()
+    }
+
     /// Returns what this entry is ready for.
     pub fn phase(&self) -> Phase {
-        match (&self.table, self.is_stopping) {
+        match (self.can_serve(), self.is_stopping) {
             (_, true) => Phase::Leaving,
-            (Some(_), false) => Phase::Ready,
-            (None, false) => Phase::Starting,
+            (true, false) => Phase::Ready,
+            (false, false) => Phase::Starting,
         }
     }
 
--- a/crates/placement/src/allowance.rs
+++ b/crates/placement/src/allowance.rs
@@ -45,17 +45,22 @@
 
     /// Takes one repeat, if any is left.
     pub fn spend(&mut self, now: Moment, terms: &Terms, entries: usize) -> bool {
+        let has_left = self.has_left(now, terms, entries);
+        if has_left {
+            self.tokens -= 1.0;
+        }
+        has_left
+    }
+
+    /// Tells whether a repeat is left.
+    pub fn has_left(&mut self, now: Moment, terms: &Terms, entries: usize) -> bool {
         let most = capacity(terms, entries);
         let elapsed = now.since(self.filled).as_secs_f64();
         self.filled = now;
         // The fixed part returns over a window. Half of it is held in the bucket and half flows
         // in, so that a burst and the flow after it stay within the part.
         self.tokens = (self.tokens + most * elapsed / terms.window_s).min(most);
-        if self.tokens < 1.0 {
-            return false;
-        }
-        self.tokens -= 1.0;
-        true
+        self.tokens >= 1.0
     }
 }
 
