Take an engine that writes for others for busy, not quiet; name lives in news

Cause: streams were moved off engines in the middle of a long pass; a rumour that a server's address belongs to another one also hit the server's next life under the same id.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -85,6 +85,8 @@
 struct Entry<'a> {
     node: &'a Node,
     job: JobId,
+    /// The server that answers.
+    server: u64,
     /// When the last event came, or the attempt began.
     progress: Cell<Moment>,
 }
@@ -106,6 +108,7 @@
         Self {
             node,
             job,
+            server: target.server.key(),
             progress: Cell::new(now),
         }
     }
@@ -320,8 +323,12 @@
             entry.started();
         }
         if !ready.is_empty() {
-            exchange.pace.note(clock::now());
-            entry.progress.set(clock::now());
+            let now = clock::now();
+            exchange.pace.note(now);
+            entry.progress.set(now);
+            if let Some(known) = node.state.borrow_mut().servers.get_mut(entry.server) {
+                known.note_sign(now);
+            }
         }
         let is_first = answer.state() == State::NotBegun;
         let sent = match response.take().filter(|_| is_first) {
@@ -388,8 +395,8 @@
     node.connections.borrow_mut().close(server.key());
     let mut state = node.state.borrow_mut();
     if state.servers.disown(now, server.key()) {
-        let server = server.id.clone();
-        log::info!(target: "server", server = server.as_str(); "another server has its address");
+        log::info!(target: "server", server = server.id.as_str(); "another server has its address");
+        let server = server.life();
         state.members.tell(Rumour::ServerLeaving { server });
     }
 }
@@ -424,7 +431,7 @@
     lost(&node, server.key());
     let now = clock::now();
     let mut state = node.state.borrow_mut();
-    let life = format!("{}@{}", server.id, server.born_ms);
+    let life = server.life();
     if state.quarantine.crashed(now, fingerprint, &life) {
         let rumour = Rumour::Crash {
             fingerprint,
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -193,7 +193,7 @@
             server,
         } => state.quarantine.crashed(now, *fingerprint, server),
         Rumour::ServerLeaving { server } => {
-            let keys = state.servers.all().filter(|it| it.server.id == *server);
+            let keys = state.servers.all().filter(|it| it.server.life() == *server);
             let keys: Vec<u64> = keys.map(|it| it.server.key()).collect();
             let mut is_news = false;
             for key in keys {
--- a/crates/gateway/src/quiet.rs
+++ b/crates/gateway/src/quiet.rs
@@ -1,6 +1,6 @@
 //! When a server has been quiet for so long that another one is more likely to answer.
 //!
-//! A server may go dark, or swallow single requests while it looks healthy. A request that may be
+//! An engine may go dark, and a plain server may swallow single requests while it looks healthy. A request that may be
 //! repeated is then moved, if the allowance of repeats permits; any other one waits to the end, since
 //! silence proves nothing.
 
@@ -74,13 +74,27 @@
             Timer::after(CHECK).await;
             let now = clock::now();
             let limit = self.limit(node, now, progress.get() == began);
-            if now.since(progress.get()) > limit && self.may_repeat(node, now) {
-                log::info!(target: "server", quiet_ms = now.since(progress.get()).as_millis() as u64, limit_ms = limit.as_millis() as u64, key = self.server; "quiet for too long, the request moves on");
+            let quiet = now.since(self.heard(node).max(progress.get()));
+            if quiet > limit && self.may_repeat(node, now) {
+                log::info!(target: "server", quiet_ms = quiet.as_millis() as u64, limit_ms = limit.as_millis() as u64, key = self.server; "quiet for too long, the request moves on");
                 return;
             }
         }
     }
 
+    /// Returns when the server was last heard. An engine that writes for others is only busy; a
+    /// plain server may swallow single requests while it answers others.
+    fn heard(&self, node: &Node) -> Moment {
+        match self.kind {
+            Watch::Plain | Watch::Never => Moment::default(),
+            Watch::Engine(_) => {
+                let mut state = node.state.borrow_mut();
+                let known = state.servers.get_mut(self.server);
+                known.and_then(|it| it.last_sign()).unwrap_or_default()
+            }
+        }
+    }
+
     fn limit(&self, node: &Node, now: Moment, is_first: bool) -> Duration {
         let mut state = node.state.borrow_mut();
         let first = match self.kind {
--- a/crates/placement/src/servers.rs
+++ b/crates/placement/src/servers.rs
@@ -44,7 +44,12 @@
 }
 
 impl Server {
-    /// Returns what names this life of the server among entries.
+    /// Returns what names this life of the server in news.
+    pub fn life(&self) -> String {
+        format!("{}@{}", self.id, self.born_ms)
+    }
+
+    /// Returns what names this life of the server on the board.
     pub fn key(&self) -> u64 {
         digest::seeded(self.id.as_bytes(), self.born_ms)
     }
@@ -79,6 +84,8 @@
     latency: Option<(Duration, Moment)>,
     /// How many times longer than forecast its work takes, smoothed.
     pub pace: f64,
+    /// When it last sent anything to this entry.
+    sign: Option<Moment>,
     lapsed: bool,
     disowned: Option<Moment>,
 }
@@ -209,11 +216,22 @@
             health: Health::default(),
             latency: None,
             pace: 1.0,
+            sign: None,
             lapsed: false,
             disowned: None,
         }
     }
 
+    /// Notes that the server sent something.
+    pub fn note_sign(&mut self, now: Moment) {
+        self.sign = Some(now);
+    }
+
+    /// Returns when the server last sent anything to this entry.
+    pub fn last_sign(&self) -> Option<Moment> {
+        self.sign
+    }
+
     /// Notes how long a plain answer took.
     pub fn note_latency(&mut self, now: Moment, latency: Duration) {
         let before = self.latency.map_or(latency, |it| it.0);
