Name an attempt on the board a posting; drop a figure that nothing uses

Read as a newcomer: an attempt's entry on the board was called like an entry instance; the time of a hop was decoded and never used. No behaviour changes.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -81,8 +81,8 @@
     }
 }
 
-/// The entry of an attempt on the board, taken off when it is dropped.
-struct Entry<'a> {
+/// An attempt on the board, where all entries see it. It is taken off when this is dropped.
+struct Posting<'a> {
     node: &'a Node,
     job: JobId,
     /// The server that answers.
@@ -91,7 +91,7 @@
     progress: Cell<Moment>,
 }
 
-impl<'a> Entry<'a> {
+impl<'a> Posting<'a> {
     fn new(node: &'a Node, now: Moment, exchange: &Exchange, target: &Target) -> Self {
         let job = node.next_job();
         let millis = |it: Duration| u32::try_from(it.as_millis()).unwrap_or(u32::MAX);
@@ -118,7 +118,7 @@
     }
 }
 
-impl Drop for Entry<'_> {
+impl Drop for Posting<'_> {
     fn drop(&mut self) {
         self.node.note(clock::now(), self.job, Change::Ended);
     }
@@ -132,9 +132,9 @@
     answer: &mut Answer,
 ) -> Outcome {
     let now = clock::now();
-    let entry = Entry::new(node, now, exchange, target);
+    let posting = Posting::new(node, now, exchange, target);
     let _held = if target.parts.iter().skip(1).any(|it| it.tokens > 0) {
-        match reserve::acquire(node, entry.job, target).await {
+        match reserve::acquire(node, posting.job, target).await {
             Some(held) => Some(held),
             None => return Outcome::NoRoom,
         }
@@ -166,9 +166,9 @@
         },
     );
     let quiet = Quiet::of(exchange, target);
-    let conversation = converse(node, exchange, &mut stream, &head, answer, &entry);
+    let conversation = converse(node, exchange, &mut stream, &head, answer, &posting);
     let silence = async {
-        quiet.passed(node, &entry.progress).await;
+        quiet.passed(node, &posting.progress).await;
         Err(Error::Io(std::io::ErrorKind::TimedOut.into()))
     };
     match future::or(conversation, silence).await {
@@ -250,7 +250,7 @@
     stream: &mut Stream,
     head: &h1::Request,
     answer: &mut Answer,
-    entry: &Entry<'_>,
+    posting: &Posting<'_>,
 ) -> Result<Reply, Error> {
     let mut head = head.clone();
     if !exchange.body.is_empty() || exchange.request.framing != Framing::Empty {
@@ -274,7 +274,7 @@
     let verdict = node.dialect.verdict(&response);
     let is_stream = verdict == Verdict::Ran && exchange.route.kind.is_stream();
     if is_stream && response.status == 200 {
-        let mut reply = relay_events(node, exchange, stream, response, answer, entry).await?;
+        let mut reply = relay_events(node, exchange, stream, response, answer, posting).await?;
         reply.reuse = reply.reuse.filter(|_| writing.is_finished());
         return Ok(reply);
     }
@@ -303,7 +303,7 @@
     stream: &mut Stream,
     response: Response,
     answer: &mut Answer,
-    entry: &Entry<'_>,
+    posting: &Posting<'_>,
 ) -> Result<Reply, Error> {
     let mut decoder = Decoder::new(response.framing);
     let reuse = response.is_persistent.then(|| keep_alive(&response));
@@ -320,13 +320,13 @@
         }
         if !ready.is_empty() && !has_started {
             has_started = true;
-            entry.started();
+            posting.started();
         }
         if !ready.is_empty() {
             let now = clock::now();
             exchange.pace.note(now);
-            entry.progress.set(now);
-            if let Some(known) = node.state.borrow_mut().servers.get_mut(entry.server) {
+            posting.progress.set(now);
+            if let Some(known) = node.state.borrow_mut().servers.get_mut(posting.server) {
                 known.note_sign(now);
             }
         }
--- a/crates/placement/tests/plan.rs
+++ b/crates/placement/tests/plan.rs
@@ -58,7 +58,6 @@
             read_per_ms: 206.0,
             pairs_ms: 0.138,
             chunk: 2_048,
-            hop_ms: 0.075,
             usual_output: 1_303,
         };
         Self {
--- a/crates/route/src/service.rs
+++ b/crates/route/src/service.rs
@@ -32,8 +32,6 @@
     pub pairs_ms: f64,
     /// Prompt tokens read in one step at most.
     pub chunk: u64,
-    /// Milliseconds that a step takes longer while a prompt's memory lies on several engines.
-    pub hop_ms: f64,
     /// The usual number of tokens in an answer.
     pub usual_output: u64,
 }
--- a/crates/route/tests/table.rs
+++ b/crates/route/tests/table.rs
@@ -94,7 +94,6 @@
         read_per_ms: 206.0,
         pairs_ms: 0.138,
         chunk: 2_048,
-        hop_ms: 0.075,
         usual_output: 1_303,
     };
     // 133,000 tokens take 0.65 s of reading and 1.22 s of pairs.
