--- a/crates/placement/src/plan.rs
+++ b/crates/placement/src/plan.rs
@@ -39,6 +39,11 @@
 /// the share of engines that already have some, up to the sum of both.
 const FIRST_OPENING_COST: f64 = 0.05;
 const LAST_OPENING_COST: f64 = 0.5;
+/// Engines that have less to read than this take a short request in time, in milliseconds.
+const OPEN_BACKLOG_MS: f64 = 120.0;
+/// The loss in leaving no engine open for a second, in the value of a short request: those that come
+/// in it are late.
+const SHUT_LOSS_PER_S: f64 = 30.0;
 /// What each further engine must gain, in the value of a short request: parts that gain nothing
 /// only add messages between engines.
 const PART_COST: f64 = 0.01;
@@ -251,7 +256,8 @@
     let parts: Vec<Part> = parts.collect();
     let reservations = parts.iter().skip(1).filter(|it| it.tokens > 0).count();
     let memory_loss = if held.is_enough { 0.0 } else { MEMORY_LOSS };
-    let loss = need.loss(forecast.first_token_ms) + memory_loss + harm + opening;
+    let shut = shut_loss(engine, candidates, &ranked, part_ms);
+    let loss = need.loss(forecast.first_token_ms) + memory_loss + harm + opening + shut;
     let cost = PART_COST * parts.len() as f64 + RESERVATION_COST * reservations as f64;
     Some(Plan {
         has_room: held.is_enough,
@@ -273,6 +279,22 @@
     FIRST_OPENING_COST + LAST_OPENING_COST * share
 }
 
+/// Returns what short requests lose that come while the engines of a plan read, if no other engine
+/// is open for them.
+fn shut_loss(
+    engine: &Engine,
+    candidates: &[Candidate<'_>],
+    ranked: &[Ranked<'_>],
+    part_ms: f64,
+) -> f64 {
+    let open = candidates.iter().filter(|it| it.is_open(engine)).count();
+    let taken = ranked.iter().filter(|it| it.engine.is_open(engine)).count();
+    if part_ms < OPEN_BACKLOG_MS || taken == 0 || taken < open {
+        return 0.0;
+    }
+    SHUT_LOSS_PER_S * part_ms / 1e3
+}
+
 /// What each engine of a plan holds of a prompt and its answer.
 struct Holdings {
     tokens: Vec<f64>,
@@ -375,6 +397,12 @@
         }
     }
 
+    /// Tells whether a short request would be in time here.
+    fn is_open(&self, engine: &Engine) -> bool {
+        let placed = self.queue.map_or(0, Queue::len);
+        self.backlog_ms < OPEN_BACKLOG_MS && placed < engine.slots
+    }
+
     fn basis(&self) -> Basis {
         Basis {
             writers: self.writers,
--- a/crates/placement/tests/plan.rs
+++ b/crates/placement/tests/plan.rs
@@ -186,6 +186,19 @@
     assert_eq!(fleet.tight_engines(), tight);
 }
 
+/// The load that this answers: a very long prompt meets an idle fleet. Whoever comes while it is
+/// read must not be late.
+#[test]
+fn choose_very_long_prompt_leaves_engines_open() {
+    let mut fleet = Fleet::new();
+    let plan = fleet.choose(&long(361_000), &[]);
+    fleet.place(&long(361_000), &plan);
+    for _ in 0..20 {
+        let plan = fleet.write(&short());
+        assert!(plan.first_token < Duration::from_millis(300), "{plan:?}");
+    }
+}
+
 #[test]
 fn choose_prompt_beyond_one_memory_is_spread() {
     let mut fleet = Fleet::new();
