--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -68,6 +68,8 @@
     pub last_event: Option<u64>,
     /// Attempts that were sent.
     pub attempts: u32,
+    /// The id of the server that has it, or had it last; for logs.
+    pub server: String,
     /// When its events came.
     pub pace: Pace,
     /// Whether a server may have run it.
@@ -156,6 +158,7 @@
         last_event: ask.last_event,
         tried: Vec::new(),
         attempts: 0,
+        server: String::new(),
         pace: Pace::default(),
         may_have_run: false,
         request,
@@ -236,6 +239,7 @@
                 }
                 Err(refusal) => return self.give_up(answer, failure, refusal).await,
             };
+            self.server.clone_from(&target.server.id);
             let outcome = attempt::run(node, self, &mut target, answer).await;
             self.note_attempt(node, &target, &outcome);
             if !matches!(outcome, Outcome::NoRoom) {
@@ -424,7 +428,9 @@
             target: "request",
             request = self.ask.id.as_deref().unwrap_or("-"),
             route = self.route.name.as_str(),
+            server = self.server.as_str(),
             attempts = self.attempts,
+            longest_pause_ms = self.pace.longest_pause.as_millis() as u64,
             elapsed_ms = clock::now().since(self.arrived).as_millis() as u64,
             outcome;
             "request ended without a whole answer"
