Prefer a plan with room to any without for what one engine can't hold

Cause: leaving no engine open cost more than having no room, so in a fleet of two engines a prompt of 300,000 tokens was planned for one that could not hold it, and refused. Change: room goes before loss where no single engine can hold the prompt. Test: choose_prompt_beyond_one_memory_takes_every_engine_if_it_must failed before.

--- a/crates/placement/src/plan.rs
+++ b/crates/placement/src/plan.rs
@@ -169,10 +169,13 @@
         .map(|it| Candidate::new(now, engine, it, board, random))
         .collect();
     let read_ms = engine.read_ms(need.prompt);
+    // What no single engine can hold does not run at all without room on several.
+    let needs_room = need.prompt + need.output > engine.memory_tokens;
+    let rank = |plan: &Plan| (needs_room && !plan.has_room, plan.loss);
     let mut best: Option<Plan> = None;
     for parts in part_counts(read_ms, candidates.len()) {
         let plan = plan_in_parts(now, engine, &candidates, need, read_ms, parts);
-        let is_better = |plan: &Plan| best.as_ref().is_none_or(|it| plan.loss < it.loss);
+        let is_better = |plan: &Plan| best.as_ref().is_none_or(|it| rank(plan) < rank(it));
         if let Some(plan) = plan.filter(is_better) {
             best = Some(plan);
         }
--- a/crates/placement/tests/plan.rs
+++ b/crates/placement/tests/plan.rs
@@ -33,9 +33,13 @@
 
 impl Fleet {
     fn new() -> Self {
+        Self::of(ENGINES)
+    }
+
+    fn of(engines: usize) -> Self {
         let now = Moment::from_millis(1_000);
         let mut servers = Servers::default();
-        for index in 0..ENGINES {
+        for index in 0..engines {
             let server = Server {
                 id: format!("i-{index}"),
                 born_ms: 1,
@@ -210,6 +214,14 @@
     assert!(plan.first_token < Duration::from_secs(4), "{plan:?}");
 }
 
+#[test]
+fn choose_prompt_beyond_one_memory_takes_every_engine_if_it_must() {
+    let mut fleet = Fleet::of(2);
+    let plan = fleet.choose(&long(300_000), &[]);
+    assert!(plan.has_room);
+    assert_eq!(plan.parts.len(), 2);
+}
+
 #[test]
 fn choose_prompt_beyond_all_memory_has_no_room() {
     let mut fleet = Fleet::new();
