Go on with a stream that has begun where a server did not run it

Ruled out: the reservation (none was held), the change of the configuration beside it. Change: a server that did not run a stream which has begun does not use up an attempt, for five servers at most. stream_that_has_begun_outlasts_a_server_that_does_not_run_it failed before.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -273,6 +273,11 @@
                     }
                 }
                 Outcome::NotRun | Outcome::OtherServer => {
+                    if answer.state() == State::Begun && self.tried.len() <= RESUME_LIMIT {
+                        // A stream that nobody goes on with is worth nothing; one that did not run
+                        // here has still only run where it began.
+                        self.attempts = self.attempts.saturating_sub(1);
+                    }
                     if !self.may_repeat(node) {
                         return self.give_up(answer, failure, Refusal::NotRun).await;
                     }
@@ -448,6 +453,8 @@
     1.0 + tokens as f64 / TOKENS_OF_VALUE
 }
 
+/// Servers that a stream which has begun is sent to before it is given up.
+const RESUME_LIMIT: usize = 5;
 /// Servers that can't be reached before a request is refused.
 const CONNECT_LIMIT: usize = 4;
 
