--- a/crates/placement/src/plan.rs
+++ b/crates/placement/src/plan.rs
@@ -169,13 +169,10 @@
         .map(|it| Candidate::new(now, engine, it, board, random))
         .collect();
     let read_ms = engine.read_ms(need.prompt);
-    // What no single engine can hold does not run at all without room on several.
-    let needs_room = need.prompt + need.output > engine.memory_tokens;
-    let rank = |plan: &Plan| (needs_room && !plan.has_room, plan.loss);
     let mut best: Option<Plan> = None;
     for parts in part_counts(read_ms, candidates.len()) {
         let plan = plan_in_parts(now, engine, &candidates, need, read_ms, parts);
-        let is_better = |plan: &Plan| best.as_ref().is_none_or(|it| rank(plan) < rank(it));
+        let is_better = |plan: &Plan| best.as_ref().is_none_or(|it| plan.loss < it.loss);
         if let Some(plan) = plan.filter(is_better) {
             best = Some(plan);
         }
@@ -259,7 +256,11 @@
     let parts: Vec<Part> = parts.collect();
     let reservations = parts.iter().skip(1).filter(|it| it.tokens > 0).count();
     let memory_loss = if held.is_enough { 0.0 } else { MEMORY_LOSS };
-    let shut = shut_loss(engine, candidates, &ranked, part_ms);
+    let mut shut = shut_loss(engine, candidates, &ranked, part_ms);
+    if need.prompt + need.output > engine.memory_tokens {
+        // No single engine holds it: having no room at all must stay the worse.
+        shut = shut.min(MEMORY_LOSS / 2.0);
+    }
     let loss = need.loss(forecast.first_token_ms) + memory_loss + harm + opening + shut;
     let cost = PART_COST * parts.len() as f64 + RESERVATION_COST * reservations as f64;
     Some(Plan {
