Send to all entries, and weigh an opening, in one place each

Cause: read once more: three functions repeated the loop over members; a plan looked up the cost of opening an engine twice. No behaviour changes.

--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -63,32 +63,20 @@
 
 /// Tells all entries of a change of a placed request.
 pub fn tell(node: &Node, note: Note) {
-    let bytes = Frame::Work(vec![note]).encode();
-    let state = node.state.borrow();
-    for member in state.members.alive().skip(1) {
-        send(node, member.peers, &bytes);
-    }
+    broadcast(node, &Frame::Work(vec![note]));
 }
 
 /// Tells all entries what this one has placed.
 fn tell_roster(node: &Node) {
-    let state = node.state.borrow();
-    let roster = state.board.roster(node.incarnation);
-    let bytes = Frame::Roster(roster).encode();
-    for member in state.members.alive().skip(1) {
-        send(node, member.peers, &bytes);
-    }
+    let roster = node.state.borrow().board.roster(node.incarnation);
+    broadcast(node, &Frame::Roster(roster));
 }
 
 /// Tells all entries what changed on the list of servers.
 pub fn tell_listing(node: &Node) {
-    let state = node.state.borrow();
-    let Some(listing) = state.knowledge.listing() else {
-        return;
-    };
-    let bytes = Frame::Listing(listing).encode();
-    for member in state.members.alive().skip(1) {
-        send(node, member.peers, &bytes);
+    let listing = node.state.borrow().knowledge.listing();
+    if let Some(listing) = listing {
+        broadcast(node, &Frame::Listing(listing));
     }
 }
 
@@ -155,6 +143,15 @@
     }
 }
 
+/// Sends a frame to all other entries. It is encoded once.
+fn broadcast(node: &Node, frame: &Frame) {
+    let bytes = frame.encode();
+    let state = node.state.borrow();
+    for member in state.members.alive().skip(1) {
+        send(node, member.peers, &bytes);
+    }
+}
+
 /// Sends one datagram. A lost one is made up for by later ones.
 fn send(node: &Node, to: SocketAddr, bytes: &[u8]) {
     node.metrics.control_bytes.inc_by(bytes.len() as u64);
--- a/crates/placement/src/plan.rs
+++ b/crates/placement/src/plan.rs
@@ -203,20 +203,22 @@
     let part_tokens = need.prompt as f64 / parts as f64;
     let harm = |it: &Candidate<'_>| it.harm(now, engine, part_ms, part_tokens, is_split);
     let opening_cost = opening_cost(candidates, need);
+    let opening = |it: &Candidate<'_>| {
+        if it.has_tight_writers {
+            0.0
+        } else {
+            opening_cost
+        }
+    };
     let mut ranked: Vec<Ranked<'_>> = candidates
         .iter()
         .map(|it| {
             let harm = harm(it);
             let own = it.own_loss(engine, part_ms, need, is_split);
-            let opening = if it.has_tight_writers {
-                0.0
-            } else {
-                opening_cost
-            };
             Ranked {
                 engine: it,
                 harm,
-                rank: harm + own + opening + it.jitter,
+                rank: harm + own + opening(it) + it.jitter,
             }
         })
         .collect();
@@ -232,11 +234,6 @@
         ranked.swap(0, writer);
     }
     let first = ranked.first()?.engine;
-    let opening = if first.has_tight_writers {
-        0.0
-    } else {
-        opening_cost
-    };
     let held = holdings(&ranked, held);
     let longest = |it: fn(&Candidate<'_>) -> f64| {
         let times = ranked.iter().map(|ranked| it(ranked.engine));
@@ -261,7 +258,7 @@
         // No single engine holds it: having no room at all must stay the worse.
         shut = shut.min(MEMORY_LOSS / 2.0);
     }
-    let loss = need.loss(forecast.first_token_ms) + memory_loss + harm + opening + shut;
+    let loss = need.loss(forecast.first_token_ms) + memory_loss + harm + opening(first) + shut;
     let cost = PART_COST * parts.len() as f64 + RESERVATION_COST * reservations as f64;
     Some(Plan {
         has_room: held.is_enough,
