Greet listed entries at once, so that none places work blindly after a restart

Cause: an entry's first probe was due before it had read the list of entries; the next one came 300 ms later. Ruled out: slow reading of the list (10 ms after the start). Change: `Members::list` returns greetings to the listed addresses that nobody is known at; shuffled, so that entries of a large fleet ask different ones. Settings that are read again greet their seeds.

--- a/crates/bench/src/capacity/measure/gossip.rs
+++ b/crates/bench/src/capacity/measure/gossip.rs
@@ -93,7 +93,8 @@
         let mut members: Vec<Members> = (0..nodes).map(|it| Members::new(member(it))).collect();
         let listed: Vec<SocketAddr> = (0..nodes).map(|it| address(it, 2)).collect();
         for it in &mut members {
-            it.list(&listed);
+            // The greetings are a start's traffic; what is measured is the steady one.
+            it.list(&listed, &mut rand::rng());
         }
         let index = listed
             .into_iter()
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -14,6 +14,7 @@
 use settings::Entry as Settings;
 use web::server;
 use web::server::Switch;
+use wire::Frame;
 
 use crate::callers;
 use crate::claims;
@@ -108,7 +109,10 @@
         Role::BackendServer => None,
     });
     let mut core = node.core.borrow_mut();
-    core.members.list(&entries.collect::<Vec<_>>());
+    let entries: Vec<_> = entries.collect();
+    for greeting in core.members.list(&entries, &mut rand::rng()) {
+        peers::push(node, greeting.to, &Frame::Message(greeting.message));
+    }
     let is_leaving = |it: &&Instance| it.status == Status::Leaving;
     let leaving = instances
         .iter()
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -201,7 +201,7 @@
                 peers.extend(&node.settings().seeds);
                 peers.sort();
                 peers.dedup();
-                node.state.borrow_mut().members.list(&peers);
+                peers::meet(&node, &peers);
                 Timer::after(ENTRIES_PAUSE).await;
             }
             Err(error) => retry.pause(&node, "entries", &error).await,
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -143,7 +143,6 @@
 
     /// Puts changed settings in force. Addresses that are bound stay as they are until a restart.
     pub fn adopt_settings(&self, settings: Settings) {
-        self.state.borrow_mut().members.list(&settings.seeds);
         *self.settings.borrow_mut() = Rc::new(settings);
     }
 
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -61,6 +61,17 @@
     }
 }
 
+/// Takes the addresses of all entries and greets those that are not known yet.
+pub fn meet(node: &Node, peers: &[SocketAddr]) {
+    let greetings = {
+        let mut state = node.state.borrow_mut();
+        state.members.list(peers, &mut rand::rng())
+    };
+    for it in greetings {
+        send(node, it.to, &Frame::Message(it.message).encode());
+    }
+}
+
 /// Tells all entries of a change of a placed request.
 pub fn tell(node: &Node, note: Note) {
     broadcast(node, &Frame::Work(vec![note]));
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -79,8 +79,7 @@
         executor.clone(),
         datagrams,
     );
-    let seeds = node.settings().seeds.clone();
-    node.state.borrow_mut().members.list(&seeds);
+    peers::meet(&node, &node.settings().seeds);
     log::info!(
         target: "run",
         incarnation:% = node.incarnation,
@@ -168,6 +167,7 @@
         match reload() {
             Ok(settings) if settings != *node.settings() => {
                 log::info!(target: "run", is_told; "settings changed");
+                peers::meet(&node, &settings.seeds);
                 node.adopt_settings(settings);
             }
             Ok(_) if is_told => {
--- a/crates/membership/src/members.rs
+++ b/crates/membership/src/members.rs
@@ -34,8 +34,9 @@
 /// The members that are asked to probe for another.
 const HELPERS: usize = 2;
 
-/// The addresses that an entry which knows nobody asks at once.
-const FIRST_CONTACTS: usize = 8;
+/// The listed addresses that are greeted at once. In a larger fleet the answers name the others; an
+/// entry starts once, so this is no part of the steady traffic.
+const GREETINGS: usize = 96;
 /// A pause between two ticks that means that this process was stopped itself.
 const PAUSE_LIMIT: Duration = Duration::from_millis(1_000);
 
@@ -139,8 +140,10 @@
         self.config_next = next;
     }
 
-    /// Takes the addresses of the entries on the platform's list, this one's included.
-    pub fn list(&mut self, peers: &[SocketAddr]) {
+    /// Takes the addresses of the entries on the platform's list, this one's included. Returns
+    /// datagrams to those that nobody is known to answer from: after a restart of the whole fleet
+    /// each entry would place work without knowing of the others' until it has met them.
+    pub fn list(&mut self, peers: &[SocketAddr], random: &mut impl Rng) -> Vec<Send> {
         self.listed = peers.len().max(1);
         let alive = self.known.values().filter(|it| it.state != State::Dead);
         let alive: BTreeSet<SocketAddr> = alive.map(|it| it.member.peers).collect();
@@ -148,6 +151,9 @@
         // hold the other dead.
         let is_silent = |it: &&SocketAddr| **it != self.me.peers && !alive.contains(*it);
         self.contacts = peers.iter().filter(is_silent).copied().collect();
+        self.contacts.shuffle(random);
+        let greeted: Vec<SocketAddr> = self.contacts.iter().take(GREETINGS).copied().collect();
+        greeted.into_iter().map(|to| self.greeting(to)).collect()
     }
 
     /// Passes a piece of news on to the others with the next datagrams.
@@ -327,19 +333,10 @@
     }
 
     fn probe_next(&mut self, now: Moment, random: &mut impl Rng, output: &mut Output) {
-        // One that knows nobody yet asks several at once, so that it is not alone for long.
-        let contacts = if self.known.is_empty() {
-            FIRST_CONTACTS
-        } else {
-            1
-        };
-        for _ in 0..contacts {
-            let Some(to) = self.contacts.pop() else {
-                break;
-            };
-            let sequence = self.next_sequence();
-            let message = self.message(Kind::Probe { sequence });
-            output.sends.push(Send { to, message });
+        // The greeting may have been lost, or have come before the other one listened.
+        if let Some(to) = self.contacts.pop() {
+            let greeting = self.greeting(to);
+            output.sends.push(greeting);
         }
         let target = loop {
             let Some(target) = self.order.pop() else {
@@ -474,6 +471,13 @@
         self.tell(Rumour::Member { member, state });
     }
 
+    /// Returns a datagram that asks whoever listens at an address to make itself known.
+    fn greeting(&mut self, to: SocketAddr) -> Send {
+        let sequence = self.next_sequence();
+        let message = self.message(Kind::Probe { sequence });
+        Send { to, message }
+    }
+
     fn message(&mut self, kind: Kind) -> Message {
         let rumours = self.news.take(self.known.len() + 1);
         Message {
--- a/crates/membership/tests/members.rs
+++ b/crates/membership/tests/members.rs
@@ -58,11 +58,18 @@
             random: StdRng::seed_from_u64(11),
             events: Vec::new(),
         };
+        network.list();
+        network
+    }
+
+    /// Gives every entry the list of all.
+    fn list(&mut self) {
+        let count = self.members.len();
         let listed: Vec<SocketAddr> = (0..count).map(|index| address(index, 2)).collect();
-        for members in &mut network.members {
-            members.list(&listed);
+        for index in 0..count {
+            let greetings = self.members[index].list(&listed, &mut self.random);
+            self.deliver(index, greetings);
         }
-        network
     }
 
     fn deliver(&mut self, from: usize, sends: Vec<Send>) {
@@ -110,6 +117,14 @@
     assert!((0..6).all(|viewer| network.ready(viewer).len() == 6));
 }
 
+#[test]
+fn members_listed_ones_know_one_another_at_once() {
+    for count in [6, 86] {
+        let network = Network::new(count);
+        assert!((0..count).all(|viewer| network.ready(viewer).len() == count));
+    }
+}
+
 #[test]
 fn members_dead_one_is_out_in_time() {
     for dead in 0..6 {
@@ -133,10 +148,7 @@
     network.cut_off.insert(2);
     network.run(Duration::from_secs(40));
     network.cut_off.clear();
-    let listed: Vec<SocketAddr> = (0..6).map(|index| address(index, 2)).collect();
-    for members in &mut network.members {
-        members.list(&listed);
-    }
+    network.list();
     network.run(Duration::from_secs(5));
     for viewer in 0..6 {
         assert_eq!(network.ready(viewer).len(), 6, "seen by {viewer}");
@@ -236,7 +248,8 @@
         };
         network.members[2] = Members::new(restarted);
         let listed: Vec<SocketAddr> = (0..6).map(|index| address(index, 2)).collect();
-        network.members[2].list(&listed);
+        let greetings = network.members[2].list(&listed, &mut network.random);
+        network.deliver(2, greetings);
         network.run(Duration::from_secs(3));
         network.events.clear();
         network.run(Duration::from_secs(20));
