Measure engines by their passes, and plan with what they show

Cause: an engine that turns slow (or answers slowly for some callers) passes every health check and breaks no answer. Change: `placement::pace`. Each stream compares the time between its events, and until its first one or until it is given up, with the longest that a pass should be by the published figures and by what all entries have placed there. The least of three in a row, and what is overdue when a stream is moved, are told to all entries (`Change::Paced`) and count for 3 s. A plan also weighs the request's own pauses. `Posting` has a file of its own.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,6 +1,5 @@
 //! One attempt: a request on one backend server.
 
-use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -14,11 +13,7 @@
 use h1::Stream;
 use h1::body::Decoder;
 use membership::message::Rumour;
-use placement::JobId;
 use placement::Server;
-use placement::board::Change;
-use placement::board::Placed;
-use placement::board::Standing;
 
 use crate::Node;
 use crate::events::Events;
@@ -26,6 +21,7 @@
 use crate::front;
 use crate::port::Send;
 use crate::port::Verdict;
+use crate::posting::Posting;
 use crate::quiet::Quiet;
 use crate::relay::Answer;
 use crate::relay::State;
@@ -81,49 +77,6 @@
     }
 }
 
-/// An attempt on the board, where all entries see it. It is taken off when this is dropped.
-struct Posting<'a> {
-    node: &'a Node,
-    job: JobId,
-    /// The server that answers.
-    server: u64,
-    /// When the last event came, or the attempt began.
-    progress: Cell<Moment>,
-}
-
-impl<'a> Posting<'a> {
-    fn new(node: &'a Node, now: Moment, exchange: &Exchange, target: &Target) -> Self {
-        let job = node.next_job();
-        let millis = |it: Duration| u32::try_from(it.as_millis()).unwrap_or(u32::MAX);
-        let target_left = now.until(exchange.arrived + exchange.route.target);
-        let tokens = exchange.ask.prompt.map_or(0, |it| it.tokens);
-        let placed = Placed {
-            target_ms: millis(target_left),
-            pause_ms: exchange.route.pause_target.map_or(0, millis),
-            value: crate::exchange::value(tokens) as f32,
-            standing: target.standing.unwrap_or(Standing::OnTime),
-            parts: target.parts.clone(),
-        };
-        node.note(now, job, Change::Placed(placed));
-        Self {
-            node,
-            job,
-            server: target.server.key(),
-            progress: Cell::new(now),
-        }
-    }
-
-    fn started(&self) {
-        self.node.note(clock::now(), self.job, Change::Started);
-    }
-}
-
-impl Drop for Posting<'_> {
-    fn drop(&mut self) {
-        self.node.note(clock::now(), self.job, Change::Ended);
-    }
-}
-
 /// Sends a request to a server and passes the answer on.
 pub async fn run(
     node: &Rc<Node>,
@@ -165,10 +118,12 @@
             rank: target.rank(),
         },
     );
+    posting.sent(sent, exchange.service.engine.as_ref());
     let quiet = Quiet::of(exchange, target);
     let conversation = converse(node, exchange, &mut stream, &head, answer, &posting);
     let silence = async {
         quiet.passed(node, &posting.progress).await;
+        posting.overdue(clock::now());
         Err(Error::Io(std::io::ErrorKind::TimedOut.into()))
     };
     match future::or(conversation, silence).await {
@@ -325,10 +280,7 @@
         if !ready.is_empty() {
             let now = clock::now();
             exchange.pace.note(now);
-            posting.progress.set(now);
-            if let Some(known) = node.state.borrow_mut().servers.get_mut(posting.server) {
-                known.note_sign(now);
-            }
+            posting.progressed(now, exchange.service.engine.as_ref());
         }
         let is_first = answer.state() == State::NotBegun;
         let sent = match response.take().filter(|_| is_first) {
@@ -344,6 +296,7 @@
             None if ready.is_empty() => Ok(()),
             None => answer.events(&ready).await,
         };
+        posting.passed_on();
         exchange.last_event = events.last();
         let ended = match sent {
             Ok(()) if !goes_on => answer.end(b"").await,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod node;
 pub mod peers;
 pub mod port;
+pub mod posting;
 pub mod quiet;
 pub mod refusal;
 pub mod relay;
--- /dev/null
+++ b/crates/gateway/src/posting.rs
@@ -0,0 +1,116 @@
+//! An attempt on the board, and what its stream tells of the server.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::time::Duration;
+
+use domain::Moment;
+use placement::JobId;
+use placement::board::Change;
+use placement::board::Placed;
+use placement::board::Standing;
+use placement::pace::Meter;
+use route::Engine;
+
+use crate::Node;
+use crate::exchange::Exchange;
+use crate::target::Target;
+
+/// An attempt on the board, where all entries see it. It is taken off when this is dropped.
+pub struct Posting<'a> {
+    node: &'a Node,
+    /// Names the attempt among those of all entries.
+    pub job: JobId,
+    /// The server that answers.
+    server: u64,
+    /// When the last event came, or the attempt began.
+    pub progress: Cell<Moment>,
+    /// Measures the server by the events of this stream.
+    meter: RefCell<Meter>,
+}
+
+impl<'a> Posting<'a> {
+    /// Puts an attempt on the board.
+    pub fn new(node: &'a Node, now: Moment, exchange: &Exchange, target: &Target) -> Self {
+        let job = node.next_job();
+        let millis = |it: Duration| u32::try_from(it.as_millis()).unwrap_or(u32::MAX);
+        let target_left = now.until(exchange.arrived + exchange.route.target);
+        let tokens = exchange.ask.prompt.map_or(0, |it| it.tokens);
+        let placed = Placed {
+            target_ms: millis(target_left),
+            pause_ms: exchange.route.pause_target.map_or(0, millis),
+            value: crate::exchange::value(tokens) as f32,
+            standing: target.standing.unwrap_or(Standing::OnTime),
+            parts: target.parts.clone(),
+        };
+        node.note(now, job, Change::Placed(placed));
+        Self {
+            node,
+            job,
+            server: target.server.key(),
+            progress: Cell::new(now),
+            meter: RefCell::default(),
+        }
+    }
+
+    /// Notes that the first event came.
+    pub fn started(&self) {
+        self.node.note(clock::now(), self.job, Change::Started);
+    }
+
+    /// Notes that the request was sent: its first event takes the pass that goes on and the one
+    /// that reads it.
+    pub fn sent(&self, now: Moment, engine: Option<&Engine>) {
+        let state = self.node.state.borrow();
+        let queue = state.board.queue(self.server);
+        if let Some((queue, engine)) = queue.zip(engine) {
+            let passes_ms = queue.longest_pass_ms(engine) + queue.pass_ms(engine);
+            self.meter.borrow_mut().measure(now, passes_ms);
+        }
+    }
+
+    /// Notes that events came.
+    pub fn progressed(&self, now: Moment, engine: Option<&Engine>) {
+        self.progress.set(now);
+        let pass_ms = {
+            let mut state = self.node.state.borrow_mut();
+            if let Some(known) = state.servers.get_mut(self.server) {
+                known.note_sign(now);
+            }
+            let queue = state.board.queue(self.server);
+            queue.zip(engine).map(|it| it.0.longest_pass_ms(it.1))
+        };
+        let factor = pass_ms.and_then(|it| self.meter.borrow_mut().measure(now, it));
+        self.tell_pace(now, factor);
+    }
+
+    /// Notes that the server was given up since nothing came.
+    pub fn overdue(&self, now: Moment) {
+        let factor = self.meter.borrow().overdue(now);
+        self.tell_pace(now, factor);
+    }
+
+    /// Tells the other entries how fast the engine is, if that is news.
+    fn tell_pace(&self, now: Moment, factor: Option<f64>) {
+        let is_news = |it: &f64| {
+            let state = self.node.state.borrow();
+            state.board.paces().is_news(now, self.server, *it)
+        };
+        let Some(factor) = factor.filter(is_news) else {
+            return;
+        };
+        log::info!(target: "server", key = self.server, factor; "an engine is slower than published, or no longer is");
+        self.node.note(now, self.job, Change::Paced(factor as f32));
+    }
+
+    /// Notes that the events were passed on to the caller.
+    pub fn passed_on(&self) {
+        self.meter.borrow_mut().resume(clock::now());
+    }
+}
+
+impl Drop for Posting<'_> {
+    fn drop(&mut self) {
+        self.node.note(clock::now(), self.job, Change::Ended);
+    }
+}
--- a/crates/placement/src/board.rs
+++ b/crates/placement/src/board.rs
@@ -7,6 +7,8 @@
 use domain::key::Incarnation;
 use route::Engine;
 
+use crate::pace::Paces;
+
 /// The time after which work counts as ended if nobody said so; longer than any route's limit.
 const FORGOTTEN_AFTER: Duration = Duration::from_secs(40);
 /// Reading beside writers takes so much longer than alone, since each of its steps writes a token
@@ -49,6 +51,8 @@
     Placed(Placed),
     /// Its first token came.
     Started,
+    /// The server that answers takes so many times longer than published.
+    Paced(f32),
     /// It ended or was given up.
     Ended,
 }
@@ -95,6 +99,7 @@
 pub struct Board {
     queues: HashMap<u64, Queue>,
     jobs: HashMap<JobId, Job>,
+    paces: Paces,
 }
 
 #[derive(Clone, Debug)]
@@ -143,6 +148,7 @@
         match &note.change {
             Change::Placed(placed) => self.place(now, note.job, placed),
             Change::Started => self.start(now, note.job),
+            Change::Paced(factor) => self.pace(now, note.job, (*factor).into()),
             Change::Ended => self.end(now, note.job),
         }
     }
@@ -191,6 +197,11 @@
         self.queues.get(&server)
     }
 
+    /// Returns what is known of engines that are slow.
+    pub fn paces(&self) -> &Paces {
+        &self.paces
+    }
+
     /// Forgets the work of an entry that is gone: its connections have ended.
     pub fn forget_entry(&mut self, now: Moment, entry: Incarnation) {
         let jobs = self.jobs.keys().filter(|it| it.entry == entry);
@@ -212,6 +223,7 @@
             self.end(now, job);
         }
         self.queues.retain(|_, it| !it.tasks.is_empty());
+        self.paces.expire(now);
     }
 
     fn place(&mut self, now: Moment, job: JobId, placed: &Placed) {
@@ -265,6 +277,13 @@
         }
     }
 
+    fn pace(&mut self, now: Moment, job: JobId, factor: f64) {
+        let known = self.jobs.get(&job);
+        if let Some(first) = known.and_then(|it| it.placed.parts.first()) {
+            self.paces.set(now, first.server, factor);
+        }
+    }
+
     fn end(&mut self, now: Moment, job: JobId) {
         let Some(known) = self.jobs.remove(&job) else {
             return;
@@ -337,6 +356,13 @@
         self.tasks.is_empty()
     }
 
+    /// Returns the milliseconds of a pass in which everything is read that is still to be read.
+    pub fn longest_pass_ms(&self, engine: &Engine) -> f64 {
+        let reading = self.tasks.iter().filter(|it| it.is_reading());
+        let read_ms: f64 = reading.map(|it| it.read_ms * READ_STRETCH).sum();
+        self.pass_ms(engine) + read_ms
+    }
+
     /// Returns the milliseconds of a pass without what is read in it.
     pub fn pass_ms(&self, engine: &Engine) -> f64 {
         let (writers, tokens) = self.writers();
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod allowance;
 pub mod board;
+pub mod pace;
 pub mod plain;
 pub mod plan;
 pub mod servers;
--- a/crates/placement/src/plan.rs
+++ b/crates/placement/src/plan.rs
@@ -239,7 +239,8 @@
         let times = ranked.iter().map(|ranked| it(ranked.engine));
         times.fold(0.0, f64::max)
     };
-    let working = part_ms * longest(|it| it.pace) + engine.pass_ms(first.writers + 1, need.prompt);
+    let pass_ms = first.pace * engine.pass_ms(first.writers + 1, need.prompt);
+    let working = part_ms * longest(|it| it.pace) + pass_ms;
     let forecast = need.forecast(
         longest(|it| it.wait_ms) + working,
         longest(|it| it.late_wait_ms) + working,
@@ -258,7 +259,8 @@
         // No single engine holds it: having no room at all must stay the worse.
         shut = shut.min(MEMORY_LOSS / 2.0);
     }
-    let loss = need.loss(forecast.first_token_ms) + memory_loss + harm + opening(first) + shut;
+    let own = need.loss(forecast.first_token_ms) + need.pause_loss(pass_ms);
+    let loss = own + memory_loss + harm + opening(first) + shut;
     let cost = PART_COST * parts.len() as f64 + RESERVATION_COST * reservations as f64;
     Some(Plan {
         has_room: held.is_enough,
@@ -351,6 +353,14 @@
         }
     }
 
+    /// Returns what this request loses by its own pauses on an engine whose passes are this long.
+    fn pause_loss(&self, pass_ms: f64) -> f64 {
+        let late = self.pause.map_or(0.0, |limit| {
+            lateness(pass_ms, limit.as_secs_f64() * 1e3, PAUSE_SPREAD)
+        });
+        LATE_LOSS * self.value * late
+    }
+
     /// Returns what this request loses if its first token comes after `first_token_ms`.
     fn loss(&self, first_token_ms: f64) -> f64 {
         let target_ms = self.target.as_secs_f64() * 1e3;
@@ -370,13 +380,13 @@
         let key = known.server.key();
         let queue = board.queue(key);
         let (writers, _) = queue.map_or((0, 0), Queue::writers);
-        let pass_ms = queue.map_or(0.0, |it| it.pass_ms(engine)) * known.pace;
+        let pace = board.paces().factor(now, key);
+        let pass_ms = queue.map_or(0.0, |it| it.pass_ms(engine)) * pace;
         let memory = engine.memory_tokens as f64 * MEMORY_PART;
         let tight_ms = TIGHT_PAUSE.as_secs_f64() * 1e3;
         let is_tight = |it: &Task| !it.is_helping && it.pause_ms.is_some_and(|it| it <= tight_ms);
         let tasks = queue.map(Queue::tasks).unwrap_or_default();
-        let backlog_ms =
-            |standing| queue.map_or(0.0, |it| it.backlog_ms(now, standing)) * known.pace;
+        let backlog_ms = |standing| queue.map_or(0.0, |it| it.backlog_ms(now, standing)) * pace;
         let wait_ms = |standing| {
             let ahead = queue.map_or(0, |it| it.ahead_of(standing).count());
             let over = (ahead + 1).saturating_sub(engine.slots);
@@ -386,7 +396,7 @@
         Self {
             key,
             queue,
-            pace: known.pace,
+            pace,
             wait_ms: wait_ms(Standing::OnTime),
             late_wait_ms: wait_ms(Standing::Late),
             backlog_ms: backlog_ms(Standing::OnTime),
@@ -449,9 +459,10 @@
 
     /// Returns what the request itself loses on this engine.
     fn own_loss(&self, engine: &Engine, part_ms: f64, need: &Need, is_split: bool) -> f64 {
-        let working = part_ms * self.pace + engine.pass_ms(self.writers + 1, need.prompt);
+        let pass_ms = self.pace * engine.pass_ms(self.writers + 1, need.prompt);
+        let working = part_ms * self.pace + pass_ms;
         let forecast = need.forecast(self.wait_ms + working, self.late_wait_ms + working);
-        let loss = need.loss(forecast.first_token_ms);
+        let loss = need.loss(forecast.first_token_ms) + need.pause_loss(pass_ms);
         if is_split {
             return loss;
         }
--- a/crates/placement/src/servers.rs
+++ b/crates/placement/src/servers.rs
@@ -82,8 +82,6 @@
     pub health: Health,
     /// How long its plain answers take, smoothed, and when the last one came.
     latency: Option<(Duration, Moment)>,
-    /// How many times longer than forecast its work takes, smoothed.
-    pub pace: f64,
     /// When it last sent anything to this entry.
     sign: Option<Moment>,
     lapsed: bool,
@@ -215,7 +213,6 @@
             server: Rc::new(server),
             health: Health::default(),
             latency: None,
-            pace: 1.0,
             sign: None,
             lapsed: false,
             disowned: None,
--- a/crates/placement/tests/plan.rs
+++ b/crates/placement/tests/plan.rs
@@ -250,6 +250,22 @@
     );
 }
 
+#[test]
+fn choose_engines_that_are_not_slow() {
+    let mut fleet = Fleet::new();
+    let first = fleet.choose(&short(), &[]);
+    let job = fleet.place(&short(), &first);
+    fleet.tell(job, Change::Started);
+    fleet.tell(job, Change::Paced(5.0));
+    for _ in 0..20 {
+        let plan = fleet.write(&short());
+        assert_ne!(plan.parts[0].server, first.parts[0].server);
+    }
+    let long = fleet.choose(&long(130_000), &[]);
+    let servers = long.parts.iter().map(|it| it.server);
+    assert!(!servers.collect::<Vec<_>>().contains(&first.parts[0].server));
+}
+
 #[test]
 fn choose_other_engines_than_those_tried() {
     let mut fleet = Fleet::new();
--- a/crates/wire/schema/peer.capnp
+++ b/crates/wire/schema/peer.capnp
@@ -78,6 +78,8 @@
     }
     started @6 :Void;
     ended @7 :Void;
+    # How many times longer than published the server that answers takes.
+    paced @9 :Float32;
   }
 
   struct Part {
--- a/crates/wire/src/note.rs
+++ b/crates/wire/src/note.rs
@@ -19,6 +19,7 @@
     builder.set_number(note.job.number);
     match &note.change {
         Change::Started => builder.set_started(()),
+        Change::Paced(factor) => builder.set_paced(*factor),
         Change::Ended => builder.set_ended(()),
         Change::Placed(placed) => {
             let mut group = builder.init_placed();
@@ -72,6 +73,7 @@
     };
     let change = match reader.which()? {
         work::Started(()) => Change::Started,
+        work::Paced(factor) => Change::Paced(factor),
         work::Ended(()) => Change::Ended,
         work::Placed(group) => {
             let parts = group.get_parts()?.iter().map(|it| Part {
--- a/crates/wire/src/peer_capnp.rs
+++ b/crates/wire/src/peer_capnp.rs
@@ -1989,7 +1989,7 @@
 }
 
 pub mod work {
-    pub use self::Which::{Placed,Started,Ended};
+    pub use self::Which::{Placed,Started,Ended,Paced};
 
     #[derive(Copy, Clone)]
     pub struct Owned(());
@@ -2077,6 +2077,11 @@
                         ()
                     ))
                 }
+                3 => {
+                    ::core::result::Result::Ok(Paced(
+                        self.reader.get_data_field::<f32>(6)
+                    ))
+                }
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x))
             }
         }
@@ -2169,6 +2174,11 @@
             self.builder.set_data_field::<u16>(14, 2);
         }
         #[inline]
+        pub fn set_paced(&mut self, value: f32)  {
+            self.builder.set_data_field::<u16>(14, 3);
+            self.builder.set_data_field::<f32>(6, value);
+        }
+        #[inline]
         pub fn which(self) -> ::core::result::Result<WhichBuilder<'a,>, ::capnp::NotInSchema> {
             match self.builder.get_data_field::<u16>(14) {
                 0 => {
@@ -2186,6 +2196,11 @@
                         ()
                     ))
                 }
+                3 => {
+                    ::core::result::Result::Ok(Paced(
+                        self.builder.get_data_field::<f32>(6)
+                    ))
+                }
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x))
             }
         }
@@ -2200,17 +2215,17 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 87] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 102] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(46, 195, 204, 216, 210, 74, 243, 151),
             ::capnp::word(11, 0, 0, 0, 1, 0, 4, 0),
             ::capnp::word(70, 40, 94, 123, 201, 161, 243, 208),
-            ::capnp::word(1, 0, 7, 0, 0, 0, 3, 0),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 4, 0),
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 130, 0, 0, 0),
             ::capnp::word(25, 0, 0, 0, 23, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(33, 0, 0, 0, 31, 1, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 87, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
@@ -2219,42 +2234,49 @@
             ::capnp::word(20, 251, 40, 196, 148, 211, 155, 193),
             ::capnp::word(1, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(80, 97, 114, 116, 0, 0, 0, 0),
-            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(125, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(153, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(129, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(157, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 255, 255, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(40, 87, 8, 101, 126, 165, 82, 237),
-            ::capnp::word(133, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(161, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(3, 0, 254, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(109, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(137, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(132, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(144, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 253, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(113, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(141, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(108, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(120, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(136, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(148, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(5, 0, 252, 255, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(145, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(140, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(152, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(101, 110, 116, 114, 121, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -2288,6 +2310,14 @@
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 97, 99, 101, 100, 0, 0, 0),
+            ::capnp::word(10, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(10, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -2296,6 +2326,7 @@
                 2 => <crate::peer_capnp::work::placed::Owned as ::capnp::introspect::Introspect>::introspect(),
                 3 => <() as ::capnp::introspect::Introspect>::introspect(),
                 4 => <() as ::capnp::introspect::Introspect>::introspect(),
+                5 => <f32 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -2310,14 +2341,15 @@
             MEMBERS_BY_NAME
         );
         pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
-        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[2,3,4];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[4,0,1,2,3];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[2,3,4,5];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[4,0,1,5,2,3];
         pub(crate) const TYPE_ID: u64 = 0x97f3_4ad2_d8cc_c32e;
     }
     pub enum Which<A0> {
         Placed(A0),
         Started(()),
         Ended(()),
+        Paced(f32),
     }
     pub type WhichReader<'a,> = Which<crate::peer_capnp::work::placed::Reader<'a>>;
     pub type WhichBuilder<'a,> = Which<crate::peer_capnp::work::placed::Builder<'a>>;
--- a/crates/wire/tests/notes.rs
+++ b/crates/wire/tests/notes.rs
@@ -45,6 +45,7 @@
         note(1, placed(Standing::OnTime)),
         note(2, placed(Standing::Late)),
         note(1, Change::Started),
+        note(1, Change::Paced(4.5)),
         note(2, Change::Ended),
     ]));
 }
