--- /dev/null
+++ b/crates/config/src/draft.rs
@@ -0,0 +1,43 @@
+//! Drafting a record: what an operator has to append so that a state becomes another.
+
+use std::collections::BTreeMap;
+
+use crate::fold::Fold;
+use crate::item::Item;
+use crate::item::Name;
+use crate::record::Change;
+use crate::record::Record;
+
+impl Record {
+    /// Returns the record that turns the state of `fold` into `wanted`.
+    pub fn between(
+        fold: &Fold,
+        wanted: &BTreeMap<Name, Item>,
+        nonce: u64,
+        author: impl Into<String>,
+    ) -> Self {
+        let mut changes = Vec::new();
+        for (name, item) in wanted {
+            if fold.item(name) != Some(item) {
+                let replaces = fold.version(name);
+                changes.push(Change {
+                    name: name.clone(),
+                    replaces,
+                    value: Some(item.clone()),
+                });
+            }
+        }
+        for (name, _) in fold.items().filter(|(name, _)| !wanted.contains_key(*name)) {
+            changes.push(Change {
+                name: name.clone(),
+                replaces: fold.version(name),
+                value: None,
+            });
+        }
+        Self {
+            nonce,
+            author: author.into(),
+            changes,
+        }
+    }
+}
--- a/crates/config/src/fold.rs
+++ b/crates/config/src/fold.rs
@@ -8,15 +8,13 @@
 
 use crate::item::Item;
 use crate::item::Name;
+use crate::item::Version;
 use crate::record::Record;
 
 /// The number of recent verdicts that a fold keeps for operators who ask, and of recent nonces
 /// that it recognises.
 pub const VERDICTS_KEPT: usize = 256;
 
-/// The version of an item: one more than the log offset of the record that set it.
-pub type Version = u64;
-
 /// The state after reading the log up to a position.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Fold {
--- a/crates/config/src/item.rs
+++ b/crates/config/src/item.rs
@@ -12,6 +12,9 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+/// The version of an item: one more than the log offset of the record that set it.
+pub type Version = u64;
+
 /// The name of an item, for example `contract/clinica-norte`.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(transparent)]
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -10,6 +10,7 @@
 //!
 //! Architecture invariant: this crate does no I/O and never reads a clock.
 
+pub mod draft;
 pub mod fold;
 pub mod item;
 pub mod order;
--- a/crates/config/src/record.rs
+++ b/crates/config/src/record.rs
@@ -1,14 +1,11 @@
 //! What operators append to the log.
 
-use std::collections::BTreeMap;
-
 use serde::Deserialize;
 use serde::Serialize;
 
-use crate::fold::Fold;
-use crate::fold::Version;
 use crate::item::Item;
 use crate::item::Name;
+use crate::item::Version;
 
 /// A group of changes that come into force together or not at all.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -33,37 +30,3 @@
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub value: Option<Item>,
 }
-
-impl Record {
-    /// Returns the record that turns the state of `fold` into `wanted`.
-    pub fn between(
-        fold: &Fold,
-        wanted: &BTreeMap<Name, Item>,
-        nonce: u64,
-        author: impl Into<String>,
-    ) -> Self {
-        let mut changes = Vec::new();
-        for (name, item) in wanted {
-            if fold.item(name) != Some(item) {
-                let replaces = fold.version(name);
-                changes.push(Change {
-                    name: name.clone(),
-                    replaces,
-                    value: Some(item.clone()),
-                });
-            }
-        }
-        for (name, _) in fold.items().filter(|(name, _)| !wanted.contains_key(*name)) {
-            changes.push(Change {
-                name: name.clone(),
-                replaces: fold.version(name),
-                value: None,
-            });
-        }
-        Self {
-            nonce,
-            author: author.into(),
-            changes,
-        }
-    }
-}
--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -17,11 +17,11 @@
 
 use crate::chat::answer::Output;
 use crate::chat::prompt::Prompt;
+use crate::datagrams;
 use crate::dispatch;
 use crate::engines;
 use crate::metrics::Class;
 use crate::node::Node;
-use crate::peers;
 use crate::suspect;
 use crate::trail;
 
@@ -319,7 +319,7 @@
 /// Marks a backend server that refused work because it is leaving, and tells all entries.
 pub fn tell_leaving(node: &Node, server: &str) {
     if node.core.borrow_mut().mark_leaving(server) {
-        peers::tell(
+        datagrams::tell(
             node,
             Rumour::ServerLeaving {
                 server: server.to_owned(),
--- a/crates/entry/src/claims.rs
+++ b/crates/entry/src/claims.rs
@@ -17,13 +17,12 @@
 use membership::member::Phase;
 use wire::call::Decision;
 
+use crate::calls;
 use crate::node::Node;
-use crate::peers::caller;
 
+pub mod shards;
 pub mod stream;
 
-pub use self::stream::Claims;
-
 /// The time for a call to another authority.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// The heirs that are asked for a book: new entries may have come before the one that has it.
@@ -59,10 +58,10 @@
         node.pool
             .claim(&node.executor, peer, key, nonce, customer, CALL_TIMEOUT)
     };
-    match caller::twice(ask).await {
+    match calls::twice(ask).await {
         Ok(decision) => decision,
         // Any entry may append claims: the log decides, not the home.
-        Err(caller::Error::Unreachable) if key.authority() == Authority::Log => {
+        Err(calls::Error::Unreachable) if key.authority() == Authority::Log => {
             decide(node, key, nonce, customer).await
         }
         Err(error) => Decision::Unavailable(error.to_string()),
@@ -144,7 +143,7 @@
             node.pool
                 .hand_over(&node.executor, heir.peers, &parcel, HAND_OVER_TIMEOUT)
         };
-        match caller::twice(send).await {
+        match calls::twice(send).await {
             Ok(()) => log::info!(target: "claims", "Tickets of {issuer} went to {}.", heir.name),
             Err(error) => log::warn!(target: "claims", "Tickets of {issuer} are lost: {error}."),
         }
--- a/crates/entry/src/claims/stream.rs
+++ b/crates/entry/src/claims/stream.rs
@@ -5,7 +5,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use async_channel::Sender;
 use claim::Nonce;
 use claim::Outcome;
 use claim::Pending;
@@ -19,6 +18,8 @@
 use web::stream::within;
 use wire::call::Decision;
 
+use crate::claims::shards::State;
+use crate::claims::shards::Stream;
 use crate::node::Node;
 
 /// The time in which an authority decides, or says that it can't.
@@ -28,27 +29,6 @@
 /// How often a due time is looked at again.
 const DUE_CHECK: Duration = Duration::from_millis(5);
 
-/// The claim streams for which this entry has been the authority.
-#[derive(Default)]
-pub struct Claims {
-    shards: RefCell<HashMap<ShardId, Rc<Stream>>>,
-}
-
-/// One claim stream.
-struct Stream {
-    id: ShardId,
-    state: RefCell<State>,
-}
-
-struct State {
-    shard: Shard,
-    is_loaded: bool,
-    is_flushing: bool,
-    /// Until when the log counts as out, after it did not answer.
-    out_until: Moment,
-    pending: Pending,
-    waiters: HashMap<(Key, Nonce), Sender<Decision>>,
-}
 /// Decides on a claim by the log.
 pub async fn decide(node: &Rc<Node>, key: Key, nonce: Nonce) -> Decision {
     let stream = stream(node, key);
@@ -240,35 +220,4 @@
             }
         }
     }
-
-    /// Tells all who wait that the log is out. Their claims may still take effect; whoever asked
-    /// releases them.
-    fn give_up_waiters(&self, error: &LogError) {
-        let mut state = self.state.borrow_mut();
-        let waiters = std::mem::take(&mut state.waiters);
-        drop(state);
-        for sender in waiters.into_values() {
-            let _ = sender.try_send(Decision::Unavailable(error.to_string()));
-        }
-    }
-}
-
-impl State {
-    /// Answers those who wait for claims in `events`, which the log took at `at`. Without it, only
-    /// what the fold knows is answered.
-    fn answer(&mut self, events: &[Event], at: Option<Duration>) {
-        for event in events.iter().filter(|it| it.kind == Kind::Claim) {
-            let (key, nonce) = (event.key, event.nonce);
-            let known = self.shard.verdict(key, nonce).map(Decision::Verdict);
-            let misdated = at
-                .and_then(|at| self.shard.misdated(key, at))
-                .map(Decision::Verdict);
-            let decision = known
-                .or(misdated)
-                .unwrap_or_else(|| Decision::Unavailable("claims have expired unread".to_owned()));
-            if let Some(sender) = self.waiters.remove(&(key, nonce)) {
-                let _ = sender.try_send(decision);
-            }
-        }
-    }
 }
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -8,10 +8,10 @@
 use routing::Job;
 use routing::job;
 use routing::router::End;
-use routing::router::Placement;
 use routing::router::Refusal;
 
 use crate::node::Node;
+use crate::notice::Notice;
 
 /// How often waiting requests are looked at while nothing else happens.
 const TICK: Duration = Duration::from_millis(2);
@@ -19,15 +19,6 @@
 /// Deadlines are looked at once in so many ticks, as that takes a look at every waiting request.
 const EXPIRY_TICKS: u64 = 10;
 
-/// A decision about a request that waits.
-#[derive(Clone, Debug)]
-pub enum Notice {
-    /// An engine has room.
-    Placed(Box<Placement>),
-    /// The deadline passed first.
-    Expired,
-}
-
 /// A request that waits for an engine. Dropping it withdraws the request.
 pub struct Waiting {
     node: Rc<Node>,
--- a/crates/entry/src/engines.rs
+++ b/crates/entry/src/engines.rs
@@ -16,9 +16,9 @@
 use wire::Frame;
 use wire::frame::Load;
 
+use crate::datagrams;
 use crate::dispatch;
 use crate::node::Node;
-use crate::peers;
 use crate::trail;
 
 /// The time between two load reports.
@@ -202,7 +202,7 @@
     });
     let frame = Frame::Loads(loads.collect());
     for peer in audience(node) {
-        peers::push(node, peer, &frame);
+        datagrams::push(node, peer, &frame);
     }
 }
 
--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -12,8 +12,8 @@
 use platform::Batch;
 use platform::Error;
 
+use crate::calls;
 use crate::node::Node;
-use crate::peers::caller;
 
 /// The time for which a read waits for new records.
 const READ_WAIT: Duration = Duration::from_secs(5);
@@ -62,7 +62,7 @@
     executor.spawn(fetch).detach();
 }
 
-async fn fetch(node: &Node, peer: SocketAddr) -> Result<(), caller::Error> {
+async fn fetch(node: &Node, peer: SocketAddr) -> Result<(), calls::Error> {
     let next = node.core.borrow().fold.next();
     let fold = node
         .pool
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -6,8 +6,10 @@
 
 pub mod attempt;
 pub mod callers;
+pub mod calls;
 pub mod chat;
 pub mod claims;
+pub mod datagrams;
 pub mod dispatch;
 pub mod engines;
 pub mod follow;
@@ -17,11 +19,13 @@
 pub mod logs;
 pub mod metrics;
 pub mod node;
+pub mod notice;
 pub mod operators;
 pub mod orders;
 pub mod peers;
 pub mod request;
 pub mod run;
+pub mod servers;
 pub mod services;
 pub mod suspect;
 pub mod trail;
--- a/crates/entry/src/limits.rs
+++ b/crates/entry/src/limits.rs
@@ -13,8 +13,8 @@
 use limit::Terms;
 use limit::home::Start;
 
+use crate::calls;
 use crate::node::Node;
-use crate::peers::caller;
 
 /// The time for a question to a contract's home.
 const ASK_TIMEOUT: Duration = Duration::from_millis(300);
@@ -145,7 +145,7 @@
         .await
     {
         Ok(grant) => Some(grant),
-        Err(error @ (caller::Error::Unreachable | caller::Error::Unanswered(_))) => {
+        Err(error @ (calls::Error::Unreachable | calls::Error::Unanswered(_))) => {
             log::debug!(target: "limits", "No allotment for {}: {error}.", ask.customer);
             None
         }
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -34,11 +34,11 @@
 use web::Client;
 use web::server::Switch;
 
-use crate::claims::Claims;
-use crate::dispatch::Notice;
+use crate::calls::Pool;
+use crate::claims::shards::Claims;
 use crate::metrics::Metrics;
-use crate::peers::Pool;
-use crate::services::Servers;
+use crate::notice::Notice;
+use crate::servers::Servers;
 use crate::trail;
 use crate::trail::Trails;
 
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -20,11 +20,8 @@
 use crate::follow;
 use crate::node::Node;
 
-pub mod caller;
 pub mod server;
 
-pub use caller::Pool;
-
 /// The time between two ticks of the membership.
 const TICK: Duration = Duration::from_millis(50);
 /// The longest datagram, in bytes.
@@ -97,30 +94,6 @@
     }
 }
 
-/// Brings urgent news to all peers at once, and to those that miss it later.
-pub fn tell(node: &Node, rumour: Rumour) {
-    let sends = {
-        let mut core = node.core.borrow_mut();
-        core.members.tell(rumour.clone());
-        core.members.broadcast(rumour)
-    };
-    for send in sends {
-        push(node, send.to, &Frame::Message(send.message));
-    }
-}
-
-/// Sends one datagram. A lost one is made up for by later ones.
-pub fn push(node: &Node, to: SocketAddr, frame: &Frame) {
-    let Some(socket) = node.datagrams.get() else {
-        return;
-    };
-    let bytes = frame.encode();
-    node.metrics.control_bytes.inc_by(bytes.len() as u64);
-    if let Err(error) = socket.get_ref().send_to(&bytes, to) {
-        log::debug!(target: "peers", "Send to {to} failed: {error}.");
-    }
-}
-
 fn receive(node: &Node, from: SocketAddr, bytes: &[u8]) -> Output {
     match Frame::decode(bytes) {
         Ok(Frame::Message(message)) => {
@@ -199,21 +172,3 @@
         }
     }
 }
-
-/// Makes the phase known at once, before a planned stop goes on.
-pub fn announce(node: &Node) {
-    let member = {
-        let mut core = node.core.borrow_mut();
-        let phase = core.phase();
-        core.members.enter(phase);
-        core.members.me().clone()
-    };
-
-    tell(
-        node,
-        Rumour::Member {
-            member,
-            state: membership::member::State::Alive,
-        },
-    );
-}
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -18,6 +18,7 @@
 
 use crate::callers;
 use crate::claims;
+use crate::datagrams;
 use crate::dispatch;
 use crate::engines;
 use crate::follow;
@@ -111,7 +112,7 @@
     let mut core = node.core.borrow_mut();
     let entries: Vec<_> = entries.collect();
     for greeting in core.members.list(&entries, &mut rand::rng()) {
-        peers::push(node, greeting.to, &Frame::Message(greeting.message));
+        datagrams::push(node, greeting.to, &Frame::Message(greeting.message));
     }
     let is_leaving = |it: &&Instance| it.status == Status::Leaving;
     let leaving = instances
@@ -140,7 +141,7 @@
         Timer::after(STOP_CHECK).await;
     }
     node.core.borrow_mut().is_stopping = true;
-    peers::announce(&node);
+    datagrams::announce(&node);
     // Callers may keep an answer that names this instance, and others may give out such answers
     // for as long as the list lags behind.
     let settings = &node.settings;
--- a/crates/entry/src/services.rs
+++ b/crates/entry/src/services.rs
@@ -1,20 +1,13 @@
 //! Plain services: `POST /v1/services/{service}/{path}`.
 
 use std::cell::Cell;
-use std::collections::BTreeMap;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use domain::Failure;
-use domain::Moment;
 use domain::failure::Kind;
 use domain::failure::Ran;
-use domain::fleet::BackendServer;
 use futures_lite::future;
-use routing::engine::Load;
-use routing::health::Health;
-use routing::leaving::Leaving;
 use routing::router::End;
 use web::Exchange;
 use web::Reply;
@@ -31,6 +24,7 @@
 use crate::node::Node;
 use crate::request;
 use crate::request::Head;
+use crate::servers::Choice;
 use crate::trail;
 use crate::trail::Outcome;
 
@@ -39,107 +33,6 @@
 /// The wait that a caller is told when all servers of a service are out.
 const RETRY_AFTER: Duration = Duration::from_secs(2);
 
-/// The servers of plain services.
-#[derive(Debug, Default)]
-pub struct Servers {
-    servers: BTreeMap<String, Server>,
-    turn: usize,
-}
-
-#[derive(Debug)]
-struct Server {
-    service: String,
-    address: SocketAddr,
-    health: Health,
-    leaving: Leaving,
-}
-
-impl Servers {
-    /// Replaces the set of servers. Those that stay keep what is known of them.
-    pub fn replace<'a>(&mut self, servers: impl IntoIterator<Item = &'a Rc<BackendServer>>) {
-        let mut old = std::mem::take(&mut self.servers);
-        for server in servers {
-            let Some(service) = server.service() else {
-                continue;
-            };
-            let known = old
-                .remove(&server.name)
-                .filter(|it| it.address == server.address);
-            let known = known.unwrap_or_else(|| Server {
-                service: String::new(),
-                address: server.address,
-                health: Health::default(),
-                leaving: Leaving::default(),
-            });
-            let server_state = Server {
-                service: service.service.clone(),
-                ..known
-            };
-            self.servers.insert(server.name.clone(), server_state);
-        }
-    }
-
-    /// Takes a server's own word on whether it is leaving.
-    pub fn report(&mut self, name: &str, load: &Load) {
-        if let Some(server) = self.servers.get_mut(name) {
-            server.leaving.report(load.incarnation, load.is_leaving);
-        }
-    }
-
-    /// Notes that some source says that a server is leaving. Returns whether that is news.
-    pub fn mark_leaving(&mut self, name: &str) -> bool {
-        let server = self.servers.get_mut(name);
-        server.is_some_and(|it| it.leaving.mark())
-    }
-
-    /// Notes that a server can't be reached.
-    pub fn lost(&mut self, now: Moment, name: &str) {
-        if let Some(server) = self.servers.get_mut(name) {
-            server.health.lost(now);
-        }
-    }
-
-    fn knows(&self, service: &str) -> bool {
-        self.servers.values().any(|it| it.service == service)
-    }
-
-    /// Returns the next server of a service in turn.
-    fn next(&mut self, now: Moment, service: &str, avoid: &[String]) -> Option<Choice> {
-        self.turn = self.turn.wrapping_add(1);
-        let usable = self.servers.iter_mut().filter(|(name, it)| {
-            let is_usable = !it.leaving.is_marked() && it.health.is_usable(now);
-            it.service == service && is_usable && !avoid.contains(name)
-        });
-        let mut usable: Vec<_> = usable.collect();
-        if usable.is_empty() {
-            return None;
-        }
-        let (name, server) = usable.swap_remove(self.turn % usable.len());
-        server.health.sent(now);
-        Some(Choice {
-            name: name.clone(),
-            address: server.address,
-        })
-    }
-
-    fn ended(&mut self, now: Moment, name: &str, end: End) {
-        let Some(server) = self.servers.get_mut(name) else {
-            return;
-        };
-        match end {
-            End::Done => server.health.succeeded(),
-            End::Neutral => {}
-            End::Failed => server.health.failed(now),
-            End::Lost => server.health.lost(now),
-        }
-    }
-}
-
-struct Choice {
-    name: String,
-    address: SocketAddr,
-}
-
 /// A call to a plain service.
 struct Service<'a> {
     id: trail::Id,
--- a/crates/entry/src/suspect.rs
+++ b/crates/entry/src/suspect.rs
@@ -8,8 +8,8 @@
 use membership::message::Rumour;
 use web::client::Call;
 
+use crate::datagrams;
 use crate::node::Node;
-use crate::peers;
 
 /// The time in which an engine that still runs answers.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(300);
@@ -38,7 +38,7 @@
                 server.name
             );
             let server = server.name.clone();
-            peers::tell(
+            datagrams::tell(
                 node,
                 Rumour::Crash {
                     fingerprint,
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -16,9 +16,9 @@
 use placement::Server;
 
 use crate::Node;
+use crate::dial;
 use crate::events::Events;
 use crate::exchange::Exchange;
-use crate::front;
 use crate::port::Send;
 use crate::port::Verdict;
 use crate::posting::Posting;
@@ -27,11 +27,8 @@
 use crate::relay::State;
 use crate::reserve;
 use crate::target::Target;
+use crate::timing;
 
-/// The time for a connection. Servers accept within milliseconds; a partition never does.
-const CONNECT_TIME: Duration = Duration::from_millis(400);
-/// The time after which a server that acknowledges nothing counts as lost.
-const SILENCE: Duration = Duration::from_millis(1_500);
 /// The longest head of a server's answer, in bytes.
 const HEAD_LIMIT: usize = 64 * 1024;
 /// The longest whole answer, in bytes.
@@ -94,7 +91,7 @@
     } else {
         None
     };
-    let mut stream = match connect(node, &target.server).await {
+    let mut stream = match dial::connect(node, &target.server).await {
         Ok(stream) => stream,
         Err(error) => {
             log::info!(target: "server", server = target.server.id.as_str(), error:% = error; "can't connect");
@@ -167,29 +164,6 @@
     reuse: Option<Option<Duration>>,
 }
 
-/// Returns a connection to a server, a kept one if there is any.
-pub async fn connect(node: &Node, server: &Server) -> Result<Stream, Error> {
-    let kept = node
-        .connections
-        .borrow_mut()
-        .take(clock::now(), server.key());
-    if let Some(stream) = kept {
-        return Ok(stream);
-    }
-    let connect = Stream::connect(server.address, SILENCE);
-    let connected = front::within(CONNECT_TIME, connect).await;
-    connected.unwrap_or(Err(Error::Io(std::io::ErrorKind::TimedOut.into())))
-}
-
-/// Keeps a connection whose last answer was read in full, if it can be used again.
-pub fn keep(node: &Node, server: &Server, stream: Stream, response: &Response) {
-    if response.is_persistent && stream.unread() == 0 {
-        let now = clock::now();
-        let mut connections = node.connections.borrow_mut();
-        connections.keep(now, server.key(), stream, keep_alive(response));
-    }
-}
-
 fn lost(node: &Node, server: u64) {
     let now = clock::now();
     node.connections.borrow_mut().close(server);
@@ -236,7 +210,7 @@
     let mut decoder = Decoder::new(response.framing);
     let body = stream.read_whole(&mut decoder, ANSWER_LIMIT).await?;
     let is_reusable = response.is_persistent && writing.is_finished();
-    let reuse = is_reusable.then(|| keep_alive(&response));
+    let reuse = is_reusable.then(|| dial::keep_alive(&response));
     let outcome = match verdict {
         Verdict::Ran if answer.state() != State::NotBegun => {
             return Err(Error::Malformed("the stream was not taken up again"));
@@ -261,7 +235,7 @@
     posting: &Posting<'_>,
 ) -> Result<Reply, Error> {
     let mut decoder = Decoder::new(response.framing);
-    let reuse = response.is_persistent.then(|| keep_alive(&response));
+    let reuse = response.is_persistent.then(|| dial::keep_alive(&response));
     let mut response = Some(response);
     let mut events = Events::after(exchange.last_event);
     let mut has_started = false;
@@ -317,13 +291,6 @@
     }
 }
 
-fn keep_alive(response: &Response) -> Option<Duration> {
-    let value = response.headers.text("keep-alive")?;
-    let mut parameters = value.split(',').map(str::trim);
-    let seconds = parameters.find_map(|it| it.strip_prefix("timeout="))?;
-    seconds.trim().parse().ok().map(Duration::from_secs)
-}
-
 /// Notes that a server which was to help could not.
 fn not_run(node: &Node, at: Option<SocketAddr>) {
     let Some(address) = at else {
@@ -376,8 +343,8 @@
 async fn check_crash(node: Rc<Node>, fingerprint: u64, server: Rc<Server>) {
     for pause in CRASH_CHECKS {
         Timer::after(pause).await;
-        let connect = Stream::connect(server.address, SILENCE);
-        if let Some(Ok(_)) = front::within(CONNECT_TIME, connect).await {
+        let connect = Stream::connect(server.address, dial::SILENCE);
+        if let Some(Ok(_)) = timing::within(dial::CONNECT_TIME, connect).await {
             return;
         }
     }
--- /dev/null
+++ b/crates/gateway/src/calls.rs
@@ -0,0 +1,113 @@
+//! Calls between entries: one asks another for all that it knows of a list.
+
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_io::Async;
+use async_io::Timer;
+use capnp::message::ReaderOptions;
+use capnp_rpc::RpcSystem;
+use capnp_rpc::rpc_twoparty_capnp::Side;
+use capnp_rpc::twoparty::VatNetwork;
+use web::Stream;
+use wire::listing;
+use wire::peer_capnp::peer;
+
+use crate::Node;
+use crate::port::List;
+use crate::port::Newest;
+use crate::timing;
+
+/// The time for a call to a peer.
+const CALL_TIME: Duration = Duration::from_millis(800);
+/// The pause after a failed accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Answers peers until the process ends.
+pub async fn serve(node: Rc<Node>, listener: Async<TcpListener>) {
+    loop {
+        match listener.accept().await {
+            Ok((socket, _)) => {
+                let stream = Stream::new(socket);
+                let network =
+                    VatNetwork::new(stream.clone(), stream, Side::Server, ReaderOptions::new());
+                let client: peer::Client = capnp_rpc::new_client(Answerer { node: node.clone() });
+                let system = RpcSystem::new(Box::new(network), Some(client.client));
+                let answer = async move {
+                    if let Err(error) = system.await {
+                        log::debug!(target: "peers", error:% = error; "a peer's connection ended");
+                    }
+                };
+                node.executor.spawn(answer).detach();
+            }
+            Err(error) => {
+                log::warn!(target: "peers", error:% = error; "accept failed, retrying");
+                Timer::after(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+struct Answerer {
+    node: Rc<Node>,
+}
+
+impl peer::Server for Answerer {
+    async fn knowledge(
+        self: Rc<Self>,
+        params: peer::KnowledgeParams,
+        mut results: peer::KnowledgeResults,
+    ) -> Result<(), capnp::Error> {
+        let list = match params.get()?.get_list()? {
+            peer::ListName::Routes => List::Routes,
+            peer::ListName::Servers => List::Servers,
+        };
+        let newest = self.node.state.borrow().knowledge.newest(list);
+        let mut answer = results.get();
+        answer.set_next(newest.next);
+        let records = answer.init_records(newest.records.len() as u32);
+        listing::write_records(&newest.records, records);
+        Ok(())
+    }
+}
+
+/// Asks a peer for all that it knows of a list. Returns nothing if it does not answer or knows
+/// nothing.
+pub async fn ask(node: &Node, address: SocketAddr, list: List) -> Option<Newest> {
+    let answered = timing::within(CALL_TIME, call(node, address, list)).await;
+    match answered {
+        Some(Ok(newest)) => Some(newest).filter(|it| !it.records.is_empty()),
+        Some(Err(error)) => {
+            log::info!(target: "peers", peer:% = address, error:% = error; "a peer can't tell what it knows");
+            None
+        }
+        None => {
+            log::info!(target: "peers", peer:% = address; "a peer did not tell in time what it knows");
+            None
+        }
+    }
+}
+
+async fn call(node: &Node, address: SocketAddr, list: List) -> Result<Newest, capnp::Error> {
+    let socket = Async::<std::net::TcpStream>::connect(address).await?;
+    let stream = Stream::new(socket);
+    let network = VatNetwork::new(stream.clone(), stream, Side::Client, ReaderOptions::new());
+    let mut system = RpcSystem::new(Box::new(network), None);
+    let client: peer::Client = system.bootstrap(Side::Server);
+    let _system = node.executor.spawn(system);
+    let mut request = client.knowledge_request();
+    request.get().set_list(match list {
+        List::Routes => peer::ListName::Routes,
+        List::Servers | List::Entries => peer::ListName::Servers,
+    });
+    let response = request.send().promise.await?;
+    let answer = response.get()?;
+    let records = listing::read_records(answer.get_records()?)
+        .map_err(|error| capnp::Error::failed(error.to_string()))?;
+    Ok(Newest {
+        records,
+        next: answer.get_next(),
+    })
+}
--- a/crates/gateway/src/doors.rs
+++ b/crates/gateway/src/doors.rs
@@ -12,8 +12,8 @@
 use h1::Stream;
 
 use crate::Node;
-use crate::front;
 use crate::logs;
+use crate::timing;
 
 /// The time after which a caller that acknowledges nothing counts as lost.
 const SILENCE: Duration = Duration::from_secs(5);
@@ -57,7 +57,7 @@
 
 async fn answer(node: &Node, mut stream: Stream, reply: Answerer) -> Result<(), h1::Error> {
     loop {
-        let request = front::within(IDLE_TIME, stream.read_request(HEAD_LIMIT)).await;
+        let request = timing::within(IDLE_TIME, stream.read_request(HEAD_LIMIT)).await;
         let request = match request {
             Some(Ok(request)) => request,
             Some(Err(h1::Error::Closed)) | None => return Ok(()),
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -3,17 +3,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use async_io::Timer;
 use domain::Moment;
 use domain::digest;
-use futures_lite::future;
 use h1::Request;
-use h1::Response;
-use h1::Stream;
 use placement::plain;
 use placement::plan;
 use placement::plan::Need;
-use rand::RngExt;
 use route::Match;
 use route::Organisation;
 use route::Route;
@@ -21,20 +16,10 @@
 use route::Table;
 
 use crate::Node;
-use crate::attempt;
-use crate::attempt::Outcome;
-use crate::front;
-use crate::front::Next;
 use crate::port::Ask;
 use crate::refusal::Refusal;
-use crate::relay::Answer;
-use crate::relay::State;
 use crate::target::Target;
 
-/// Bytes of a further request that are kept while one is being answered.
-const PIPELINE_LIMIT: usize = 64 * 1024;
-/// The pause between two looks for memory; requests end several times in it.
-const ROOM_CHECK: Duration = Duration::from_millis(80);
 /// Tokens that make a prompt worth as much again as a short request; from the users' sheets, where
 /// worth grows by about one for each 10,000 tokens.
 const TOKENS_OF_VALUE: f64 = 10_000.0;
@@ -97,36 +82,11 @@
     }
 }
 
-/// Serves one request and returns what becomes of the caller's connection.
-pub async fn run(
-    node: &Rc<Node>,
-    caller: &mut Stream,
-    request: Request,
-    body: Vec<u8>,
-    arrived: Moment,
-) -> Next {
-    let ask = node.dialect.ask(&request);
-    let is_persistent = request.is_persistent && !node.state.borrow().is_stopping;
-    let answer = Answer::new(caller.writer(), is_persistent);
-    let table = {
-        let state = node.state.borrow();
-        state.table.clone().filter(|_| state.can_serve())
-    };
-    let admitted = match table {
-        Some(table) => admit(&table, request, body, ask, arrived).map_err(|it| *it),
-        None => Err((Refusal::Unconfigured, ask)),
-    };
-    let exchange = match admitted {
-        Ok(exchange) => exchange,
-        Err((refusal, ask)) => return refuse(node, answer, refusal, &ask, "", arrived).await,
-    };
-    exchange.serve(node, caller, answer).await
-}
-
-type Refused = Box<(Refusal, Ask)>;
+/// Why a request was not admitted, and what it asked.
+pub type Refused = Box<(Refusal, Ask)>;
 
 /// Finds the terms under which a request is served.
-fn admit(
+pub fn admit(
     table: &Table,
     request: Request,
     body: Vec<u8>,
@@ -177,143 +137,8 @@
         self.deadline.min(self.time_limit)
     }
 
-    async fn serve(mut self, node: &Rc<Node>, caller: &mut Stream, mut answer: Answer) -> Next {
-        let end = self.time_limit;
-        let attempts = async { Some(self.attempt_all(node, &mut answer).await) };
-        let gone = async {
-            caller.closed(PIPELINE_LIMIT).await;
-            None
-        };
-        let ended = front::until(end, future::or(attempts, gone)).await;
-        let route = self.route.clone();
-        match ended {
-            Some(Some(Ok(outcome))) => {
-                node.metrics.ended(&route.name, outcome);
-                answer.next()
-            }
-            Some(Some(Err(refusal))) => {
-                if answer.state() == State::NotBegun {
-                    return refuse(node, answer, refusal, &self.ask, &route.name, self.arrived)
-                        .await;
-                }
-                self.note_end(node, "cut_short");
-                answer.next()
-            }
-            Some(None) => {
-                self.note_end(node, "caller_left");
-                Next::Close
-            }
-            None if answer.state() == State::NotBegun => {
-                refuse(
-                    node,
-                    answer,
-                    Refusal::TimedOut,
-                    &self.ask,
-                    &route.name,
-                    self.arrived,
-                )
-                .await
-            }
-            None => {
-                self.note_end(node, "cut_by_time_limit");
-                Next::Close
-            }
-        }
-    }
-
-    /// Sends the request to one server after the other, until one answers or no further one may
-    /// be tried.
-    async fn attempt_all(
-        &mut self,
-        node: &Rc<Node>,
-        answer: &mut Answer,
-    ) -> Result<&'static str, Refusal> {
-        self.earn(node);
-        let mut failure: Option<(Response, Vec<u8>)> = None;
-        loop {
-            let mut target = match self.place(node) {
-                Ok(target) => target,
-                Err(Refusal::NoRoom) if self.may_wait_for_room() => {
-                    Timer::after(ROOM_CHECK).await;
-                    continue;
-                }
-                Err(refusal) => return self.give_up(answer, failure, refusal).await,
-            };
-            self.server.clone_from(&target.server.id);
-            let outcome = attempt::run(node, self, &mut target, answer).await;
-            self.note_attempt(node, &target, &outcome);
-            if !matches!(outcome, Outcome::NoRoom) {
-                self.tried.push(target.server.key());
-            }
-            match outcome {
-                Outcome::Delivered => return Ok("delivered"),
-                Outcome::Answered(response, body) => {
-                    let is_failure = response.status >= 500 && self.route.kind.is_repeatable();
-                    if is_failure && self.may_repeat(node) {
-                        failure = Some((response, body));
-                        continue;
-                    }
-                    if !self.route.kind.is_repeatable() && promises_not_run(response.status) {
-                        // The server ran it, or can't say: its status would say too much.
-                        return Err(Refusal::Failed);
-                    }
-                    let passed_on = answer.whole(response, &body).await;
-                    return Ok(passed_on.map_or("caller_left", |()| "answered"));
-                }
-                Outcome::CallerLeft => return Ok("caller_left"),
-                Outcome::NoRoom => {
-                    if !self.may_wait_for_room() {
-                        return self.give_up(answer, failure, Refusal::NoRoom).await;
-                    }
-                    Timer::after(ROOM_CHECK).await;
-                }
-                Outcome::Unreached => {
-                    if self.tried.len() > CONNECT_LIMIT {
-                        return self.give_up(answer, failure, Refusal::NoServer).await;
-                    }
-                }
-                Outcome::NotRun | Outcome::OtherServer => {
-                    if answer.state() == State::Begun && self.tried.len() <= RESUME_LIMIT {
-                        // A stream that nobody goes on with is worth nothing; one that did not run
-                        // here has still only run where it began.
-                        self.attempts = self.attempts.saturating_sub(1);
-                    }
-                    if !self.may_repeat(node) {
-                        return self.give_up(answer, failure, Refusal::NotRun).await;
-                    }
-                }
-                Outcome::Broken => {
-                    self.may_have_run = true;
-                    if !self.route.kind.is_repeatable() || !self.may_repeat(node) {
-                        return self.give_up(answer, failure, Refusal::Failed).await;
-                    }
-                }
-            }
-        }
-    }
-
-    /// Ends a request that no server answered in full. A failure that one of them gave is passed
-    /// on; "not run" is only said if it is certain.
-    async fn give_up(
-        &self,
-        answer: &mut Answer,
-        failure: Option<(Response, Vec<u8>)>,
-        refusal: Refusal,
-    ) -> Result<&'static str, Refusal> {
-        if let Some((response, body)) = failure
-            && answer.state() == State::NotBegun
-        {
-            let passed_on = answer.whole(response, &body).await;
-            return Ok(passed_on.map_or("caller_left", |()| "answered"));
-        }
-        if self.may_have_run {
-            return Err(Refusal::Failed);
-        }
-        Err(refusal)
-    }
-
     /// Adds this request to the allowance of its service.
-    fn earn(&self, node: &Node) {
+    pub fn earn(&self, node: &Node) {
         let terms = node.settings().allowance;
         let mut state = node.state.borrow_mut();
         let (allowance, entries) = state.allowance(clock::now(), &terms, &self.service.name);
@@ -321,7 +146,7 @@
     }
 
     /// Tells whether the request may be sent once more, and takes that from the allowance.
-    fn may_repeat(&self, node: &Node) -> bool {
+    pub fn may_repeat(&self, node: &Node) -> bool {
         if self.attempts >= self.route.attempts {
             return false;
         }
@@ -339,7 +164,7 @@
     }
 
     /// Chooses where the request goes.
-    fn place(&self, node: &Node) -> Result<Target, Refusal> {
+    pub fn place(&self, node: &Node) -> Result<Target, Refusal> {
         let now = clock::now();
         let mut state = node.state.borrow_mut();
         let state = &mut *state;
@@ -379,7 +204,7 @@
     }
 
     /// Tells whether the request is better off waiting for memory than coming back later.
-    fn may_wait_for_room(&self) -> bool {
+    pub fn may_wait_for_room(&self) -> bool {
         clock::now() < self.arrived + self.route.target
     }
 
@@ -402,7 +227,8 @@
         (self.arrived + silence).min(self.end())
     }
 
-    fn note_attempt(&self, node: &Node, target: &Target, outcome: &Outcome) {
+    /// Logs how an attempt ended, and what it rested on.
+    pub fn note_attempt(&self, node: &Node, target: &Target, outcome: &str) {
         log::info!(
             target: "attempt",
             request = self.ask.id.as_deref().unwrap_or("-"),
@@ -422,12 +248,13 @@
             first_event_ms = self.pace.first.map_or(0, |it| it.since(self.arrived).as_millis() as u64),
             longest_pause_ms = self.pace.longest_pause.as_millis() as u64,
             elapsed_ms = clock::now().since(self.arrived).as_millis() as u64,
-            outcome = outcome.name();
+            outcome;
             "attempt ended"
         );
     }
 
-    fn note_end(&self, node: &Node, outcome: &'static str) {
+    /// Logs that the caller has no whole answer.
+    pub fn note_end(&self, node: &Node, outcome: &'static str) {
         node.metrics.ended(&self.route.name, outcome);
         log::info!(
             target: "request",
@@ -443,46 +270,7 @@
     }
 }
 
-/// Tells whether callers take a status for a promise that the request has not run.
-fn promises_not_run(status: u16) -> bool {
-    matches!(status, 408 | 421 | 429 | 503)
-}
-
 /// Returns what a prompt is worth to its caller, a short request being worth 1.
 pub fn value(tokens: u64) -> f64 {
     1.0 + tokens as f64 / TOKENS_OF_VALUE
 }
-
-/// Servers that a stream which has begun is sent to before it is given up.
-const RESUME_LIMIT: usize = 5;
-/// Servers that can't be reached before a request is refused.
-const CONNECT_LIMIT: usize = 4;
-
-async fn refuse(
-    node: &Node,
-    answer: Answer,
-    refusal: Refusal,
-    ask: &Ask,
-    route: &str,
-    arrived: Moment,
-) -> Next {
-    node.metrics.ended(route, refusal.name());
-    let retry_after = refusal
-        .retry_after()
-        .map(|it| it.mul_f64(1.0 + rand::rng().random::<f64>()));
-    log::info!(
-        target: "refuse",
-        request = ask.id.as_deref().unwrap_or("-"),
-        route,
-        host = ask.host.as_str(),
-        status = refusal.status(),
-        elapsed_ms = clock::now().since(arrived).as_millis() as u64,
-        retry_after_ms = retry_after.map_or(0, |it| it.as_millis() as u64),
-        config = node.state.borrow().table.as_ref().map_or(0, |it| it.version()),
-        reason = refusal.name();
-        "request refused"
-    );
-    answer
-        .refuse(node, refusal.status(), ask.id.as_deref(), retry_after)
-        .await
-}
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -15,9 +15,9 @@
 use wire::Listing;
 
 use crate::Node;
-use crate::knowledge;
+use crate::calls;
+use crate::datagrams;
 use crate::metrics::Call;
-use crate::peers;
 use crate::port::Changes;
 use crate::port::Error;
 use crate::port::List;
@@ -65,7 +65,7 @@
             Err(peer) => {
                 log::info!(target: "config", peer:% = peer; "a peer knows a later configuration");
                 let known = version(&node);
-                if let Some(newest) = knowledge::ask(&node, peer, List::Routes).await {
+                if let Some(newest) = calls::ask(&node, peer, List::Routes).await {
                     take_routes(&node, &as_changes(newest));
                 }
                 if version(&node) == known {
@@ -122,7 +122,7 @@
                 retry.succeeded("servers");
                 let from = next.filter(|_| scope == Scope::Changed);
                 take_servers(&node, scope, from, &changes);
-                peers::tell_listing(&node);
+                datagrams::tell_listing(&node);
             }
             Err(Error::Gone) => node.state.borrow_mut().knowledge.lose_position(),
             Err(error) => {
@@ -159,7 +159,7 @@
             .collect()
     };
     for peer in peers {
-        let Some(newest) = knowledge::ask(node, peer, list).await else {
+        let Some(newest) = calls::ask(node, peer, list).await else {
             continue;
         };
         let changes = as_changes(newest);
@@ -201,7 +201,7 @@
                 peers.extend(&node.settings().seeds);
                 peers.sort();
                 peers.dedup();
-                peers::meet(&node, &peers);
+                datagrams::meet(&node, &peers);
                 Timer::after(ENTRIES_PAUSE).await;
             }
             Err(error) => retry.pause(&node, "entries", &error).await,
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -7,7 +7,6 @@
 
 use async_io::Async;
 use async_io::Timer;
-use domain::Moment;
 use futures_lite::future;
 use h1::Error;
 use h1::Framing;
@@ -17,8 +16,10 @@
 use route::Limits;
 
 use crate::Node;
-use crate::exchange;
 use crate::relay::Answer;
+use crate::relay::Next;
+use crate::serve;
+use crate::timing;
 
 /// The time after which a caller that acknowledges nothing counts as lost.
 const SILENCE: Duration = Duration::from_secs(5);
@@ -31,15 +32,6 @@
 /// The part of the process's memory that callers' bodies may take.
 const BODY_MEMORY_PART: usize = 4;
 
-/// What became of a connection after a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Next {
-    /// It can carry another request.
-    Keep,
-    /// It is to be closed.
-    Close,
-}
-
 /// Accepts callers until the listener is dropped.
 pub async fn accept(node: Rc<Node>, listener: Async<TcpListener>) {
     loop {
@@ -100,7 +92,7 @@
 async fn request(node: &Rc<Node>, stream: &mut Stream) -> Next {
     let arrived = clock::now();
     let limits = limits(node);
-    let head = within(limits.head_time, stream.read_request(limits.head_bytes)).await;
+    let head = timing::within(limits.head_time, stream.read_request(limits.head_bytes)).await;
     let request = match head {
         Some(Ok(request)) => request,
         Some(Err(error)) => return refuse_unread(node, stream, status_of(&error), &error).await,
@@ -115,7 +107,7 @@
     };
     let size = body.len();
     node.body_bytes.set(node.body_bytes.get() + size);
-    let next = exchange::run(node, stream, request, body, arrived).await;
+    let next = serve::run(node, stream, request, body, arrived).await;
     node.body_bytes.set(node.body_bytes.get() - size);
     next
 }
@@ -151,7 +143,7 @@
     }
     let mut decoder = Decoder::new(request.framing);
     let whole = stream.read_whole(&mut decoder, limits.body_bytes);
-    match within(BODY_TIME, whole).await {
+    match timing::within(BODY_TIME, whole).await {
         Some(Ok(body)) => Ok(body),
         Some(Err(error)) => Err(refuse_unread(node, stream, status_of(&error), &error).await),
         None => Err(Answer::new(stream.writer(), false)
@@ -178,18 +170,3 @@
     let answer = Answer::new(stream.writer(), false);
     answer.refuse(node, status, None, None).await
 }
-
-/// Waits for `work` for at most `limit`.
-pub async fn within<T>(limit: Duration, work: impl Future<Output = T>) -> Option<T> {
-    let work = async { Some(work.await) };
-    let limit = async {
-        Timer::after(limit).await;
-        None
-    };
-    future::or(work, limit).await
-}
-
-/// Waits for `work` until `deadline`.
-pub async fn until<T>(deadline: Moment, work: impl Future<Output = T>) -> Option<T> {
-    within(clock::now().until(deadline), work).await
-}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,7 +8,10 @@
 //! Architecture invariant: no borrow of [`node::State`] lasts across an await.
 
 pub mod attempt;
+pub mod calls;
 pub mod connections;
+pub mod datagrams;
+pub mod dial;
 pub mod doors;
 pub mod events;
 pub mod exchange;
@@ -26,8 +29,10 @@
 pub mod relay;
 pub mod reserve;
 pub mod run;
+pub mod serve;
 pub mod settings;
 pub mod target;
+pub mod timing;
 
 pub use node::Node;
 pub use port::Decoder;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -19,16 +19,13 @@
 use placement::Allowance;
 use placement::Board;
 use placement::JobId;
-use placement::Note;
 use placement::Servers;
-use placement::board::Change;
 use route::Table;
 use routing::Quarantine;
 
 use crate::connections::Connections;
 use crate::knowledge::Knowledge;
 use crate::metrics::Metrics;
-use crate::peers;
 use crate::port::Decoder;
 use crate::port::Dialect;
 use crate::settings::Settings;
@@ -167,13 +164,6 @@
         while self.closed.recv().await.is_ok() {}
     }
 
-    /// Notes a change of a placed request, and tells the other entries.
-    pub fn note(&self, now: Moment, job: JobId, change: Change) {
-        let note = Note { job, change };
-        self.state.borrow_mut().board.take(now, &note);
-        peers::tell(self, note);
-    }
-
     /// Tells whether this instance serves callers.
     pub fn is_ready(&self) -> bool {
         let state = self.state.borrow();
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -10,10 +10,10 @@
 use membership::members::Output;
 use membership::message::Event;
 use membership::message::Rumour;
-use placement::Note;
 use wire::Frame;
 
 use crate::Node;
+use crate::datagrams;
 use crate::follow;
 
 /// The time between two ticks of the membership.
@@ -52,7 +52,7 @@
                 }
                 if now >= roster {
                     roster = now + ROSTER_INTERVAL;
-                    tell_roster(&node);
+                    datagrams::tell_roster(&node);
                 }
                 node.state.borrow_mut().members.tick(now, &mut rand::rng())
             }
@@ -61,53 +61,6 @@
     }
 }
 
-/// Takes the addresses of all entries and greets those that are not known yet.
-pub fn meet(node: &Node, peers: &[SocketAddr]) {
-    let greetings = {
-        let mut state = node.state.borrow_mut();
-        state.members.list(peers, &mut rand::rng())
-    };
-    for it in greetings {
-        send(node, it.to, &Frame::Message(it.message).encode());
-    }
-}
-
-/// Tells all entries of a change of a placed request.
-pub fn tell(node: &Node, note: Note) {
-    broadcast(node, &Frame::Work(vec![note]));
-}
-
-/// Tells all entries what this one has placed.
-fn tell_roster(node: &Node) {
-    let roster = node.state.borrow().board.roster(node.incarnation);
-    broadcast(node, &Frame::Roster(roster));
-}
-
-/// Tells all entries what changed on the list of servers.
-pub fn tell_listing(node: &Node) {
-    let listing = node.state.borrow().knowledge.listing();
-    if let Some(listing) = listing {
-        broadcast(node, &Frame::Listing(listing));
-    }
-}
-
-/// Makes the phase known at once, before a planned stop goes on.
-pub fn announce(node: &Node) {
-    let sends = {
-        let mut state = node.state.borrow_mut();
-        let phase = state.phase();
-        state.members.enter(phase);
-        let member = state.members.me().clone();
-        state.members.broadcast(Rumour::Member {
-            member,
-            state: membership::member::State::Alive,
-        })
-    };
-    for it in sends {
-        send(node, it.to, &Frame::Message(it.message).encode());
-    }
-}
-
 fn clean(node: &Node, now: Moment) {
     node.state.borrow_mut().board.expire(now);
     node.connections.borrow_mut().expire(now);
@@ -140,7 +93,7 @@
 
 fn act(node: &Rc<Node>, output: Output) {
     for it in output.sends {
-        send(node, it.to, &Frame::Message(it.message).encode());
+        datagrams::send(node, it.to, &Frame::Message(it.message).encode());
     }
     for event in output.events {
         match event {
@@ -154,23 +107,6 @@
     }
 }
 
-/// Sends a frame to all other entries. It is encoded once.
-fn broadcast(node: &Node, frame: &Frame) {
-    let bytes = frame.encode();
-    let state = node.state.borrow();
-    for member in state.members.alive().skip(1) {
-        send(node, member.peers, &bytes);
-    }
-}
-
-/// Sends one datagram. A lost one is made up for by later ones.
-fn send(node: &Node, to: SocketAddr, bytes: &[u8]) {
-    node.metrics.control_bytes.inc_by(bytes.len() as u64);
-    if let Err(error) = node.datagrams.get_ref().send_to(bytes, to) {
-        log::debug!(target: "peers", to:% = to, error:% = error; "send failed");
-    }
-}
-
 fn changed(node: &Node, incarnation: Incarnation) {
     let now = clock::now();
     let mut state = node.state.borrow_mut();
@@ -181,7 +117,7 @@
             log::info!(target: "peers", peer = member.name.as_str(), phase:? = member.phase, alive; "an entry changed");
             // One that has just started knows nothing of the work in progress.
             let roster = state.board.roster(node.incarnation);
-            send(node, member.peers, &Frame::Roster(roster).encode());
+            datagrams::send(node, member.peers, &Frame::Roster(roster).encode());
         }
         None => {
             log::info!(target: "peers", incarnation:% = incarnation, alive; "an entry is gone");
--- a/crates/gateway/src/posting.rs
+++ b/crates/gateway/src/posting.rs
@@ -13,6 +13,7 @@
 use route::Engine;
 
 use crate::Node;
+use crate::datagrams;
 use crate::exchange::Exchange;
 use crate::target::Target;
 
@@ -43,7 +44,7 @@
             standing: target.standing.unwrap_or(Standing::OnTime),
             parts: target.parts.clone(),
         };
-        node.note(now, job, Change::Placed(placed));
+        datagrams::note(node, now, job, Change::Placed(placed));
         Self {
             node,
             job,
@@ -55,7 +56,7 @@
 
     /// Notes that the first event came.
     pub fn started(&self) {
-        self.node.note(clock::now(), self.job, Change::Started);
+        datagrams::note(self.node, clock::now(), self.job, Change::Started);
     }
 
     /// Notes that the request was sent: its first event takes the pass that goes on and the one
@@ -100,7 +101,7 @@
             return;
         };
         log::info!(target: "server", key = self.server, factor; "an engine is slower than published, or no longer is");
-        self.node.note(now, self.job, Change::Paced(factor as f32));
+        datagrams::note(self.node, now, self.job, Change::Paced(factor as f32));
     }
 
     /// Notes that the events were passed on to the caller.
@@ -111,6 +112,6 @@
 
 impl Drop for Posting<'_> {
     fn drop(&mut self) {
-        self.node.note(clock::now(), self.job, Change::Ended);
+        datagrams::note(self.node, clock::now(), self.job, Change::Ended);
     }
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -9,7 +9,6 @@
 use h1::stream::Writer;
 
 use crate::Node;
-use crate::front::Next;
 
 /// An answer to a caller.
 #[derive(Debug)]
@@ -19,6 +18,15 @@
     state: State,
 }
 
+/// What became of a connection after a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Next {
+    /// It can carry another request.
+    Keep,
+    /// It is to be closed.
+    Close,
+}
+
 /// How much of an answer the caller has.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum State {
--- a/crates/gateway/src/reserve.rs
+++ b/crates/gateway/src/reserve.rs
@@ -17,11 +17,11 @@
 use placement::Server;
 
 use crate::Node;
-use crate::attempt;
-use crate::front;
+use crate::dial;
 use crate::port::Order;
 use crate::port::Reservation;
 use crate::target::Target;
+use crate::timing;
 
 /// The lease. Memory must be free 4 s after its request has ended, also if this process is gone.
 const LEASE: Duration = Duration::from_millis(3_200);
@@ -130,7 +130,7 @@
 
 /// Gives an order to a server and returns the status of its answer.
 async fn give(node: &Node, server: &Server, order: Order) -> Result<u16, Error> {
-    let answered = front::within(ORDER_TIME, converse(node, server, order)).await;
+    let answered = timing::within(ORDER_TIME, converse(node, server, order)).await;
     answered.unwrap_or(Err(Error::Io(std::io::ErrorKind::TimedOut.into())))
 }
 
@@ -140,11 +140,11 @@
     head.framing = Framing::Length(order.body.len() as u64);
     let mut bytes = head.encode();
     bytes.extend_from_slice(&order.body);
-    let mut stream = attempt::connect(node, server).await?;
+    let mut stream = dial::connect(node, server).await?;
     stream.writer().write(&bytes).await?;
     let response = stream.read_response(&head.method, ANSWER_LIMIT).await?;
     let mut decoder = Decoder::new(response.framing);
     stream.read_whole(&mut decoder, ANSWER_LIMIT).await?;
-    attempt::keep(node, server, stream, &response);
+    dial::keep(node, server, stream, &response);
     Ok(response.status)
 }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -20,10 +20,11 @@
 use crate::Node;
 use crate::Platform;
 use crate::Settings;
+use crate::calls;
+use crate::datagrams;
 use crate::doors;
 use crate::follow;
 use crate::front;
-use crate::knowledge;
 use crate::peers;
 
 /// How often the process looks whether it was signalled, or is done.
@@ -79,7 +80,7 @@
         executor.clone(),
         datagrams,
     );
-    peers::meet(&node, &node.settings().seeds);
+    datagrams::meet(&node, &node.settings().seeds);
     log::info!(
         target: "run",
         incarnation:% = node.incarnation,
@@ -90,7 +91,7 @@
     let platform = Rc::new(ports.platform);
     let spawn = &executor;
     spawn.spawn(peers::gossip(node.clone())).detach();
-    spawn.spawn(knowledge::serve(node.clone(), calls)).detach();
+    spawn.spawn(calls::serve(node.clone(), calls)).detach();
     spawn
         .spawn(follow::routes(node.clone(), platform.clone()))
         .detach();
@@ -167,7 +168,7 @@
         match reload() {
             Ok(settings) if settings != *node.settings() => {
                 log::info!(target: "run", is_told; "settings changed");
-                peers::meet(&node, &settings.seeds);
+                datagrams::meet(&node, &settings.seeds);
                 node.adopt_settings(settings);
             }
             Ok(_) if is_told => {
@@ -188,7 +189,7 @@
     let settings = node.settings();
     let end = started + settings.grace.mul_f64(GRACE_PART);
     node.state.borrow_mut().is_stopping = true;
-    peers::announce(node);
+    datagrams::announce(node);
     let lead_away = settings.address_lifetime * KEPT_LIFETIMES;
     log::info!(target: "run", busy = node.busy.get(), lead_away_ms = lead_away.as_millis() as u64; "stopping");
     clock::wait_until((started + lead_away).min(end)).await;
