Drop placed requests without a search of the queue

Cause: the registration of each request looked its number up in all lanes when it was dropped, also after it had been placed; a look at everything that waits. Change: only a request that still waits is withdrawn.

--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -66,8 +66,11 @@
 impl Drop for Waiting {
     fn drop(&mut self) {
         let mut core = self.node.core.borrow_mut();
-        core.waiting.remove(&self.id);
-        core.router.withdraw(self.id);
+        // Whoever takes a request off the router's queue takes it off this list too. Looking for one
+        // that is not there means a look at all that wait.
+        if core.waiting.remove(&self.id).is_some() {
+            core.router.withdraw(self.id);
+        }
         if let Ok(Notice::Placed(placement)) = self.receiver.try_recv() {
             let engine = &placement.engine;
             core.router
