--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -310,8 +310,10 @@
                 true
             }
             None => {
-                log::info!(target: "server", server = record.key.as_str(); "a server went off the list");
-                state.servers.remove(now, &record.key);
+                // Changes are told more than once, in case they were lost.
+                if state.servers.remove(now, &record.key) {
+                    log::info!(target: "server", server = record.key.as_str(); "a server went off the list");
+                }
                 true
             }
         };
--- a/crates/gateway/src/posting.rs
+++ b/crates/gateway/src/posting.rs
@@ -24,6 +24,8 @@
     pub job: JobId,
     /// The server that answers.
     server: u64,
+    /// Its id, for logs.
+    id: String,
     /// When the last event came, or the attempt began.
     pub progress: Cell<Moment>,
     /// Measures the server by the events of this stream.
@@ -49,6 +51,7 @@
             node,
             job,
             server: target.server.key(),
+            id: target.server.id.clone(),
             progress: Cell::new(now),
             meter: RefCell::default(),
         }
@@ -100,7 +103,14 @@
         let Some(factor) = factor.filter(is_news) else {
             return;
         };
-        log::info!(target: "server", key = self.server, factor; "an engine is slower than published, or no longer is");
+        let before = self
+            .node
+            .state
+            .borrow()
+            .board
+            .paces()
+            .factor(now, self.server);
+        log::info!(target: "server", server = self.id.as_str(), factor, before; "the time that an engine takes has changed, in multiples of the published one");
         datagrams::note(self.node, now, self.job, Change::Paced(factor as f32));
     }
 
--- a/crates/gateway/src/quiet.rs
+++ b/crates/gateway/src/quiet.rs
@@ -33,6 +33,8 @@
 #[derive(Clone, Debug)]
 pub struct Quiet {
     server: u64,
+    /// The server's id, for logs.
+    id: String,
     service: String,
     kind: Watch,
 }
@@ -59,6 +61,7 @@
         };
         Self {
             server: target.server.key(),
+            id: target.server.id.clone(),
             service: exchange.service.name.clone(),
             kind,
         }
@@ -76,7 +79,7 @@
             let limit = self.limit(node, now, progress.get() == began);
             let quiet = now.since(self.heard(node).max(progress.get()));
             if quiet > limit && self.may_repeat(node, now) {
-                log::info!(target: "server", quiet_ms = quiet.as_millis() as u64, limit_ms = limit.as_millis() as u64, key = self.server; "quiet for too long, the request moves on");
+                log::info!(target: "server", quiet_ms = quiet.as_millis() as u64, limit_ms = limit.as_millis() as u64, server = self.id.as_str(); "quiet for too long, the request moves on");
                 return;
             }
         }
--- a/crates/placement/src/servers.rs
+++ b/crates/placement/src/servers.rs
@@ -152,15 +152,14 @@
         is_news
     }
 
-    /// Takes the removal of an entry from the list.
-    pub fn remove(&mut self, now: Moment, id: &str) {
+    /// Takes the removal of an entry from the list. Returns whether it was there before.
+    pub fn remove(&mut self, now: Moment, id: &str) -> bool {
         let may_come_back = self.may_come_back(now);
         let Some(known) = self.known.get_mut(id) else {
-            return;
+            return false;
         };
         if may_come_back {
-            known.lapsed = true;
-            return;
+            return !std::mem::replace(&mut known.lapsed, true);
         }
         let gone = Gone {
             born_ms: known.server.born_ms,
@@ -170,6 +169,7 @@
         self.known.remove(id);
         self.gone.retain(|_, it| now.since(it.at) < GONE_KEPT);
         self.gone.insert(id.to_owned(), gone);
+        true
     }
 
     /// Notes that a server said itself that it takes no new work, or that another one answers at
--- a/crates/placement/tests/servers.rs
+++ b/crates/placement/tests/servers.rs
@@ -126,3 +126,13 @@
     list.add(server("a", 2, 1));
     list.check(&["a"]);
 }
+
+#[test]
+fn remove_is_news_once() {
+    let mut servers = Servers::default();
+    let now = Moment::from_millis(1_000);
+    servers.add(now, server("a", 1, 1));
+    assert!(servers.remove(now, "a"));
+    assert!(!servers.remove(now, "a"));
+    assert!(!servers.remove(now, "b"));
+}
