Do not take the engine that writes a split prompt for a slow one

Cause: until its first event a stream was measured against what waits at the engine that writes; the first event of a split prompt also waits for the engines that help, so that one behind them, or given up with them, was told to be up to sixteen times slower than published. Ruled out: the longest of all engines' queues as the measure: which of them was slow stays unknown. Change: attempts in several parts are measured from their first event on.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -115,7 +115,10 @@
             rank: target.rank(),
         },
     );
-    posting.sent(sent, exchange.service.engine.as_ref());
+    if target.parts.len() == 1 {
+        // Which of several engines a first event waits for can't be told.
+        posting.sent(sent, exchange.service.engine.as_ref());
+    }
     let quiet = Quiet::of(exchange, target);
     let conversation = converse(node, exchange, &mut stream, &head, answer, &posting);
     let silence = async {
