Accept, bound, keep and send in one place each

Found on reading the whole change: `gateway::timing::within` repeated `web::stream::within` word for word; five accept loops differed in their log lines only; `attempt` kept connections beside `dial::keep`; messages of the membership were sent by the same loop in five places; an attempt cloned the head that it had just been given. Change: `web::stream::accept` serves callers, doors and peers of both programs, `dial::Reuse` says whether and for how long a connection can be used again, `send_all` and `push_all` send messages. `timing` went. Tests of web, gateway, adapter, entry, harness, placement and xtask pass.

--- a/crates/entry/src/datagrams.rs
+++ b/crates/entry/src/datagrams.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use membership::message::Rumour;
+use membership::message::Send;
 use wire::Frame;
 
 use crate::node::Node;
@@ -14,6 +15,11 @@
         core.members.tell(rumour.clone());
         core.members.broadcast(rumour)
     };
+    push_all(node, sends);
+}
+
+/// Sends messages of the membership.
+pub fn push_all(node: &Node, sends: Vec<Send>) {
     for send in sends {
         push(node, send.to, &Frame::Message(send.message));
     }
--- a/crates/entry/src/peers/server.rs
+++ b/crates/entry/src/peers/server.rs
@@ -2,10 +2,8 @@
 
 use std::net::TcpListener;
 use std::rc::Rc;
-use std::time::Duration;
 
 use async_io::Async;
-use async_io::Timer;
 use capnp::Error;
 use capnp::message::ReaderOptions;
 use capnp_rpc::RpcSystem;
@@ -13,6 +11,7 @@
 use capnp_rpc::twoparty::VatNetwork;
 use claim::book::Parcel;
 use web::Stream;
+use web::stream::accept;
 use wire::call;
 use wire::peer_capnp::peer;
 
@@ -20,31 +19,19 @@
 use crate::limits;
 use crate::node::Node;
 
-/// The pause after a failed accept.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
-
 /// Answers calls of other entries until the process ends.
 pub async fn serve(node: Rc<Node>, listener: Async<TcpListener>) {
     loop {
-        match listener.accept().await {
-            Ok((io, _)) => {
-                let stream = Stream::new(io);
-                let network =
-                    VatNetwork::new(stream.clone(), stream, Side::Server, ReaderOptions::new());
-                let client: peer::Client = capnp_rpc::new_client(Peer { node: node.clone() });
-                let system = RpcSystem::new(Box::new(network), Some(client.client));
-                let answer = async move {
-                    if let Err(error) = system.await {
-                        log::debug!(target: "peers", "Connection ended: {error}.");
-                    }
-                };
-                node.executor.spawn(answer).detach();
-            }
-            Err(error) => {
-                log::warn!(target: "peers", "Accept failed: {error}. Retrying.");
-                Timer::after(ACCEPT_PAUSE).await;
+        let stream = Stream::new(accept(&listener, "peers").await);
+        let network = VatNetwork::new(stream.clone(), stream, Side::Server, ReaderOptions::new());
+        let client: peer::Client = capnp_rpc::new_client(Peer { node: node.clone() });
+        let system = RpcSystem::new(Box::new(network), Some(client.client));
+        let answer = async move {
+            if let Err(error) = system.await {
+                log::debug!(target: "peers", "Connection ended: {error}.");
             }
-        }
+        };
+        node.executor.spawn(answer).detach();
     }
 }
 
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -14,7 +14,6 @@
 use settings::Entry as Settings;
 use web::server;
 use web::server::Switch;
-use wire::Frame;
 
 use crate::callers;
 use crate::claims;
@@ -111,9 +110,8 @@
     });
     let mut core = node.core.borrow_mut();
     let entries: Vec<_> = entries.collect();
-    for greeting in core.members.list(&entries, &mut rand::rng()) {
-        datagrams::push(node, greeting.to, &Frame::Message(greeting.message));
-    }
+    let greetings = core.members.list(&entries, &mut rand::rng());
+    datagrams::push_all(node, greetings);
     let is_leaving = |it: &&Instance| it.status == Status::Leaving;
     let leaving = instances
         .iter()
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -14,9 +14,11 @@
 use h1::body::Decoder;
 use membership::message::Rumour;
 use placement::Server;
+use web::stream::within;
 
 use crate::Node;
 use crate::dial;
+use crate::dial::Reuse;
 use crate::events::Events;
 use crate::exchange::Exchange;
 use crate::port::Send;
@@ -27,7 +29,6 @@
 use crate::relay::State;
 use crate::reserve;
 use crate::target::Target;
-use crate::timing;
 
 /// The longest head of a server's answer, in bytes.
 const HEAD_LIMIT: usize = 64 * 1024;
@@ -120,7 +121,7 @@
         posting.sent(sent, exchange.service.engine.as_ref());
     }
     let quiet = Quiet::of(exchange, target);
-    let conversation = converse(node, exchange, &mut stream, &head, answer, &posting);
+    let conversation = converse(node, exchange, &mut stream, head, answer, &posting);
     let silence = async {
         quiet.passed(node, &posting.progress).await;
         posting.overdue(clock::now());
@@ -133,11 +134,7 @@
                 disown(node, &target.server);
                 return outcome;
             }
-            if let Some(keep_alive) = reuse.filter(|_| stream.unread() == 0) {
-                let now = clock::now();
-                let mut connections = node.connections.borrow_mut();
-                connections.keep(now, target.server.key(), stream, keep_alive);
-            }
+            dial::keep(node, &target.server, stream, reuse);
             outcome
         }
         Err(error) => {
@@ -163,8 +160,7 @@
 /// An answer that came to an end in order.
 struct Reply {
     outcome: Outcome,
-    /// Whether the connection can be used again, and for how long the server keeps it.
-    reuse: Option<Option<Duration>>,
+    reuse: Option<Reuse>,
 }
 
 fn lost(node: &Node, server: u64) {
@@ -180,11 +176,10 @@
     node: &Rc<Node>,
     exchange: &mut Exchange,
     stream: &mut Stream,
-    head: &h1::Request,
+    mut head: h1::Request,
     answer: &mut Answer,
     posting: &Posting<'_>,
 ) -> Result<Reply, Error> {
-    let mut head = head.clone();
     if !exchange.body.is_empty() || exchange.request.framing != Framing::Empty {
         head.framing = Framing::Length(exchange.body.len() as u64);
     }
@@ -212,8 +207,7 @@
     }
     let mut decoder = Decoder::new(response.framing);
     let body = stream.read_whole(&mut decoder, ANSWER_LIMIT).await?;
-    let is_reusable = response.is_persistent && writing.is_finished();
-    let reuse = is_reusable.then(|| dial::keep_alive(&response));
+    let reuse = Reuse::of(&response).filter(|_| writing.is_finished());
     let outcome = match verdict {
         Verdict::Ran if answer.state() != State::NotBegun => {
             return Err(Error::Malformed("the stream was not taken up again"));
@@ -238,7 +232,7 @@
     posting: &Posting<'_>,
 ) -> Result<Reply, Error> {
     let mut decoder = Decoder::new(response.framing);
-    let reuse = response.is_persistent.then(|| dial::keep_alive(&response));
+    let reuse = Reuse::of(&response);
     let mut response = Some(response);
     let mut events = Events::after(exchange.last_event);
     let mut has_started = false;
@@ -347,7 +341,7 @@
     for pause in CRASH_CHECKS {
         Timer::after(pause).await;
         let connect = Stream::connect(server.address, dial::SILENCE);
-        if let Some(Ok(_)) = timing::within(dial::CONNECT_TIME, connect).await {
+        if let Some(Ok(_)) = within(dial::CONNECT_TIME, connect).await {
             return;
         }
     }
--- a/crates/gateway/src/calls.rs
+++ b/crates/gateway/src/calls.rs
@@ -6,47 +6,36 @@
 use std::time::Duration;
 
 use async_io::Async;
-use async_io::Timer;
 use capnp::message::ReaderOptions;
 use capnp_rpc::RpcSystem;
 use capnp_rpc::rpc_twoparty_capnp::Side;
 use capnp_rpc::twoparty::VatNetwork;
 use web::Stream;
+use web::stream::accept;
+use web::stream::within;
 use wire::listing;
 use wire::peer_capnp::peer;
 
 use crate::Node;
 use crate::port::List;
 use crate::port::Newest;
-use crate::timing;
 
 /// The time for a call to a peer.
 const CALL_TIME: Duration = Duration::from_millis(800);
-/// The pause after a failed accept.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
 /// Answers peers until the process ends.
 pub async fn serve(node: Rc<Node>, listener: Async<TcpListener>) {
     loop {
-        match listener.accept().await {
-            Ok((socket, _)) => {
-                let stream = Stream::new(socket);
-                let network =
-                    VatNetwork::new(stream.clone(), stream, Side::Server, ReaderOptions::new());
-                let client: peer::Client = capnp_rpc::new_client(Answerer { node: node.clone() });
-                let system = RpcSystem::new(Box::new(network), Some(client.client));
-                let answer = async move {
-                    if let Err(error) = system.await {
-                        log::debug!(target: "peers", error:% = error; "a peer's connection ended");
-                    }
-                };
-                node.executor.spawn(answer).detach();
+        let stream = Stream::new(accept(&listener, "peers").await);
+        let network = VatNetwork::new(stream.clone(), stream, Side::Server, ReaderOptions::new());
+        let client: peer::Client = capnp_rpc::new_client(Answerer { node: node.clone() });
+        let system = RpcSystem::new(Box::new(network), Some(client.client));
+        let answer = async move {
+            if let Err(error) = system.await {
+                log::debug!(target: "peers", error:% = error; "a peer's connection ended");
             }
-            Err(error) => {
-                log::warn!(target: "peers", error:% = error; "accept failed, retrying");
-                Timer::after(ACCEPT_PAUSE).await;
-            }
-        }
+        };
+        node.executor.spawn(answer).detach();
     }
 }
 
@@ -76,7 +65,7 @@
 /// Asks a peer for all that it knows of a list. Returns nothing if it does not answer or knows
 /// nothing.
 pub async fn ask(node: &Node, address: SocketAddr, list: List) -> Option<Newest> {
-    let answered = timing::within(CALL_TIME, call(node, address, list)).await;
+    let answered = within(CALL_TIME, call(node, address, list)).await;
     match answered {
         Some(Ok(newest)) => Some(newest).filter(|it| !it.records.is_empty()),
         Some(Err(error)) => {
--- a/crates/gateway/src/datagrams.rs
+++ b/crates/gateway/src/datagrams.rs
@@ -4,6 +4,7 @@
 
 use domain::Moment;
 use membership::message::Rumour;
+use membership::message::Send;
 use placement::JobId;
 use placement::Note;
 use placement::board::Change;
@@ -17,9 +18,7 @@
         let mut state = node.state.borrow_mut();
         state.members.list(peers, &mut rand::rng())
     };
-    for it in greetings {
-        send(node, it.to, &Frame::Message(it.message).encode());
-    }
+    send_all(node, greetings);
 }
 
 /// Notes a change of a request that this entry has placed, and tells all entries.
@@ -55,6 +54,11 @@
             state: membership::member::State::Alive,
         })
     };
+    send_all(node, sends);
+}
+
+/// Sends messages of the membership.
+pub fn send_all(node: &Node, sends: Vec<Send>) {
     for it in sends {
         send(node, it.to, &Frame::Message(it.message).encode());
     }
--- a/crates/gateway/src/dial.rs
+++ b/crates/gateway/src/dial.rs
@@ -6,9 +6,9 @@
 use h1::Response;
 use h1::Stream;
 use placement::Server;
+use web::stream::within;
 
 use crate::Node;
-use crate::timing;
 
 /// The time for a connection. Servers accept within milliseconds; a partition never does.
 pub const CONNECT_TIME: Duration = Duration::from_millis(400);
@@ -25,21 +25,36 @@
         return Ok(stream);
     }
     let connect = Stream::connect(server.address, SILENCE);
-    let connected = timing::within(CONNECT_TIME, connect).await;
+    let connected = within(CONNECT_TIME, connect).await;
     connected.unwrap_or(Err(Error::Io(std::io::ErrorKind::TimedOut.into())))
 }
 
+/// Says that a connection can be used again.
+#[derive(Clone, Copy, Debug)]
+pub struct Reuse {
+    /// How long the server keeps it, if it says so.
+    kept: Option<Duration>,
+}
+
+impl Reuse {
+    /// Returns what an answer says of its connection.
+    pub fn of(response: &Response) -> Option<Self> {
+        response.is_persistent.then(|| Self {
+            kept: keep_alive(response),
+        })
+    }
+}
+
 /// Keeps a connection whose last answer was read in full, if it can be used again.
-pub fn keep(node: &Node, server: &Server, stream: Stream, response: &Response) {
-    if response.is_persistent && stream.unread() == 0 {
+pub fn keep(node: &Node, server: &Server, stream: Stream, reuse: Option<Reuse>) {
+    if let Some(reuse) = reuse.filter(|_| stream.unread() == 0) {
         let now = clock::now();
         let mut connections = node.connections.borrow_mut();
-        connections.keep(now, server.key(), stream, keep_alive(response));
+        connections.keep(now, server.key(), stream, reuse.kept);
     }
 }
 
-/// Returns how long the server keeps the connection after this answer, if it says so.
-pub fn keep_alive(response: &Response) -> Option<Duration> {
+fn keep_alive(response: &Response) -> Option<Duration> {
     let value = response.headers.text("keep-alive")?;
     let mut parameters = value.split(',').map(str::trim);
     let seconds = parameters.find_map(|it| it.strip_prefix("timeout="))?;
--- a/crates/gateway/src/doors.rs
+++ b/crates/gateway/src/doors.rs
@@ -6,14 +6,14 @@
 use std::time::Duration;
 
 use async_io::Async;
-use async_io::Timer;
 use h1::Request;
 use h1::Response;
 use h1::Stream;
+use web::stream::accept;
+use web::stream::within;
 
 use crate::Node;
 use crate::logs;
-use crate::timing;
 
 /// The time after which a caller that acknowledges nothing counts as lost.
 const SILENCE: Duration = Duration::from_secs(5);
@@ -21,8 +21,6 @@
 const IDLE_TIME: Duration = Duration::from_secs(15);
 /// The longest head of a question, in bytes.
 const HEAD_LIMIT: usize = 8 * 1024;
-/// The pause after a failed accept.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
 /// What a door answers.
 pub type Reply = (Response, Vec<u8>);
@@ -33,31 +31,24 @@
 /// Answers questions until the listener is dropped.
 pub async fn serve(node: Rc<Node>, listener: Async<TcpListener>, reply: Answerer) {
     loop {
-        match listener.accept().await {
-            Ok((socket, _)) => {
-                let node = node.clone();
-                let executor = node.executor.clone();
-                let answer = async move {
-                    let Ok(stream) = Stream::new(socket, SILENCE) else {
-                        return;
-                    };
-                    if let Err(error) = answer(&node, stream, reply).await {
-                        log::debug!(target: "doors", error:% = error; "a question ended early");
-                    }
-                };
-                executor.spawn(answer).detach();
+        let socket = accept(&listener, "doors").await;
+        let node = node.clone();
+        let executor = node.executor.clone();
+        let answer = async move {
+            let Ok(stream) = Stream::new(socket, SILENCE) else {
+                return;
+            };
+            if let Err(error) = answer(&node, stream, reply).await {
+                log::debug!(target: "doors", error:% = error; "a question ended early");
             }
-            Err(error) => {
-                log::warn!(target: "doors", error:% = error; "accept failed, retrying");
-                Timer::after(ACCEPT_PAUSE).await;
-            }
-        }
+        };
+        executor.spawn(answer).detach();
     }
 }
 
 async fn answer(node: &Node, mut stream: Stream, reply: Answerer) -> Result<(), h1::Error> {
     loop {
-        let request = timing::within(IDLE_TIME, stream.read_request(HEAD_LIMIT)).await;
+        let request = within(IDLE_TIME, stream.read_request(HEAD_LIMIT)).await;
         let request = match request {
             Some(Ok(request)) => request,
             Some(Err(h1::Error::Closed)) | None => return Ok(()),
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -14,17 +14,15 @@
 use h1::Stream;
 use h1::body::Decoder;
 use route::Limits;
+use web::stream::within;
 
 use crate::Node;
 use crate::relay::Answer;
 use crate::relay::Next;
 use crate::serve;
-use crate::timing;
 
 /// The time after which a caller that acknowledges nothing counts as lost.
 const SILENCE: Duration = Duration::from_secs(5);
-/// The pause after a failed accept, for example when file descriptors are used up.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// The time for which a refused caller's bytes are still read, so that it sees the answer.
 const LINGER: Duration = Duration::from_millis(500);
 /// The time for a body; no caller's own time limit is longer.
@@ -35,16 +33,9 @@
 /// Accepts callers until the listener is dropped.
 pub async fn accept(node: Rc<Node>, listener: Async<TcpListener>) {
     loop {
-        match listener.accept().await {
-            Ok((socket, _)) => {
-                let connection = connection(node.clone(), socket);
-                node.executor.spawn(connection).detach();
-            }
-            Err(error) => {
-                log::warn!(target: "front", error:% = error; "accept failed, retrying");
-                Timer::after(ACCEPT_PAUSE).await;
-            }
-        }
+        let socket = web::stream::accept(&listener, "front").await;
+        let connection = connection(node.clone(), socket);
+        node.executor.spawn(connection).detach();
     }
 }
 
@@ -92,7 +83,7 @@
 async fn request(node: &Rc<Node>, stream: &mut Stream) -> Next {
     let arrived = clock::now();
     let limits = limits(node);
-    let head = timing::within(limits.head_time, stream.read_request(limits.head_bytes)).await;
+    let head = within(limits.head_time, stream.read_request(limits.head_bytes)).await;
     let request = match head {
         Some(Ok(request)) => request,
         Some(Err(error)) => return refuse_unread(node, stream, status_of(&error), &error).await,
@@ -143,7 +134,7 @@
     }
     let mut decoder = Decoder::new(request.framing);
     let whole = stream.read_whole(&mut decoder, limits.body_bytes);
-    match timing::within(BODY_TIME, whole).await {
+    match within(BODY_TIME, whole).await {
         Some(Ok(body)) => Ok(body),
         Some(Err(error)) => Err(refuse_unread(node, stream, status_of(&error), &error).await),
         None => Err(Answer::new(stream.writer(), false)
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -32,7 +32,6 @@
 pub mod serve;
 pub mod settings;
 pub mod target;
-pub mod timing;
 
 pub use node::Node;
 pub use port::Decoder;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -92,9 +92,7 @@
 }
 
 fn act(node: &Rc<Node>, output: Output) {
-    for it in output.sends {
-        datagrams::send(node, it.to, &Frame::Message(it.message).encode());
-    }
+    datagrams::send_all(node, output.sends);
     for event in output.events {
         match event {
             Event::Changed(incarnation) => changed(node, incarnation),
--- a/crates/gateway/src/posting.rs
+++ b/crates/gateway/src/posting.rs
@@ -96,20 +96,17 @@
 
     /// Tells the other entries how fast the engine is, if that is news.
     fn tell_pace(&self, now: Moment, factor: Option<f64>) {
-        let is_news = |it: &f64| {
-            let state = self.node.state.borrow();
-            state.board.paces().is_news(now, self.server, *it)
-        };
-        let Some(factor) = factor.filter(is_news) else {
+        let Some(factor) = factor else {
             return;
         };
-        let before = self
-            .node
-            .state
-            .borrow()
-            .board
-            .paces()
-            .factor(now, self.server);
+        let before = {
+            let state = self.node.state.borrow();
+            let paces = state.board.paces();
+            if !paces.is_news(now, self.server, factor) {
+                return;
+            }
+            paces.factor(now, self.server)
+        };
         log::info!(target: "server", server = self.id.as_str(), factor, before; "the time that an engine takes has changed, in multiples of the published one");
         datagrams::note(self.node, now, self.job, Change::Paced(factor as f32));
     }
--- a/crates/gateway/src/reserve.rs
+++ b/crates/gateway/src/reserve.rs
@@ -15,13 +15,14 @@
 use h1::body::Decoder;
 use placement::JobId;
 use placement::Server;
+use web::stream::within;
 
 use crate::Node;
 use crate::dial;
+use crate::dial::Reuse;
 use crate::port::Order;
 use crate::port::Reservation;
 use crate::target::Target;
-use crate::timing;
 
 /// The lease. Memory must be free 4 s after its request has ended, also if this process is gone.
 const LEASE: Duration = Duration::from_millis(3_200);
@@ -130,7 +131,7 @@
 
 /// Gives an order to a server and returns the status of its answer.
 async fn give(node: &Node, server: &Server, order: Order) -> Result<u16, Error> {
-    let answered = timing::within(ORDER_TIME, converse(node, server, order)).await;
+    let answered = within(ORDER_TIME, converse(node, server, order)).await;
     answered.unwrap_or(Err(Error::Io(std::io::ErrorKind::TimedOut.into())))
 }
 
@@ -145,6 +146,6 @@
     let response = stream.read_response(&head.method, ANSWER_LIMIT).await?;
     let mut decoder = Decoder::new(response.framing);
     stream.read_whole(&mut decoder, ANSWER_LIMIT).await?;
-    dial::keep(node, server, stream, &response);
+    dial::keep(node, server, stream, Reuse::of(&response));
     Ok(response.status)
 }
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -10,6 +10,7 @@
 use h1::Response;
 use h1::Stream;
 use rand::RngExt;
+use web::stream::within;
 
 use crate::Node;
 use crate::attempt;
@@ -21,7 +22,6 @@
 use crate::relay::Answer;
 use crate::relay::Next;
 use crate::relay::State;
-use crate::timing;
 
 /// Bytes of a further request that are kept while one is being answered.
 const PIPELINE_LIMIT: usize = 64 * 1024;
@@ -66,7 +66,7 @@
             caller.closed(PIPELINE_LIMIT).await;
             None
         };
-        let ended = timing::until(end, future::or(attempts, gone)).await;
+        let ended = within(clock::now().until(end), future::or(attempts, gone)).await;
         let route = self.route.clone();
         match ended {
             Some(Some(Ok(outcome))) => {
--- a/crates/placement/src/pace.rs
+++ b/crates/placement/src/pace.rs
@@ -102,11 +102,10 @@
 
     /// Takes a measurement of this entry or of another one.
     pub fn set(&mut self, now: Moment, engine: u64, factor: f64) {
-        let is_number = !factor.is_nan();
-        let factor = if is_number {
-            factor.clamp(1.0, SLOWEST)
-        } else {
+        let factor = if factor.is_nan() {
             1.0
+        } else {
+            factor.clamp(1.0, SLOWEST)
         };
         self.known.insert(engine, Pace { factor, at: now });
     }
--- a/crates/web/src/server.rs
+++ b/crates/web/src/server.rs
@@ -26,6 +26,7 @@
 
 use crate::reply::Reply;
 use crate::stream::Stream;
+use crate::stream::accept;
 use crate::stream::within;
 
 /// The time in which a caller has to send a head, and again a body, unless the switch says
@@ -33,8 +34,6 @@
 const TIMEOUT: Duration = Duration::from_secs(20);
 /// The time spent on reading what a refused caller still sends.
 const LINGER: Duration = Duration::from_millis(500);
-/// The pause after a failed accept, for example when file descriptors are used up.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
 /// A server's switch: tells its connections to close after their present request.
 #[derive(Clone, Debug)]
@@ -189,16 +188,9 @@
     Fut: Future<Output = Reply> + 'static,
 {
     loop {
-        match listener.accept().await {
-            Ok((io, _)) => {
-                let connection = converse(Stream::new(io), switch.clone(), handler.clone());
-                executor.spawn(connection).detach();
-            }
-            Err(error) => {
-                log::warn!("web: accept failed: {error}. Retrying.");
-                Timer::after(ACCEPT_PAUSE).await;
-            }
-        }
+        let stream = Stream::new(accept(&listener, "web").await);
+        let connection = converse(stream, switch.clone(), handler.clone());
+        executor.spawn(connection).detach();
     }
 }
 
--- a/crates/web/src/stream.rs
+++ b/crates/web/src/stream.rs
@@ -4,6 +4,7 @@
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
+use std::net::TcpListener;
 use std::net::TcpStream;
 use std::pin::Pin;
 use std::sync::Arc;
@@ -19,6 +20,9 @@
 use futures_lite::AsyncWrite;
 use futures_lite::future;
 
+/// The pause after a failed accept, for example when file descriptors are used up.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
 /// A shared TCP connection.
 #[derive(Clone, Debug)]
 pub struct Stream(Arc<Shared>);
@@ -97,6 +101,19 @@
     }
 }
 
+/// Returns the next connection of a listener. A failure is logged by `part` and tried again.
+pub async fn accept(listener: &Async<TcpListener>, part: &str) -> Async<TcpStream> {
+    loop {
+        match listener.accept().await {
+            Ok((socket, _)) => return socket,
+            Err(error) => {
+                log::warn!(target: part, "accept failed, retrying: {error}");
+                Timer::after(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
 /// Runs `future` for at most `limit`. Returns `None` if it did not complete.
 pub async fn within<T>(limit: Duration, future: impl Future<Output = T>) -> Option<T> {
     futures_lite::future::or(async { Some(future.await) }, async {
