Look servers up by a key that is kept, and walk the sources in one place

Found on reading the whole change: each event of a stream, each look at a quiet server and each placement hashed the id of every known server until one matched; the length of a pass with one more writer, and the reading that waits, were each worked out twice; the check on circles walked the sources beside the tidy check. Change: `Known` keeps the key of its life; `Candidate::writing_pass_ms` and `to_read_ms`; `xtask/tests/sources` serves both checks. The check on circles still fails when one is put in. No change of behaviour; tests of placement, gateway, adapter, wire and xtask pass.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -299,7 +299,7 @@
         .servers
         .all()
         .find(|it| it.server.address == address)
-        .map(|it| it.server.key());
+        .map(|it| it.key());
     if let Some(known) = key.and_then(|it| state.servers.get_mut(it)) {
         known.health.failed(now);
         log::info!(target: "server", server = known.server.id.as_str(); "a helper could not help");
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -136,7 +136,7 @@
         } => state.quarantine.crashed(now, *fingerprint, server),
         Rumour::ServerLeaving { server } => {
             let keys = state.servers.all().filter(|it| it.server.life() == *server);
-            let keys: Vec<u64> = keys.map(|it| it.server.key()).collect();
+            let keys: Vec<u64> = keys.map(|it| it.key()).collect();
             let mut is_news = false;
             for key in keys {
                 is_news |= state.servers.disown(now, key);
--- a/crates/placement/src/board.rs
+++ b/crates/placement/src/board.rs
@@ -320,8 +320,7 @@
     /// Returns the milliseconds of reading that are still to be done ahead of a request of this
     /// standing.
     pub fn backlog_ms(&self, now: Moment, standing: Standing) -> f64 {
-        let reading = self.ahead_of(standing).filter(|it| it.is_reading());
-        let total: f64 = reading.map(|it| it.read_ms * READ_STRETCH).sum();
+        let total = to_read_ms(self.ahead_of(standing));
         let done = now.since(self.advanced).as_secs_f64() * 1e3;
         (total - done).max(0.0)
     }
@@ -358,9 +357,7 @@
 
     /// Returns the milliseconds of a pass in which everything is read that is still to be read.
     pub fn longest_pass_ms(&self, engine: &Engine) -> f64 {
-        let reading = self.tasks.iter().filter(|it| it.is_reading());
-        let read_ms: f64 = reading.map(|it| it.read_ms * READ_STRETCH).sum();
-        self.pass_ms(engine) + read_ms
+        self.pass_ms(engine) + to_read_ms(self.tasks.iter())
     }
 
     /// Returns the milliseconds of a pass without what is read in it.
@@ -372,3 +369,9 @@
         engine.pass_ms(writers, tokens)
     }
 }
+
+/// Returns the milliseconds that reading for these tasks still takes, if none has begun.
+fn to_read_ms<'a>(tasks: impl Iterator<Item = &'a Task>) -> f64 {
+    let reading = tasks.filter(|it| it.is_reading());
+    reading.map(|it| it.read_ms * READ_STRETCH).sum()
+}
--- a/crates/placement/src/plain.rs
+++ b/crates/placement/src/plain.rs
@@ -32,7 +32,7 @@
     // A server of which nothing is known gets the benefit of the doubt.
     let fastest = usable.iter().filter_map(recent).min();
     let weighed = usable.iter().map(|it| {
-        let key = it.server.key();
+        let key = it.key();
         let running = board.queue(key).map_or(0, |it| it.len());
         let rounds = 1.0 + running as f64 / it.server.slots.max(1) as f64;
         let latency = recent(it)
--- a/crates/placement/src/plan.rs
+++ b/crates/placement/src/plan.rs
@@ -161,7 +161,7 @@
     random: &mut impl Rng,
 ) -> Option<Plan> {
     let usable: Vec<&Known> = servers.filter(|it| it.health.is_usable(now)).collect();
-    let is_fresh = |it: &&&Known| !tried.contains(&it.server.key());
+    let is_fresh = |it: &&&Known| !tried.contains(&it.key());
     let fresh: Vec<&Known> = usable.iter().filter(is_fresh).copied().collect();
     let engines = if fresh.is_empty() { &usable } else { &fresh };
     let candidates: Vec<Candidate<'_>> = engines
@@ -201,7 +201,6 @@
     let part_ms = read_ms / parts as f64;
     let is_split = parts > 1;
     let part_tokens = need.prompt as f64 / parts as f64;
-    let harm = |it: &Candidate<'_>| it.harm(now, engine, part_ms, part_tokens, is_split);
     let opening_cost = opening_cost(candidates, need);
     let opening = |it: &Candidate<'_>| {
         if it.has_tight_writers {
@@ -213,7 +212,7 @@
     let mut ranked: Vec<Ranked<'_>> = candidates
         .iter()
         .map(|it| {
-            let harm = harm(it);
+            let harm = it.harm(now, engine, part_ms, part_tokens, is_split);
             let own = it.own_loss(engine, part_ms, need, is_split);
             Ranked {
                 engine: it,
@@ -239,7 +238,7 @@
         let times = ranked.iter().map(|ranked| it(ranked.engine));
         times.fold(0.0, f64::max)
     };
-    let pass_ms = first.pace * engine.pass_ms(first.writers + 1, need.prompt);
+    let pass_ms = first.writing_pass_ms(engine, need);
     let working = part_ms * longest(|it| it.pace) + pass_ms;
     let forecast = need.forecast(
         longest(|it| it.wait_ms) + working,
@@ -377,7 +376,7 @@
         board: &'a Board,
         random: &mut impl Rng,
     ) -> Self {
-        let key = known.server.key();
+        let key = known.key();
         let queue = board.queue(key);
         let (writers, _) = queue.map_or((0, 0), Queue::writers);
         let pace = board.paces().factor(now, key);
@@ -457,9 +456,14 @@
         losses.sum()
     }
 
+    /// Returns the milliseconds of a pass once the request writes here too.
+    fn writing_pass_ms(&self, engine: &Engine, need: &Need) -> f64 {
+        self.pace * engine.pass_ms(self.writers + 1, need.prompt)
+    }
+
     /// Returns what the request itself loses on this engine.
     fn own_loss(&self, engine: &Engine, part_ms: f64, need: &Need, is_split: bool) -> f64 {
-        let pass_ms = self.pace * engine.pass_ms(self.writers + 1, need.prompt);
+        let pass_ms = self.writing_pass_ms(engine, need);
         let working = part_ms * self.pace + pass_ms;
         let forecast = need.forecast(self.wait_ms + working, self.late_wait_ms + working);
         let loss = need.loss(forecast.first_token_ms) + need.pause_loss(pass_ms);
--- a/crates/placement/src/servers.rs
+++ b/crates/placement/src/servers.rs
@@ -78,6 +78,8 @@
 pub struct Known {
     /// As the platform lists it.
     pub server: Rc<Server>,
+    /// Its key, which each event of each stream is looked up by.
+    key: u64,
     /// The circuit breaker.
     pub health: Health,
     /// How long its plain answers take, smoothed, and when the last one came.
@@ -175,8 +177,7 @@
     /// Notes that a server said itself that it takes no new work, or that another one answers at
     /// its address. Returns whether this was news.
     pub fn disown(&mut self, now: Moment, key: u64) -> bool {
-        let known = self.known.values_mut().find(|it| it.server.key() == key);
-        let Some(known) = known else {
+        let Some(known) = self.get_mut(key) else {
             return false;
         };
         let is_news = known.disowned.is_none();
@@ -186,7 +187,7 @@
 
     /// Returns a server by its key.
     pub fn get_mut(&mut self, key: u64) -> Option<&mut Known> {
-        self.known.values_mut().find(|it| it.server.key() == key)
+        self.known.values_mut().find(|it| it.key == key)
     }
 
     /// Returns the servers of a service that take new work.
@@ -210,6 +211,7 @@
 impl Known {
     fn new(server: Server) -> Self {
         Self {
+            key: server.key(),
             server: Rc::new(server),
             health: Health::default(),
             latency: None,
@@ -219,6 +221,11 @@
         }
     }
 
+    /// Returns what names this life of the server on the board.
+    pub fn key(&self) -> u64 {
+        self.key
+    }
+
     /// Notes that the server sent something.
     pub fn note_sign(&mut self, now: Moment) {
         self.sign = Some(now);
--- a/xtask/tests/cycles.rs
+++ b/xtask/tests/cycles.rs
@@ -3,31 +3,30 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
-use std::path::Path;
-use std::path::PathBuf;
+
+#[path = "sources/sources.rs"]
+mod sources;
+
+use sources::files;
 
 /// What each module imports of its crate.
 type Graph = BTreeMap<String, BTreeSet<String>>;
 
-fn root() -> PathBuf {
-    Path::new(env!("CARGO_MANIFEST_DIR"))
-        .parent()
-        .unwrap()
-        .to_owned()
-}
+/// The modules of a crate, by their paths in it.
+type Modules = BTreeMap<String, String>;
 
-/// Reads the modules below `folder`, by their paths in the crate.
-fn collect(folder: &Path, prefix: &str, modules: &mut BTreeMap<String, String>) {
-    for entry in std::fs::read_dir(folder).unwrap() {
-        let path = entry.unwrap().path();
-        let stem = path.file_stem().unwrap().to_string_lossy().into_owned();
-        let name = format!("{prefix}{stem}");
-        if path.is_dir() {
-            collect(&path, &format!("{name}::"), modules);
-        } else if !["lib", "main"].contains(&name.as_str()) && !name.ends_with("_capnp") {
-            modules.insert(name, std::fs::read_to_string(&path).unwrap());
-        }
+/// Returns the modules of each crate, by the crate's folder.
+fn crates() -> BTreeMap<String, Modules> {
+    let mut crates: BTreeMap<String, Modules> = BTreeMap::new();
+    for file in files() {
+        let Some((folder, path)) = file.path.split_once("/src/") else {
+            continue;
+        };
+        let name = path.trim_end_matches(".rs").replace('/', "::");
+        let modules = crates.entry(folder.to_owned()).or_default();
+        modules.insert(name, file.text);
     }
+    crates
 }
 
 /// Returns the types that `lib.rs` offers under another path, and the modules that they are in.
@@ -39,7 +38,7 @@
         .collect()
 }
 
-fn graph(modules: &BTreeMap<String, String>, lib: &str) -> Graph {
+fn graph(modules: &Modules, lib: &str) -> Graph {
     let reexports = reexports(lib);
     let module_of = |path: &str| {
         let first = path.split("::").next().unwrap_or_default();
@@ -106,14 +105,10 @@
 
 #[test]
 fn modules_import_no_circle() {
-    let crates = std::fs::read_dir(root().join("crates")).unwrap();
-    let mut folders: Vec<PathBuf> = crates.map(|it| it.unwrap().path().join("src")).collect();
-    folders.extend([root().join("platform/src"), root().join("xtask/src")]);
-    for folder in folders.iter().filter(|it| it.exists()) {
-        let mut modules = BTreeMap::new();
-        collect(folder, "", &mut modules);
-        let lib = std::fs::read_to_string(folder.join("lib.rs")).unwrap_or_default();
+    for (folder, mut modules) in crates() {
+        let lib = modules.remove("lib").unwrap_or_default();
+        modules.remove("main");
         let left = circles(graph(&modules, &lib));
-        assert!(left.is_empty(), "{}: {left:#?}", folder.display());
+        assert!(left.is_empty(), "{folder}: {left:#?}");
     }
 }
--- a/xtask/tests/tidy.rs
+++ b/xtask/tests/tidy.rs
@@ -1,7 +1,10 @@
 //! What the linter can't see: imports, layout, and what decision crates may use.
 
-use std::path::Path;
-use std::path::PathBuf;
+#[path = "sources/sources.rs"]
+mod sources;
+
+use sources::File;
+use sources::files;
 
 /// Crates that decide and do no I/O.
 const DECISION_CRATES: [&str; 10] = [
@@ -56,50 +59,8 @@
 /// Lines of one file.
 const LINE_LIMIT: usize = 500;
 
-struct File {
-    path: String,
-    text: String,
-}
-
-impl File {
-    fn is_test(&self) -> bool {
-        self.path.contains("/tests/")
-    }
-}
-
-fn root() -> PathBuf {
-    Path::new(env!("CARGO_MANIFEST_DIR"))
-        .parent()
-        .unwrap()
-        .to_owned()
-}
-
-fn collect(folder: &Path, files: &mut Vec<File>) {
-    for entry in std::fs::read_dir(folder).unwrap() {
-        let path = entry.unwrap().path();
-        if path.is_dir() {
-            collect(&path, files);
-        } else if path.extension().is_some_and(|it| it == "rs") {
-            let text = std::fs::read_to_string(&path).unwrap();
-            let path = path
-                .strip_prefix(root())
-                .unwrap()
-                .to_string_lossy()
-                .into_owned();
-            files.push(File { path, text });
-        }
-    }
-}
-
-/// Returns the project's Rust files, but for generated ones.
-fn files() -> Vec<File> {
-    let mut files = Vec::new();
-    collect(&root().join("crates"), &mut files);
-    collect(&root().join("platform"), &mut files);
-    collect(&root().join("xtask"), &mut files);
-    files.retain(|it| !it.path.ends_with("_capnp.rs"));
-    assert!(files.len() > 50);
-    files
+fn is_test(file: &File) -> bool {
+    file.path.contains("/tests/")
 }
 
 /// Fails with the paths of all files for which `find` finds something.
@@ -176,7 +137,7 @@
 fn tests_live_in_test_files() {
     check(|file| {
         let has_tests = file.text.contains("#[test]") || file.text.contains("#[cfg(test)]");
-        (has_tests && !file.is_test()).then(|| "move the tests to tests/".to_owned())
+        (has_tests && !is_test(file)).then(|| "move the tests to tests/".to_owned())
     });
 }
 
@@ -187,7 +148,7 @@
         let is_decision = DECISION_CRATES.iter().any(|it| path.starts_with(it));
         let found = FORBIDDEN.iter().find(|it| file.text.contains(**it));
         found
-            .filter(|_| is_decision && !file.is_test())
+            .filter(|_| is_decision && !is_test(file))
             .map(|it| (*it).to_owned())
     });
 }
