Give each test cluster a folder of its own, also if two start at the same moment

Cause: a cluster's folder was named after the process and the present instant. Two tests that read the same instant shared it: entries of one read the settings of the other's, met its platform and its entries, and neither cluster ever counted as ready. Change: a number that is counted up.

--- a/crates/harness/src/cluster.rs
+++ b/crates/harness/src/cluster.rs
@@ -5,6 +5,8 @@
 use std::path::Path;
 use std::path::PathBuf;
 use std::process::Output;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -126,6 +128,13 @@
     started: usize,
 }
 
+/// Returns a folder that no other cluster uses, also if both start at the same moment.
+pub fn next_folder() -> PathBuf {
+    static STARTED: AtomicU64 = AtomicU64::new(0);
+    let number = STARTED.fetch_add(1, Ordering::Relaxed);
+    std::env::temp_dir().join(format!("coriander-{}-{number}", std::process::id()))
+}
+
 /// The bearer key of a customer of the test configuration.
 pub fn secret(customer: &str) -> String {
     format!("secret-of-{customer}")
@@ -135,11 +144,7 @@
     /// Starts everything, publishes a configuration of two firms and waits until all entries are
     /// ready.
     pub fn start(plan: Plan) -> Result<Self> {
-        let folder = std::env::temp_dir().join(format!(
-            "coriander-{}-{:x}",
-            std::process::id(),
-            digest::fast(format!("{:?}", Instant::now()).as_bytes())
-        ));
+        let folder = next_folder();
         std::fs::create_dir_all(&folder)?;
         let platform = stand_in("platform", "platform", &plan.platform_options)?;
         let mut cluster = Self {
