Log which changes of the list of servers an entry applied or ignored

Ruled out: nothing yet; the logic is unchanged. Change: one line for each list or change that altered anything, with source and positions, one for each server that becomes listed as leaving, one for each broadcast that starts after the known position. Counters for broadcasts by outcome and for lists that peers fetched.

--- a/crates/gateway/src/calls.rs
+++ b/crates/gateway/src/calls.rs
@@ -17,6 +17,7 @@
 use wire::peer_capnp::peer;
 
 use crate::Node;
+use crate::metrics::PeerCallLabels;
 use crate::port::List;
 use crate::port::Snapshot;
 
@@ -53,6 +54,8 @@
             peer::ListName::Routes => List::Routes,
             peer::ListName::Servers => List::Servers,
         };
+        let call = PeerCallLabels { list: list.name() };
+        self.node.metrics.peer_calls.get_or_create(&call).inc();
         let snapshot = self.node.state.borrow().records.snapshot(list);
         let mut results = results.get();
         results.set_next(snapshot.next);
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -3,6 +3,7 @@
 //! The platform may be down or slow, or refuse this instance's calls. The data that was read last
 //! then stays in force, and reads are retried with exponential backoff and jitter.
 
+use std::fmt;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -18,6 +19,7 @@
 use crate::calls;
 use crate::datagrams;
 use crate::metrics::CallLabels;
+use crate::metrics::DeltaLabels;
 use crate::port::Changes;
 use crate::port::Error;
 use crate::port::List;
@@ -123,7 +125,7 @@
             Ok((scope, changes)) => {
                 backoff.succeeded("servers");
                 let from = next.filter(|_| scope == Scope::Changed);
-                apply_servers(&node, scope, from, &changes);
+                apply_servers(&node, Source::Platform, scope, from, &changes);
                 datagrams::broadcast_delta(&node);
             }
             Err(Error::Gone) => node.state.borrow_mut().records.drop_position(),
@@ -137,16 +139,39 @@
     }
 }
 
-/// Applies changes of the list of servers that another entry has broadcast.
-pub fn apply_delta(node: &Node, delta: Delta) {
-    if !node.state.borrow().records.is_continued_by(&delta) {
+/// Applies changes of the list of servers that the entry at `peer` has broadcast.
+pub fn apply_delta(node: &Node, peer: SocketAddr, delta: Delta) {
+    let is_continued = node.state.borrow().records.is_continued_by(&delta);
+    count_delta(node, is_continued);
+    if !is_continued {
+        log_gap(node, peer, &delta);
         return;
     }
     let changes = Changes {
         records: delta.records,
         next: delta.to,
     };
-    apply_servers(node, Scope::Changed, Some(delta.from), &changes);
+    apply_servers(
+        node,
+        Source::Peer(peer),
+        Scope::Changed,
+        Some(delta.from),
+        &changes,
+    );
+}
+
+fn count_delta(node: &Node, is_continued: bool) {
+    let outcome = if is_continued { "applied" } else { "ignored" };
+    let delta = DeltaLabels { outcome };
+    node.metrics.deltas.get_or_create(&delta).inc();
+}
+
+/// Logs a delta that starts after the position that this entry has reached.
+fn log_gap(node: &Node, peer: SocketAddr, delta: &Delta) {
+    let position = node.state.borrow().records.servers_position();
+    if position.is_some_and(|it| it < delta.from) {
+        log::info!(target: "server", peer:% = peer, position, from = delta.from, to = delta.to; "changes of the list were ignored, because earlier ones are missing");
+    }
 }
 
 /// Fetches a list that the platform doesn't deliver from peers, one after the other, until one
@@ -168,7 +193,9 @@
         let changes = into_changes(snapshot);
         match list {
             List::Routes => apply_routes(node, &changes),
-            List::Servers | List::Entries => apply_servers(node, Scope::All, None, &changes),
+            List::Servers | List::Entries => {
+                apply_servers(node, Source::Peer(peer), Scope::All, None, &changes);
+            }
         }
         return;
     }
@@ -214,6 +241,23 @@
     }
 }
 
+/// Where records were read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Source {
+    Platform,
+    /// Another entry, by its address for peers.
+    Peer(SocketAddr),
+}
+
+impl fmt::Display for Source {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Source::Platform => f.write_str("platform"),
+            Source::Peer(address) => address.fmt(f),
+        }
+    }
+}
+
 /// Whether records are a whole list or only changes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Scope {
@@ -243,14 +287,6 @@
     result
 }
 
-fn list_name(list: List) -> &'static str {
-    match list {
-        List::Routes => "routes",
-        List::Servers => "servers",
-        List::Entries => "entries",
-    }
-}
-
 fn count_call<T>(node: &Node, list: List, result: &Result<T, Error>) {
     let outcome = match result {
         Ok(_) | Err(Error::Gone) => "done",
@@ -258,7 +294,7 @@
         Err(Error::Unanswered(_) | Error::Malformed(_)) => "unanswered",
     };
     let call = CallLabels {
-        list: list_name(list),
+        list: list.name(),
         outcome,
     };
     node.metrics.platform_calls.get_or_create(&call).inc();
@@ -294,7 +330,7 @@
 }
 
 /// Applies records of servers: the whole list, or the changes from position `from` on.
-fn apply_servers(node: &Node, scope: Scope, from: Option<u64>, changes: &Changes) {
+fn apply_servers(node: &Node, source: Source, scope: Scope, from: Option<u64>, changes: &Changes) {
     let now = clock::now();
     let mut state = node.state.borrow_mut();
     let state = &mut *state;
@@ -308,7 +344,14 @@
                 all_servers.push(server);
                 true
             }
-            Some(Ok(server)) => state.servers.add(now, server),
+            Some(Ok(server)) => {
+                let is_leaving = server.is_leaving;
+                let is_changed = state.servers.add(now, server);
+                if is_changed && is_leaving {
+                    log::info!(target: "server", server = record.key.as_str(), source:% = source; "a server is listed as leaving");
+                }
+                is_changed
+            }
             Some(Err(error)) => {
                 log::warn!(target: "server", server = record.key.as_str(), error:% = error; "can't decode a server's record; the server is removed");
                 state.servers.remove(now, &record.key);
@@ -331,6 +374,9 @@
         state.records.clear_servers();
     }
     let from = from.unwrap_or(changes.next);
+    if !changed.is_empty() {
+        log::info!(target: "server", source:% = source, scope:? = scope, from, to = changes.next, records = changes.records.len(), changed = changed.len(); "the list of servers has changed");
+    }
     state
         .records
         .store_servers(now, from, changes.next, changed);
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -41,6 +41,20 @@
     pub outcome: &'static str,
 }
 
+/// The labels of list changes that other entries broadcast.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct DeltaLabels {
+    /// `applied`, or `ignored` if the changes start after or end before the known position.
+    pub outcome: &'static str,
+}
+
+/// The labels of calls that other entries make to this one.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct PeerCallLabels {
+    /// The list that was fetched.
+    pub list: &'static str,
+}
+
 type DurationHistograms = Family<RouteLabels, Histogram, fn() -> Histogram>;
 
 /// All metrics of a gateway.
@@ -63,6 +77,10 @@
     pub servers: Gauge,
     /// Calls to the platform.
     pub platform_calls: Family<CallLabels, Counter>,
+    /// List changes that other entries broadcast.
+    pub deltas: Family<DeltaLabels, Counter>,
+    /// Calls of other entries that fetched a list.
+    pub peer_calls: Family<PeerCallLabels, Counter>,
     /// Entries that count as alive, this one included.
     pub entries_alive: Gauge,
     /// Bytes of datagrams sent to other entries.
@@ -83,6 +101,8 @@
             config_version: Gauge::default(),
             servers: Gauge::default(),
             platform_calls: Family::default(),
+            deltas: Family::default(),
+            peer_calls: Family::default(),
             entries_alive: Gauge::default(),
             control_bytes: Counter::default(),
             log_lines_dropped: Counter::default(),
@@ -150,6 +170,16 @@
             "Calls to the platform",
             self.platform_calls.clone(),
         );
+        registry.register(
+            "deltas",
+            "List changes broadcast by other entries",
+            self.deltas.clone(),
+        );
+        registry.register(
+            "peer_calls",
+            "Calls of other entries that fetched a list",
+            self.peer_calls.clone(),
+        );
         registry.register(
             "entries_alive",
             "Entries that count as alive",
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -79,7 +79,7 @@
         Ok(Frame::Snapshot(snapshot)) => state.workload.reconcile(now, &snapshot),
         Ok(Frame::Delta(delta)) => {
             drop(state);
-            follow::apply_delta(node, delta);
+            follow::apply_delta(node, from, delta);
         }
         Ok(Frame::Loads(_)) => {
             log::debug!(target: "peers", from:% = from; "ignored a load report, which the gateway does not use");
--- a/crates/gateway/src/port.rs
+++ b/crates/gateway/src/port.rs
@@ -56,6 +56,17 @@
     Entries,
 }
 
+impl List {
+    /// Returns the name of the list in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            List::Routes => "routes",
+            List::Servers => "servers",
+            List::Entries => "entries",
+        }
+    }
+}
+
 /// The newest record of each key of a list.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Snapshot {
