Add a failing test: a broadcast omits a change that it claims to contain

On this code the broadcast is Delta { from: 4, to: 12, records: [] } although a server's leaving stands at 4 to 9: an entry at position 4 applies it and never learns of the leaving.

--- a/crates/gateway/tests/records.rs
+++ b/crates/gateway/tests/records.rs
@@ -53,6 +53,23 @@
     assert_eq!(keys, ["b", "c", "d"]);
 }
 
+#[test]
+fn delta_omits_no_change_after_peers_repeated_it() {
+    let mut cache = Cache::default();
+    cache.store_servers(START, 4, 4, Vec::new());
+    cache.store_servers(START, 4, 9, vec![record("leaving")]);
+    for _ in 0..3 {
+        // Another entry broadcasts the same range, which contains nothing new.
+        cache.store_servers(START, 4, 9, Vec::new());
+    }
+    cache.store_servers(START, 9, 12, Vec::new());
+    let delta = cache.delta().expect("a delta");
+    assert!(
+        delta.from >= 9 || delta.records.contains(&record("leaving")),
+        "{delta:?}"
+    );
+}
+
 #[test]
 fn is_continued_by_rejects_gap() {
     let mut cache = Cache::default();
