Keep a broadcast of list changes complete from the position that it names

Cause: a broadcast covers the sender's last three stored updates. An update that repeats what the sender knows, such as the broadcast of another entry, took one of the three places, without the records (they are not new) but with its old start. After three such updates the broadcast claimed to be complete from a position whose changes it no longer contained. An entry that had missed the first broadcasts then skipped these changes for good: later broadcasts omit records that repeat a known value, so it learned of the leaving only when the server went off the list. Ruled out: lapsed servers (the engines were listed as leaving, not removed) and slow entries (the requests arrived within 27 ms of being sent; the same entries logged the removals in time). Change: the ranges of a broadcast continue one another. An update that reaches no new position is not stored, and one that overlaps starts at the cached position.

--- a/crates/gateway/src/records.rs
+++ b/crates/gateway/src/records.rs
@@ -24,8 +24,8 @@
 const RANK_DELAY: Duration = Duration::from_millis(80);
 /// The maximum such delay: all entries must learn of a leaving server within the 2 s.
 const MAX_DELAY: Duration = Duration::from_millis(800);
-/// The number of reads whose changes each broadcast contains, in case a datagram was lost.
-const READS_REPEATED: usize = 3;
+/// The number of ranges of changes that each broadcast contains, in case a datagram was lost.
+const RANGES_REPEATED: usize = 3;
 
 /// The records of the platform's lists, undecoded.
 #[derive(Debug, Default)]
@@ -39,8 +39,15 @@
     servers_position: Option<u64>,
     /// When the list of servers was last up to date.
     updated: Option<Moment>,
-    /// The changes of the last reads, each with the position from which it was read.
-    recent_reads: VecDeque<(u64, Vec<Record>)>,
+    /// The latest changes. Each range continues where the previous one ends.
+    recent: VecDeque<Range>,
+}
+
+/// All changes of the list of servers from a position up to the next range.
+#[derive(Debug)]
+struct Range {
+    from: u64,
+    records: Vec<Record>,
 }
 
 impl Cache {
@@ -62,26 +69,35 @@
             .map_or(Moment::default(), |it| it + READ_INTERVAL + delay)
     }
 
-    /// Stores the `changed` records of a read of positions `from` to `next`.
+    /// Stores the records that were new to this entry in the positions `from` to `next`, which have
+    /// to include the cached position.
     pub fn store_servers(&mut self, now: Moment, from: u64, next: u64, changed: Vec<Record>) {
+        self.updated = Some(now);
+        let position = self.servers_position;
+        if position.is_some_and(|it| next <= it) {
+            return;
+        }
         for record in &changed {
             match &record.value {
                 Some(value) => self.servers.insert(record.key.clone(), value.clone()),
                 None => self.servers.remove(&record.key),
             };
         }
-        self.recent_reads.push_back((from, changed));
-        while self.recent_reads.len() > READS_REPEATED {
-            self.recent_reads.pop_front();
+        // Changes before the cached position are in earlier ranges, so this one does not cover them.
+        self.recent.push_back(Range {
+            from: position.map_or(from, |it| it.max(from)),
+            records: changed,
+        });
+        while self.recent.len() > RANGES_REPEATED {
+            self.recent.pop_front();
         }
         self.servers_position = Some(next);
-        self.updated = Some(now);
     }
 
     /// Removes all servers, before a whole list is stored.
     pub fn clear_servers(&mut self) {
         self.servers.clear();
-        self.recent_reads.clear();
+        self.recent.clear();
     }
 
     /// Drops the position, since the platform no longer keeps the records there.
@@ -91,10 +107,10 @@
 
     /// Returns the delta to broadcast to the other entries after a read.
     pub fn delta(&self) -> Option<Delta> {
-        let (from, _) = self.recent_reads.front()?;
-        let records = self.recent_reads.iter().flat_map(|it| &it.1);
+        let oldest = self.recent.front()?;
+        let records = self.recent.iter().flat_map(|it| &it.records);
         Some(Delta {
-            from: *from,
+            from: oldest.from,
             to: self.servers_position?,
             records: records.cloned().collect(),
         })
--- a/crates/gateway/tests/records.rs
+++ b/crates/gateway/tests/records.rs
@@ -1,11 +1,16 @@
 //! Tests that one entry reads the list of servers for all, and that an entry that misses changes
 //! reads the list itself.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use domain::Moment;
 use gateway::records::Cache;
 use gateway::records::READ_INTERVAL;
+use proptest::collection::vec;
+use proptest::prelude::*;
+use proptest::test_runner::Config;
+use proptest::test_runner::RngSeed;
 use wire::Delta;
 use wire::Record;
 
@@ -82,3 +87,100 @@
     cache.drop_position();
     assert!(!cache.is_continued_by(&delta(5, 9)));
 }
+
+/// The number of entries and of servers in the property test.
+const ENTRIES: usize = 4;
+const SERVERS: usize = 3;
+
+/// An entry that follows a log in which record `n` sets the state of a server to `n`.
+#[derive(Default)]
+struct Entry {
+    cache: Cache,
+    known: BTreeMap<String, usize>,
+}
+
+impl Entry {
+    fn position(&self) -> u64 {
+        self.cache.servers_position().unwrap_or_default()
+    }
+
+    /// Applies the records of a range of the log, and stores those that are new to this entry.
+    fn apply(&mut self, from: u64, to: u64, records: Vec<Record>) {
+        let new = |it: &Record| {
+            let state = state_of(it);
+            let known = self.known.entry(it.key.clone()).or_default();
+            let is_new = *known < state;
+            *known = state.max(*known);
+            is_new
+        };
+        let changed = records.into_iter().filter(new).collect();
+        self.cache.store_servers(START, from, to, changed);
+    }
+
+    fn read(&mut self, log: &[Record]) {
+        let from = self.position();
+        let records = log[from as usize..].to_vec();
+        self.apply(from, log.len() as u64, records);
+    }
+
+    fn receive(&mut self, delta: &Delta) {
+        if self.cache.is_continued_by(delta) {
+            self.apply(delta.from, delta.to, delta.records.clone());
+        }
+    }
+}
+
+fn state_of(record: &Record) -> usize {
+    let value = record.value.as_deref().expect("a value");
+    usize::from(value[0])
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    /// A server changes its state.
+    Change(usize),
+    /// An entry reads the log, and broadcasts to the entries whose flag is set.
+    Read(usize, [bool; ENTRIES]),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        (0..SERVERS).prop_map(Step::Change),
+        (0..ENTRIES, any::<[bool; ENTRIES]>()).prop_map(|(reader, to)| Step::Read(reader, to)),
+    ]
+}
+
+proptest! {
+    #![proptest_config(Config {
+        rng_seed: RngSeed::Fixed(6), failure_persistence: None, cases: 500, ..Config::default()
+    })]
+    #[test]
+    fn delta_lossy_broadcasts_leave_no_change_unknown(steps in vec(step(), 0..80)) {
+        let mut log: Vec<Record> = Vec::new();
+        let mut entries: [Entry; ENTRIES] = Default::default();
+        for entry in &mut entries {
+            entry.apply(0, 0, Vec::new());
+        }
+        for step in steps {
+            match step {
+                Step::Change(server) => log.push(Record {
+                    key: format!("i-{server}"),
+                    value: Some(vec![log.len() as u8 + 1]),
+                }),
+                Step::Read(reader, receivers) => {
+                    entries[reader].read(&log);
+                    let delta = entries[reader].cache.delta().expect("a delta");
+                    for (entry, _) in entries.iter_mut().zip(receivers).filter(|it| it.1) {
+                        entry.receive(&delta);
+                    }
+                }
+            }
+            for entry in &entries {
+                for record in &log[..entry.position() as usize] {
+                    let known = entry.known.get(&record.key).copied().unwrap_or_default();
+                    prop_assert!(known >= state_of(record), "{record:?} is unknown");
+                }
+            }
+        }
+    }
+}
