Broadcast a change of the list for 2 s only, and no whole lists

Callers would have seen: streams that stall. Cause: reads that find nothing no longer displace older ranges, and most reads find nothing, since heartbeats write no records. So the range that a whole list left behind, some 10 KB, went to 85 entries with each broadcast, and filled the reader's link of 20 Mbit/s. Before, it did so until three updates had displaced it. Change: a range is repeated for 2 s. A whole list enters no broadcast: an entry at its position has read it too. An empty broadcast still confirms that the list is up to date.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -369,17 +369,18 @@
             changed.push(record.clone());
         }
     }
-    if scope == Scope::All {
-        state.servers.replace(now, all_servers);
-        state.records.clear_servers();
-    }
     let from = from.unwrap_or(changes.next);
     if !changed.is_empty() {
         log::info!(target: "server", source:% = source, scope:? = scope, from, to = changes.next, records = changes.records.len(), changed = changed.len(); "the list of servers has changed");
     }
-    state
-        .records
-        .store_servers(now, from, changes.next, changed);
+    let records = &mut state.records;
+    match scope {
+        Scope::All => {
+            state.servers.replace(now, all_servers);
+            records.replace_servers(now, changes.next, changed);
+        }
+        Scope::Changed => records.store_servers(now, from, changes.next, changed),
+    }
     let usable = state.servers.all().filter(|it| !it.server.is_leaving);
     node.metrics.servers.set(usable.count() as i64);
     let phase = state.phase();
--- a/crates/gateway/src/records.rs
+++ b/crates/gateway/src/records.rs
@@ -26,6 +26,9 @@
 const MAX_DELAY: Duration = Duration::from_millis(800);
 /// The number of ranges of changes that each broadcast contains, in case a datagram was lost.
 const RANGES_REPEATED: usize = 3;
+/// The time for which a range is broadcast again. Most reads find no changes, so a range would
+/// otherwise be repeated until others displace it.
+const REPEAT_TIME: Duration = Duration::from_secs(2);
 
 /// The records of the platform's lists, undecoded.
 #[derive(Debug, Default)]
@@ -47,6 +50,7 @@
 #[derive(Debug)]
 struct Range {
     from: u64,
+    stored: Moment,
     records: Vec<Record>,
 }
 
@@ -73,6 +77,7 @@
     /// to include the cached position.
     pub fn store_servers(&mut self, now: Moment, from: u64, next: u64, changed: Vec<Record>) {
         self.updated = Some(now);
+        self.recent.retain(|it| now.since(it.stored) < REPEAT_TIME);
         let position = self.servers_position;
         if position.is_some_and(|it| next <= it) {
             return;
@@ -86,6 +91,7 @@
         // Changes before the cached position are in earlier ranges, so this one does not cover them.
         self.recent.push_back(Range {
             from: position.map_or(from, |it| it.max(from)),
+            stored: now,
             records: changed,
         });
         while self.recent.len() > RANGES_REPEATED {
@@ -94,10 +100,15 @@
         self.servers_position = Some(next);
     }
 
-    /// Removes all servers, before a whole list is stored.
-    pub fn clear_servers(&mut self) {
-        self.servers.clear();
+    /// Replaces all servers by a whole list, which is complete up to `next`.
+    pub fn replace_servers(&mut self, now: Moment, next: u64, records: Vec<Record>) {
+        let values = records
+            .into_iter()
+            .filter_map(|it| Some((it.key, it.value?)));
+        self.servers = values.collect();
         self.recent.clear();
+        self.servers_position = Some(next);
+        self.updated = Some(now);
     }
 
     /// Drops the position, since the platform no longer keeps the records there.
@@ -105,13 +116,14 @@
         self.servers_position = None;
     }
 
-    /// Returns the delta to broadcast to the other entries after a read.
+    /// Returns the delta to broadcast to the other entries after a read. If there are no recent
+    /// changes, it is empty and confirms that the list is up to date.
     pub fn delta(&self) -> Option<Delta> {
-        let oldest = self.recent.front()?;
+        let to = self.servers_position?;
         let records = self.recent.iter().flat_map(|it| &it.records);
         Some(Delta {
-            from: oldest.from,
-            to: self.servers_position?,
+            from: self.recent.front().map_or(to, |it| it.from),
+            to,
             records: records.cloned().collect(),
         })
     }
--- a/crates/gateway/tests/records.rs
+++ b/crates/gateway/tests/records.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use domain::Moment;
+use gateway::port::List;
 use gateway::records::Cache;
 use gateway::records::READ_INTERVAL;
 use proptest::collection::vec;
@@ -75,6 +76,27 @@
     );
 }
 
+#[test]
+fn delta_stops_repeating_changes() {
+    let mut cache = Cache::default();
+    cache.store_servers(START, 4, 9, vec![record("a")]);
+    let later = START + Duration::from_secs(1);
+    cache.store_servers(later, 9, 9, Vec::new());
+    assert_eq!(cache.delta().map(|it| (it.from, it.to)), Some((4, 9)));
+    let later = START + Duration::from_secs(2);
+    cache.store_servers(later, 9, 9, Vec::new());
+    assert_eq!(cache.delta(), Some(delta(9, 9)));
+}
+
+#[test]
+fn delta_omits_whole_list() {
+    let mut cache = Cache::default();
+    cache.store_servers(START, 4, 9, vec![record("a")]);
+    cache.replace_servers(START, 12, vec![record("b")]);
+    assert_eq!(cache.delta(), Some(delta(12, 12)));
+    assert_eq!(cache.snapshot(List::Servers).records, [record("b")]);
+}
+
 #[test]
 fn is_continued_by_rejects_gap() {
     let mut cache = Cache::default();
