Fetch a configuration from peers only if one announces a later one

Change: an entry with a configuration in force fetches another one only from a peer that announces a later one, also between two refused reads. What has to be fetched comes from random peers.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -9,8 +9,8 @@
 use std::time::Duration;
 
 use async_io::Timer;
+use domain::Moment;
 use futures_lite::future;
-use membership::member::Phase;
 use rand::RngExt;
 use route::Table;
 use wire::Delta;
@@ -53,7 +53,7 @@
     let mut wait = Duration::ZERO;
     loop {
         let read = async { Ok(read_list(&node, &*platform, List::Routes, next, wait).await) };
-        let hint = async { Err(later_configuration(&node).await) };
+        let hint = async { Err(later_configuration(&node, HINT_DELAY).await) };
         match future::or(read, hint).await {
             Ok(Ok((_, changes))) => {
                 backoff.succeeded("routes");
@@ -63,15 +63,15 @@
             }
             Ok(Err(Error::Gone)) => next = None,
             Ok(Err(error)) => {
-                fetch_from_peers(&node, List::Routes).await;
-                backoff.wait(&node, "routes", &error).await;
+                if config_version(&node) == 0 {
+                    fetch_from_peers(&node, List::Routes).await;
+                }
+                let retry_at = backoff.failed(&node, "routes", &error);
+                follow_peers_until(&node, retry_at).await;
             }
             Err(peer) => {
-                log::info!(target: "config", peer:% = peer; "a peer has a later configuration");
                 let before = config_version(&node);
-                if let Some(snapshot) = calls::fetch(&node, peer, List::Routes).await {
-                    apply_routes(&node, &into_changes(snapshot));
-                }
+                fetch_configuration(&node, peer).await;
                 if config_version(&node) == before {
                     // The peer did not deliver it. Read from the platform at once.
                     wait = Duration::ZERO;
@@ -81,13 +81,35 @@
     }
 }
 
-/// Completes once a peer has had a later configuration for `HINT_DELAY`, and returns that peer.
-async fn later_configuration(node: &Node) -> SocketAddr {
+/// Fetches the configurations that peers announce until `end`, while the platform does not answer.
+async fn follow_peers_until(node: &Node, end: Moment) {
+    loop {
+        let ended = async {
+            clock::wait_until(end).await;
+            None
+        };
+        let announced = async { Some(later_configuration(node, Duration::ZERO).await) };
+        match future::or(ended, announced).await {
+            Some(peer) => fetch_configuration(node, peer).await,
+            None => return,
+        }
+    }
+}
+
+async fn fetch_configuration(node: &Node, peer: SocketAddr) {
+    log::info!(target: "config", peer:% = peer; "a peer has a later configuration");
+    if let Some(snapshot) = calls::fetch(node, peer, List::Routes).await {
+        apply_routes(node, &into_changes(snapshot));
+    }
+}
+
+/// Completes once a peer has had a later configuration for `delay`, and returns that peer.
+async fn later_configuration(node: &Node, delay: Duration) -> SocketAddr {
     loop {
         let Ok((peer, version)) = node.config_hints.1.recv().await else {
             return future::pending().await;
         };
-        Timer::after(HINT_DELAY).await;
+        Timer::after(delay).await;
         if config_version(node) < version {
             return peer;
         }
@@ -174,17 +196,13 @@
     }
 }
 
-/// Fetches a list that the platform doesn't deliver from peers, one after the other, until one
-/// answers.
+/// Fetches a list that the platform doesn't deliver from random peers, one after the other, until
+/// one answers.
 async fn fetch_from_peers(node: &Node, list: List) {
     let peers: Vec<SocketAddr> = {
         let state = node.state.borrow();
-        let others = state.members.alive().skip(1);
-        others
-            .filter(|it| it.phase != Phase::Starting)
-            .take(MAX_PEERS_TRIED)
-            .map(|it| it.peer_address)
-            .collect()
+        let members = state.members.sample(MAX_PEERS_TRIED, &mut rand::rng());
+        members.iter().map(|it| it.peer_address).collect()
     };
     for peer in peers {
         let Some(snapshot) = calls::fetch(node, peer, list).await else {
@@ -402,6 +420,11 @@
     }
 
     async fn wait(&mut self, node: &Node, list: &'static str, error: &Error) {
+        clock::wait_until(self.failed(node, list, error)).await;
+    }
+
+    /// Records a failed call and returns when to retry.
+    fn failed(&mut self, node: &Node, list: &'static str, error: &Error) -> Moment {
         if self.failures == 0 {
             log::warn!(target: "platform", list = list, error:% = error; "can't read from the platform; the current data stays in force");
         }
@@ -413,6 +436,6 @@
         let delay = (FIRST_RETRY_DELAY * 2_u32.pow(self.failures.min(8))).min(max_delay);
         self.failures += 1;
         let jitter = 0.5 + rand::rng().random::<f64>();
-        Timer::after(delay.mul_f64(jitter)).await;
+        clock::now() + delay.mul_f64(jitter)
     }
 }
--- a/crates/membership/src/members/views.rs
+++ b/crates/membership/src/members/views.rs
@@ -1,6 +1,8 @@
 //! Queries of the members as this entry sees them.
 
 use domain::key::Incarnation;
+use rand::Rng;
+use rand::seq::IteratorRandom;
 
 use super::Members;
 use super::Peer;
@@ -35,6 +37,14 @@
         all.filter(|it| it.phase == Phase::Ready)
     }
 
+    /// Returns up to `count` random other members that have started and are not dead.
+    pub fn sample(&self, count: usize, random: &mut impl Rng) -> Vec<&Member> {
+        let others = self.alive().skip(1);
+        others
+            .filter(|it| it.phase != Phase::Starting)
+            .sample(random, count)
+    }
+
     /// Returns the member with this incarnation if it is not dead.
     pub fn get(&self, incarnation: Incarnation) -> Option<&Member> {
         self.alive().find(|it| it.incarnation == incarnation)
--- a/crates/membership/tests/members.rs
+++ b/crates/membership/tests/members.rs
@@ -118,6 +118,19 @@
     assert!((0..6).all(|viewer| network.ready(viewer).len() == 6));
 }
 
+#[test]
+fn sample_reaches_all_started_members() {
+    let mut network = Network::new(12);
+    network.members[3].set_phase(Phase::Starting);
+    network.run(Duration::from_secs(10));
+    let mut random = StdRng::seed_from_u64(5);
+    let drawn = (0..400).flat_map(|_| network.members[7].sample(1, &mut random));
+    let drawn: BTreeSet<&str> = drawn.map(|it| it.name.as_str()).collect();
+    assert_eq!(drawn.len(), 10, "{drawn:?}");
+    assert!(!drawn.contains("entry-7") && !drawn.contains("entry-3"));
+    assert_eq!(network.members[7].sample(3, &mut random).len(), 3);
+}
+
 #[test]
 fn members_listed_ones_discover_each_other_at_once() {
     for count in [6, 86] {
