Read the list at once when broadcast changes are missing, from a peer if refused

Cause: an entry that has missed the broadcasts of about 2 s can't apply the next ones. It read the list itself only when its turn came, up to 1.45 s after its last update, and not at all if the platform refused it: peers were asked only by an entry without any list. Such an entry went on sending work to servers that leave until the platform took its calls again. Change: a broadcast that starts after the cached position wakes the reading task. If the read fails, the list is fetched from a random peer, and taken only if it is later. An entry that reads for this reason does not broadcast, since others have these changes.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -138,21 +138,31 @@
             state.records.next_read(state.members.rank())
         };
         if clock::now() < due {
-            // Deltas from peers may postpone the next read meanwhile.
-            clock::wait_until(due).await;
+            // Deltas from peers may postpone the next read meanwhile, or require it at once.
+            let gap = async {
+                if node.gaps.1.recv().await.is_err() {
+                    future::pending().await
+                }
+            };
+            future::or(clock::wait_until(due), gap).await;
             continue;
         }
-        let next = node.state.borrow().records.servers_position();
+        let (next, is_behind) = {
+            let state = node.state.borrow();
+            (state.records.servers_position(), state.records.is_behind())
+        };
         match read_list(&node, &*platform, List::Servers, next, Duration::ZERO).await {
             Ok((scope, changes)) => {
                 backoff.succeeded("servers");
                 let from = next.filter(|_| scope == Scope::Changed);
                 apply_servers(&node, Source::Platform, scope, from, &changes);
-                datagrams::broadcast_delta(&node);
+                if !is_behind {
+                    datagrams::broadcast_delta(&node);
+                }
             }
             Err(Error::Gone) => node.state.borrow_mut().records.drop_position(),
             Err(error) => {
-                if next.is_none() {
+                if next.is_none() || is_behind {
                     fetch_from_peers(&node, List::Servers).await;
                 }
                 backoff.wait(&node, "servers", &error).await;
@@ -166,7 +176,7 @@
     let is_continued = node.state.borrow().records.is_continued_by(&delta);
     count_delta(node, is_continued);
     if !is_continued {
-        log_gap(node, peer, &delta);
+        record_ignored(node, peer, &delta);
         return;
     }
     let changes = Changes {
@@ -188,12 +198,17 @@
     node.metrics.deltas.get_or_create(&delta).inc();
 }
 
-/// Logs a delta that starts after the position that this entry has reached.
-fn log_gap(node: &Node, peer: SocketAddr, delta: &Delta) {
-    let position = node.state.borrow().records.servers_position();
-    if position.is_some_and(|it| it < delta.from) {
-        log::info!(target: "server", peer:% = peer, position, from = delta.from, to = delta.to; "changes of the list were ignored, because earlier ones are missing");
+/// Records a delta that could not be applied. If changes before it are missing, the list is read at
+/// once.
+fn record_ignored(node: &Node, peer: SocketAddr, delta: &Delta) {
+    let mut state = node.state.borrow_mut();
+    if !state.records.record_ignored(delta) {
+        return;
     }
+    let position = state.records.servers_position();
+    log::info!(target: "server", peer:% = peer, position, from = delta.from, to = delta.to; "changes of the list were ignored, because earlier ones are missing");
+    // The channel holds one signal. If one is already there, this one is not needed.
+    let _ = node.gaps.0.try_send(());
 }
 
 /// Fetches a list that the platform doesn't deliver from random peers, one after the other, until
@@ -212,6 +227,10 @@
         match list {
             List::Routes => apply_routes(node, &changes),
             List::Servers | List::Entries => {
+                let position = node.state.borrow().records.servers_position();
+                if position.is_some_and(|it| changes.next <= it) {
+                    continue;
+                }
                 apply_servers(node, Source::Peer(peer), Scope::All, None, &changes);
             }
         }
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -56,6 +56,8 @@
     next_number: Cell<u64>,
     /// The channel for announcements of later configurations by peers.
     pub config_hints: (Sender<Hint>, Receiver<Hint>),
+    /// Signals that changes of the list of servers are missing, so that it is read at once.
+    pub gaps: (Sender<()>, Receiver<()>),
     /// Closed when callers' idle connections have to be closed.
     close_sender: Sender<()>,
     close_receiver: Receiver<()>,
@@ -127,6 +129,7 @@
             body_bytes: Cell::new(0),
             next_number: Cell::new(0),
             config_hints: async_channel::bounded(1),
+            gaps: async_channel::bounded(1),
             close_sender,
             close_receiver,
             settings: RefCell::new(Rc::new(settings)),
--- a/crates/gateway/src/records.rs
+++ b/crates/gateway/src/records.rs
@@ -42,6 +42,8 @@
     servers_position: Option<u64>,
     /// When the list of servers was last up to date.
     updated: Option<Moment>,
+    /// Whether another entry has broadcast changes that start after the cached position.
+    is_behind: bool,
     /// The latest changes. Each range continues where the previous one ends.
     recent: VecDeque<Range>,
 }
@@ -68,6 +70,9 @@
 
     /// Returns when an entry of this rank has to read the list of servers itself.
     pub fn next_read(&self, rank: usize) -> Moment {
+        if self.is_behind {
+            return Moment::default();
+        }
         let delay = (RANK_DELAY * rank as u32).min(MAX_DELAY);
         self.updated
             .map_or(Moment::default(), |it| it + READ_INTERVAL + delay)
@@ -77,6 +82,7 @@
     /// to include the cached position.
     pub fn store_servers(&mut self, now: Moment, from: u64, next: u64, changed: Vec<Record>) {
         self.updated = Some(now);
+        self.is_behind = false;
         self.recent.retain(|it| now.since(it.stored) < REPEAT_TIME);
         let position = self.servers_position;
         if position.is_some_and(|it| next <= it) {
@@ -109,6 +115,7 @@
         self.recent.clear();
         self.servers_position = Some(next);
         self.updated = Some(now);
+        self.is_behind = false;
     }
 
     /// Drops the position, since the platform no longer keeps the records there.
@@ -134,6 +141,19 @@
         position.is_some_and(|it| delta.from <= it && it <= delta.to)
     }
 
+    /// Records that a delta could not be applied. Returns whether changes between the cached position
+    /// and its start are missing.
+    pub fn record_ignored(&mut self, delta: &Delta) -> bool {
+        let is_gap = self.servers_position.is_some_and(|it| it < delta.from);
+        self.is_behind |= is_gap;
+        is_gap
+    }
+
+    /// Returns whether another entry is known to have later changes.
+    pub fn is_behind(&self) -> bool {
+        self.is_behind
+    }
+
     /// Returns all cached records of a list.
     pub fn snapshot(&self, list: List) -> Snapshot {
         match list {
--- a/crates/gateway/tests/records.rs
+++ b/crates/gateway/tests/records.rs
@@ -110,6 +110,20 @@
     assert!(!cache.is_continued_by(&delta(5, 9)));
 }
 
+#[test]
+fn next_read_missing_changes_are_read_at_once() {
+    let mut cache = Cache::default();
+    assert!(!cache.record_ignored(&delta(6, 9)));
+    cache.store_servers(START, 0, 5, Vec::new());
+    assert!(!cache.record_ignored(&delta(1, 4)));
+    assert!(cache.next_read(3) > START);
+    assert!(cache.record_ignored(&delta(6, 9)));
+    assert!(cache.is_behind());
+    assert_eq!(cache.next_read(3), Moment::default());
+    cache.store_servers(START, 5, 9, Vec::new());
+    assert!(!cache.is_behind() && cache.next_read(3) > START);
+}
+
 /// The number of entries and of servers in the property test.
 const ENTRIES: usize = 4;
 const SERVERS: usize = 3;
