Apply each record of the list of servers once

Callers would have seen: requests refused or queued although a server is there. After a server was removed and listed again within 2 s, entries that apply broadcasts lost it for up to 30 s. Cause: broadcasts repeat recent changes. Applying the removal again removed the server with its newest sequence number, and the repeated record of its return then counted as older than the removal. Heartbeats write no records, so nothing brought the server back. A read that was under way while a broadcast arrived replayed records in the same way. Ruled out: the order of records within one broadcast, which is that of the log. Change: each record carries its position, also between entries (peer.capnp, regenerated), and records before the cached position are skipped. Entries that don't send the field are treated as before.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -375,6 +375,9 @@
     let mut changed = Vec::new();
     let mut all_servers = Vec::new();
     for record in &changes.records {
+        if state.records.contains(record) {
+            continue;
+        }
         let decoded = record.value.is_some().then(|| node.decoder.server(record));
         let is_changed = match decoded {
             Some(Ok(server)) if scope == Scope::All => {
@@ -395,7 +398,6 @@
                 true
             }
             None => {
-                // Changes are broadcast more than once, so the server may already be removed.
                 if state.servers.remove(now, &record.key) {
                     log::info!(target: "server", server = record.key.as_str(); "a server was removed from the list");
                 }
--- a/crates/gateway/src/records.rs
+++ b/crates/gateway/src/records.rs
@@ -141,6 +141,13 @@
         position.is_some_and(|it| delta.from <= it && it <= delta.to)
     }
 
+    /// Returns whether the cache already reflects a record of the log. Applying it again could undo
+    /// later ones: a server that was removed and listed again would be removed.
+    pub fn contains(&self, record: &Record) -> bool {
+        let position = self.servers_position;
+        record.next != 0 && position.is_some_and(|it| record.next <= it)
+    }
+
     /// Records that a delta could not be applied. Returns whether changes between the cached position
     /// and its start are missing.
     pub fn record_ignored(&mut self, delta: &Delta) -> bool {
@@ -168,6 +175,7 @@
                     .map(|(key, value)| Record {
                         key: key.clone(),
                         value: Some(value.clone()),
+                        next: 0,
                     })
                     .collect(),
                 next: self.servers_position.unwrap_or_default(),
--- a/crates/gateway/tests/records.rs
+++ b/crates/gateway/tests/records.rs
@@ -21,6 +21,7 @@
     Record {
         key: key.to_owned(),
         value: Some(b"{}".to_vec()),
+        next: 0,
     }
 }
 
@@ -124,6 +125,21 @@
     assert!(!cache.is_behind() && cache.next_read(3) > START);
 }
 
+#[test]
+fn contains_records_up_to_the_position() {
+    let mut cache = Cache::default();
+    let at = |next| Record {
+        next,
+        ..record("a")
+    };
+    assert!(!cache.contains(&at(1)));
+    cache.store_servers(START, 0, 5, Vec::new());
+    assert!(cache.contains(&at(5)));
+    assert!(!cache.contains(&at(6)));
+    // The position of this record is unknown.
+    assert!(!cache.contains(&at(0)));
+}
+
 /// The number of entries and of servers in the property test.
 const ENTRIES: usize = 4;
 const SERVERS: usize = 3;
@@ -202,6 +218,7 @@
                 Step::Change(server) => log.push(Record {
                     key: format!("i-{server}"),
                     value: Some(vec![log.len() as u8 + 1]),
+                    next: log.len() as u64 + 1,
                 }),
                 Step::Read(reader, receivers) => {
                     entries[reader].read(&log);
--- a/crates/wire/schema/peer.capnp
+++ b/crates/wire/schema/peer.capnp
@@ -127,6 +127,8 @@
   value @1 :Data;
   # Whether the key was removed.
   isRemoved @2 :Bool;
+  # The position after the record in the platform's log. 0 in a whole list.
+  next @3 :UInt64;
 }
 
 struct Datagram {
--- a/crates/wire/src/listing.rs
+++ b/crates/wire/src/listing.rs
@@ -13,6 +13,9 @@
     pub key: String,
     /// The value; absent if the key was removed.
     pub value: Option<Vec<u8>>,
+    /// The position after the record in the platform's log. It is 0 in a whole list, and in the
+    /// broadcasts of entries that don't know the field.
+    pub next: u64,
 }
 
 /// The changes to the list of servers between two positions. They cover the sender's latest reads,
@@ -51,6 +54,7 @@
         encoded.set_key(&record.key);
         encoded.set_is_removed(record.value.is_none());
         encoded.set_value(record.value.as_deref().unwrap_or_default());
+        encoded.set_next(record.next);
     }
 }
 
@@ -61,6 +65,7 @@
         Ok(Record {
             key: it.get_key()?.to_str()?.to_owned(),
             value: value.transpose()?.map(<[u8]>::to_owned),
+            next: it.get_next(),
         })
     });
     records.collect()
--- a/crates/wire/src/peer_capnp.rs
+++ b/crates/wire/src/peer_capnp.rs
@@ -3010,11 +3010,15 @@
         pub fn get_is_removed(self) -> bool {
             self.reader.get_bool_field(0)
         }
+        #[inline]
+        pub fn get_next(self) -> u64 {
+            self.reader.get_data_field::<u64>(1)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 2 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 2 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -3104,6 +3108,14 @@
         pub fn set_is_removed(&mut self, value: bool)  {
             self.builder.set_bool_field(0, value);
         }
+        #[inline]
+        pub fn get_next(self) -> u64 {
+            self.builder.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn set_next(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(1, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -3115,45 +3127,52 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 63] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 78] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(27, 64, 16, 155, 57, 240, 74, 190),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
             ::capnp::word(70, 40, 94, 123, 201, 161, 243, 208),
             ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 146, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 82, 101, 99, 111, 114),
             ::capnp::word(100, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(69, 0, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(97, 0, 0, 0, 34, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(73, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(101, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(77, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(105, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(113, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(108, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(120, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(107, 101, 121, 0, 0, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -3179,12 +3198,21 @@
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(110, 101, 120, 116, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
                 0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 1 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
                 2 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -3198,9 +3226,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,0,1];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,0,3,1];
         pub(crate) const TYPE_ID: u64 = 0xbe4a_f039_9b10_401b;
     }
 }
--- a/crates/wire/tests/frames.rs
+++ b/crates/wire/tests/frames.rs
@@ -61,17 +61,18 @@
 
 #[test]
 fn delta_round_trip() {
-    let record = |key: &str, value: Option<&[u8]>| Record {
+    let record = |key: &str, value: Option<&[u8]>, next: u64| Record {
         key: key.to_owned(),
         value: value.map(<[u8]>::to_owned),
+        next,
     };
     check_round_trip(Frame::Delta(Delta {
         from: 3,
         to: 9,
         records: vec![
-            record("a", Some(b"{}")),
-            record("b", None),
-            record("c", Some(b"")),
+            record("a", Some(b"{}"), 4),
+            record("b", None, 9),
+            record("c", Some(b""), 0),
         ],
     }));
 }
