--- a/crates/gateway/src/records.rs
+++ b/crates/gateway/src/records.rs
@@ -1,9 +1,9 @@
 //! A cache of the records of the platform's lists, which entries share with each other.
 //!
 //! Each entry that reads costs the platform a call, and the platform may refuse calls of single
-//! entries. So one entry reads the list of servers and broadcasts the changes and the position that
-//! they reach. An entry that receives no broadcast, or misses a range, reads the list itself. An
-//! entry that can't reach the platform fetches the cached records of a peer.
+//! entries. So one entry reads the list of servers and broadcasts the changes, with the positions
+//! between which they are complete. An entry that receives no broadcast, or misses a range, reads the
+//! list itself. An entry that can't reach the platform fetches the cached records of a peer.
 
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
@@ -44,7 +44,8 @@
     updated: Option<Moment>,
     /// Whether another entry has broadcast changes that start after the cached position.
     is_behind: bool,
-    /// The latest changes. Each range continues where the previous one ends.
+    /// The latest changes. Each range starts where the previous one ends, and the last one ends at
+    /// the cached position.
     recent: VecDeque<Range>,
 }
 
@@ -68,7 +69,8 @@
         self.routes_position = next;
     }
 
-    /// Returns when an entry of this rank has to read the list of servers itself.
+    /// Returns when an entry of this rank has to read the list of servers itself: at once if changes
+    /// are known to be missing.
     pub fn next_read(&self, rank: usize) -> Moment {
         if self.is_behind {
             return Moment::default();
