--- a/crates/routing/tests/health.rs
+++ b/crates/routing/tests/health.rs
@@ -22,15 +22,24 @@
     health
 }
 
-#[test]
-fn on_unreachable_ends_trial() {
+/// Ends a trial at 600 ms by `fail`, and checks that the next one comes after twice the time.
+fn check_failed_trial(fail: impl Fn(&mut Health, Moment)) {
     let mut health = on_trial();
-    health.on_unreachable(at(600));
-    // The time doubles, as after other failed trials.
+    fail(&mut health, at(600));
     assert!(!health.is_usable(at(1_599)));
     assert!(health.is_usable(at(1_600)));
 }
 
+#[test]
+fn on_unreachable_ends_trial() {
+    check_failed_trial(Health::on_unreachable);
+}
+
+#[test]
+fn on_failure_ends_trial() {
+    check_failed_trial(Health::on_failure);
+}
+
 #[test]
 fn on_unreachable_while_open_changes_nothing() {
     let mut health = Health::default();
@@ -39,14 +48,6 @@
     assert!(health.is_usable(at(500)));
 }
 
-#[test]
-fn on_failure_ends_trial() {
-    let mut health = on_trial();
-    health.on_failure(at(600));
-    assert!(!health.is_usable(at(1_599)));
-    assert!(health.is_usable(at(1_600)));
-}
-
 #[test]
 fn on_success_ends_trial() {
     let mut health = on_trial();
