--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -20,6 +20,7 @@
 use crate::dial;
 use crate::dial::Reuse;
 use crate::events::Splitter;
+use crate::exchange::Ending;
 use crate::exchange::Exchange;
 use crate::port::Forwarding;
 use crate::port::Verdict;
@@ -101,6 +102,7 @@
         }
     };
     exchange.attempts += 1;
+    exchange.ending = Ending::default();
     let sent_at = clock::now();
     if let Some(server_state) = node.state.borrow_mut().servers.get_mut(target.server.key()) {
         server_state.health.on_dispatch(sent_at);
@@ -194,6 +196,7 @@
     let response = stream
         .read_response(&head.method, RESPONSE_HEAD_LIMIT)
         .await?;
+    exchange.ending.framing = Some(response.framing);
     let expected_id = exchange.metadata.id.as_deref();
     if let Some(id) = node.protocol.response_id(&response)
         && expected_id.is_some_and(|it| it != id)
@@ -242,6 +245,7 @@
 ) -> Result<Completion, Error> {
     let mut decoder = Decoder::new(response.framing);
     let reuse = Reuse::of(&response);
+    let framing = response.framing;
     let mut response = Some(response);
     let mut splitter = Splitter::after(exchange.last_event);
     let mut has_started = false;
@@ -251,7 +255,10 @@
         let has_more = stream.read_body(&mut decoder, &mut bytes).await?;
         let mut ready = splitter.push(&bytes);
         if !has_more {
-            ready.extend(splitter.finish());
+            let partial_event = splitter.finish();
+            exchange.ending.partial_event_bytes = partial_event.len();
+            node.metrics.record_stream_end(framing, partial_event.len());
+            ready.extend(partial_event);
         }
         if !ready.is_empty() && !has_started {
             has_started = true;
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -5,6 +5,7 @@
 
 use domain::Moment;
 use domain::digest;
+use h1::Framing;
 use h1::Request;
 use placement::plain;
 use placement::plan;
@@ -57,12 +58,23 @@
     pub server: String,
     /// When events of its stream arrived.
     pub timing: Timing,
+    /// How the answer of the current or the last attempt was delimited, for logs.
+    pub ending: Ending,
     /// Whether a server may have run the request.
     pub may_have_run: bool,
     /// A hash that is the same when the caller sends the same work again.
     pub fingerprint: u64,
 }
 
+/// How a server's answer is delimited, and what was left at its end.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Ending {
+    /// How the body is delimited; `None` before the head of the answer.
+    pub framing: Option<Framing>,
+    /// The number of bytes after the last complete event of a stream that ended.
+    pub partial_event_bytes: usize,
+}
+
 /// When the events of a stream arrived.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Timing {
@@ -121,6 +133,7 @@
         attempts: 0,
         server: String::new(),
         timing: Timing::default(),
+        ending: Ending::default(),
         may_have_run: false,
         request,
         body,
@@ -268,6 +281,9 @@
             first_event_ms = self.timing.first.map_or(0, |it| it.since(self.arrived).as_millis() as u64),
             longest_pause_ms = self.timing.longest_pause.as_millis() as u64,
             elapsed_ms = clock::now().since(self.arrived).as_millis() as u64,
+            framing = self.ending.framing.map_or("-", Framing::name),
+            partial_event_bytes = self.ending.partial_event_bytes,
+            last_event = self.last_event.unwrap_or_default(),
             outcome;
             "attempt ended"
         );
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use h1::Framing;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text;
 use prometheus_client::metrics::counter::Counter;
@@ -32,6 +33,15 @@
     pub route: String,
 }
 
+/// The labels of servers' streams that ended.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct StreamLabels {
+    /// How the body was delimited.
+    pub framing: &'static str,
+    /// `event` if the stream ended after a complete event, otherwise `partial_event`.
+    pub end: &'static str,
+}
+
 /// The labels of calls to the platform.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct CallLabels {
@@ -65,6 +75,8 @@
     pub requests: Family<RequestLabels, Counter>,
     /// Time to the first event of a stream, or to its end if it has no events.
     pub first_token: DurationHistograms,
+    /// Streams of servers that ended without an error of the connection.
+    pub streams: Family<StreamLabels, Counter>,
     /// Retries sent after the first attempt.
     pub retries: Counter,
     /// Retries that the retry budget did not permit.
@@ -95,6 +107,7 @@
             registry: Registry::with_prefix("coriander"),
             requests: Family::default(),
             first_token: Family::new_with_constructor(duration_histogram),
+            streams: Family::default(),
             retries: Counter::default(),
             retries_denied: Counter::default(),
             running: Gauge::default(),
@@ -140,6 +153,19 @@
         histogram.observe(after.as_secs_f64());
     }
 
+    /// Counts a stream of a server that ended with this number of bytes after its last event.
+    pub fn record_stream_end(&self, framing: Framing, partial_event_bytes: usize) {
+        let end = match partial_event_bytes {
+            0 => "event",
+            _ => "partial_event",
+        };
+        let labels = StreamLabels {
+            framing: framing.name(),
+            end,
+        };
+        self.streams.get_or_create(&labels).inc();
+    }
+
     fn register(&mut self) {
         let registry = &mut self.registry;
         registry.register("requests", "Requests that ended", self.requests.clone());
@@ -148,6 +174,11 @@
             "Time to the first event or the whole answer",
             self.first_token.clone(),
         );
+        registry.register(
+            "streams",
+            "Streams of servers that ended",
+            self.streams.clone(),
+        );
         registry.register("retries", "Attempts after the first", self.retries.clone());
         registry.register(
             "retries_denied",
--- a/crates/h1/src/body.rs
+++ b/crates/h1/src/body.rs
@@ -17,6 +17,16 @@
 }
 
 impl Framing {
+    /// Returns the name used in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Empty => "empty",
+            Self::Length(_) => "length",
+            Self::Chunked => "chunked",
+            Self::UntilClose => "until_close",
+        }
+    }
+
     /// Returns the framing of a request. Framing that two parsers could interpret differently is an
     /// error.
     pub fn of_request(headers: &Headers) -> Result<Self, Error> {
