Take a stream that ends within an event for broken off

Cause: a stream without length and chunks ends with its connection, and the relay took the orderly end of the connection for the end of the answer. It passed the part of an event that was left on and wrote the last chunk. The same held for a chunked stream whose last chunk follows a part of an event, and for one that ends with its connection before its first event. Change: the splitter says whether the stream is complete; otherwise the attempt counts as broken, so that the stream is resumed at another engine after its last whole event, or the caller's answer ends without its last chunk. finish_returns_incomplete_event stated the fault; finish_within_event_is_truncated replaces it for each framing. A resumed stream may have no further events.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -253,12 +253,12 @@
     loop {
         bytes.clear();
         let has_more = stream.read_body(&mut decoder, &mut bytes).await?;
-        let mut ready = splitter.push(&bytes);
-        if !has_more {
-            let partial_event = splitter.finish();
-            exchange.ending.partial_event_bytes = partial_event.len();
-            node.metrics.record_stream_end(framing, partial_event.len());
-            ready.extend(partial_event);
+        let ready = splitter.push(&bytes);
+        let end = (!has_more).then(|| splitter.finish(framing));
+        if end.is_some() {
+            exchange.ending.partial_event_bytes = splitter.partial_event_len();
+            node.metrics
+                .record_stream_end(framing, splitter.partial_event_len());
         }
         if !ready.is_empty() && !has_started {
             has_started = true;
@@ -269,9 +269,10 @@
             exchange.timing.record(now);
             registration.progressed(now, exchange.service.engine.as_ref());
         }
+        let is_complete = matches!(end, Some(Ok(())));
         let is_first = answer.state() == State::NotBegun;
         let sent = match response.take().filter(|_| is_first) {
-            Some(response) if !ready.is_empty() || !has_more => {
+            Some(response) if !ready.is_empty() || is_complete => {
                 let elapsed = clock::now().since(exchange.arrived);
                 node.metrics
                     .record_first_event(&exchange.route.name, elapsed);
@@ -287,7 +288,7 @@
         registration.passed_on();
         exchange.last_event = splitter.last_id();
         let ended = match sent {
-            Ok(()) if !has_more => answer.end_stream(b"").await,
+            Ok(()) if is_complete => answer.end_stream(b"").await,
             sent => sent,
         };
         if ended.is_err() {
@@ -296,6 +297,7 @@
                 reuse: None,
             });
         }
+        end.transpose()?;
         if !has_more {
             return Ok(Completion {
                 outcome: Outcome::Delivered,
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -1,11 +1,16 @@
 //! Splits a stream of server-sent events, so that only whole events are passed on.
 
+use h1::Error;
+use h1::Framing;
+
 /// Splits the bytes of a stream into whole events.
 #[derive(Clone, Debug, Default)]
 pub struct Splitter {
     pending: Vec<u8>,
     /// The id of the last event that was passed on.
     last_id: Option<u64>,
+    /// Whether the caller has any event of the stream, also from an earlier attempt.
+    has_events: bool,
 }
 
 impl Splitter {
@@ -15,6 +20,7 @@
         Self {
             pending: Vec::new(),
             last_id,
+            has_events: last_id.is_some(),
         }
     }
 
@@ -31,6 +37,7 @@
         while let Some(length) = event_length(&self.pending[start..]) {
             let event = &self.pending[start..start + length];
             start += length;
+            self.has_events = true;
             match event_id(event) {
                 Some(id) if self.last_id.is_some_and(|it| id <= it) => {}
                 id => {
@@ -43,9 +50,19 @@
         out
     }
 
-    /// Returns the remaining bytes after the stream has ended normally.
-    pub fn finish(&mut self) -> Vec<u8> {
-        std::mem::take(&mut self.pending)
+    /// Returns the number of bytes after the last whole event.
+    pub fn partial_event_len(&self) -> usize {
+        self.pending.len()
+    }
+
+    /// Checks that the stream is complete at the end of its body. The end of a connection shows
+    /// only that the server sends no more, so a stream that ends with it needs at least one event.
+    pub fn finish(&self, framing: Framing) -> Result<(), Error> {
+        let is_empty = framing == Framing::UntilClose && !self.has_events;
+        if is_empty || !self.pending.is_empty() {
+            return Err(Error::Truncated);
+        }
+        Ok(())
     }
 }
 
--- a/crates/gateway/tests/events.rs
+++ b/crates/gateway/tests/events.rs
@@ -1,6 +1,7 @@
 //! Tests that only whole events are passed on, each of them once.
 
 use gateway::events::Splitter;
+use h1::Framing;
 use proptest::prelude::*;
 
 fn event(id: u64) -> String {
@@ -35,11 +36,33 @@
     assert_eq!(push_pieces(None, text, 3), (text.to_owned(), Some(1)));
 }
 
-#[test]
-fn finish_returns_incomplete_event() {
+/// Checks whether a stream that ends after `text` is complete.
+fn check_finish(text: &str, framing: Framing, is_complete: bool) {
     let mut splitter = Splitter::after(None);
-    assert!(splitter.push(b"id: 1\ndata: a").is_empty());
-    assert_eq!(splitter.finish(), b"id: 1\ndata: a");
+    splitter.push(text.as_bytes());
+    assert_eq!(splitter.finish(framing).is_ok(), is_complete, "{text:?}");
+}
+
+#[test]
+fn finish_within_event_is_truncated() {
+    for framing in [Framing::Chunked, Framing::Length(20), Framing::UntilClose] {
+        check_finish("id: 1\ndata: a", framing, false);
+        check_finish("id: 1\ndata: a\n", framing, false);
+        check_finish("id: 1\ndata: a\n\ni", framing, false);
+        check_finish("id: 1\ndata: a\n\n", framing, true);
+    }
+}
+
+#[test]
+fn finish_without_events_is_truncated_at_close() {
+    check_finish("", Framing::UntilClose, false);
+    check_finish("", Framing::Chunked, true);
+    check_finish("data: no id\n\n", Framing::UntilClose, true);
+}
+
+#[test]
+fn finish_resumed_stream_without_events_is_complete() {
+    assert!(Splitter::after(Some(6)).finish(Framing::UntilClose).is_ok());
 }
 
 proptest! {
