Read answers with h1 in the client of coriander-entry

The client that coriander-entry uses for engines, plain services and the platform's log returned an answer without length and chunks as a complete empty one, an answer over 64 MiB as a complete one of 64 MiB, and a chunked answer without the end of its last chunk as complete; a caller of a plain service got these as whole answers. Cause: async-h1 reads no body that ends with its connection, and does not say how a body ends. Change: the client reads with crates/h1, as coriander-node does; one reader of answers is left. async-h1 still serves callers. A body over the limit is an error. Tests: crates/web/tests/client.rs.

--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -1,4 +1,7 @@
 //! HTTP client with timeouts and a connection pool.
+//!
+//! It reads answers with `h1`, which knows how each body ends. `async-h1` drops a body that ends with
+//! its connection.
 
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -6,23 +9,26 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use futures_lite::AsyncBufReadExt;
-use futures_lite::AsyncReadExt;
-use http_types::Body;
+use h1::Framing;
+use h1::Request;
+use h1::Response;
+use h1::Stream;
+use h1::body::Decoder;
 use http_types::Method;
-use http_types::Request;
-use http_types::Response;
 use http_types::Url;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
-use crate::stream::Stream;
 use crate::stream::within;
 
 /// The maximum number of idle connections in the pool for each address.
 const IDLE_LIMIT: usize = 32;
+/// The maximum length of a response head, in bytes.
+const HEAD_LIMIT: usize = 64 * 1024;
 /// The maximum length of a response body that is read completely, in bytes.
-const ANSWER_LIMIT: u64 = 64 * 1024 * 1024;
+const BODY_LIMIT: usize = 64 * 1024 * 1024;
+/// The time after which a connection fails if the server acknowledges nothing.
+const ACK_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// An HTTP client with a connection pool.
 #[derive(Clone, Debug, Default)]
@@ -125,20 +131,28 @@
         self
     }
 
-    fn to_request(&self) -> Result<Request, Error> {
+    /// Returns the bytes of the request.
+    fn encode(&self) -> Result<Vec<u8>, Error> {
         let url = Url::parse(&format!("http://{}{}", self.address, self.path));
         let url = url.map_err(|error| Error::Unreachable {
             address: self.address,
             reason: format!("invalid path `{}`: {error}", self.path),
         })?;
-        let mut request = Request::new(self.method, url);
+        let target = match url.query() {
+            Some(query) => format!("{}?{query}", url.path()),
+            None => url.path().to_owned(),
+        };
+        let mut request = Request::new(self.method.as_ref(), &target);
+        request.headers.push("Host", self.address.to_string());
         for (name, value) in &self.headers {
-            request.insert_header(name.as_str(), value.as_str());
+            request.headers.set(name, value);
         }
         if self.method != Method::Get {
-            request.set_body(Body::from_bytes(self.body.clone()));
+            request.framing = Framing::Length(self.body.len() as u64);
         }
-        Ok(request)
+        let mut bytes = request.encode();
+        bytes.extend_from_slice(&self.body);
+        Ok(bytes)
     }
 }
 
@@ -157,7 +171,7 @@
     pub async fn send_unpooled(&self, call: &Call, timeout: Duration) -> Result<Answer, Error> {
         let address = call.address;
         let unreachable = |reason| Error::Unreachable { address, reason };
-        let stream = within(timeout, Stream::connect(address)).await;
+        let stream = within(timeout, Stream::connect(address, ACK_TIMEOUT)).await;
         let stream = stream.ok_or_else(|| unreachable(format!("not within {timeout:?}")))?;
         let stream = stream.map_err(|error| unreachable(error.to_string()))?;
         self.exchange(stream, call, timeout).await
@@ -190,22 +204,27 @@
 
     async fn exchange(
         &self,
-        stream: Stream,
+        mut stream: Stream,
         call: &Call,
         timeout: Duration,
     ) -> Result<Answer, Error> {
         let address = call.address;
         let unanswered = |reason| Error::Unanswered { address, reason };
-        let request = call.to_request()?;
-        let response = within(timeout, async_h1::connect(stream.clone(), request)).await;
+        let request = call.encode()?;
+        let exchange = async {
+            stream.writer().write(&request).await?;
+            stream.read_response(call.method.as_ref(), HEAD_LIMIT).await
+        };
+        let response = within(timeout, exchange).await;
         let response = response.ok_or_else(|| unanswered(format!("not within {timeout:?}")))?;
         let response = response.map_err(|error| unanswered(error.to_string()))?;
         Ok(Answer {
+            decoder: Decoder::new(response.framing),
             response,
-            stream,
+            stream: Some(stream),
+            buffer: Vec::new(),
             address,
             client: self.clone(),
-            is_done: false,
         })
     }
 
@@ -213,7 +232,7 @@
         let mut idle = self.idle.borrow_mut();
         let streams = idle.get_mut(&address)?;
         while let Some(stream) = streams.pop() {
-            if stream.is_idle() {
+            if stream.is_quiet() {
                 return Some(stream);
             }
         }
@@ -233,68 +252,93 @@
 #[derive(Debug)]
 pub struct Answer {
     response: Response,
-    stream: Stream,
+    decoder: Decoder,
+    /// The connection; returned to the pool once the body was read.
+    stream: Option<Stream>,
+    /// Bytes of the body after the last line that was returned.
+    buffer: Vec<u8>,
     address: SocketAddr,
     client: Client,
-    is_done: bool,
 }
 
 impl Answer {
     /// Returns the status code.
     pub fn status(&self) -> u16 {
-        self.response.status().into()
+        self.response.status
     }
 
     /// Returns whether the status code is a success.
     pub fn is_success(&self) -> bool {
-        self.response.status().is_success()
+        (200..300).contains(&self.response.status)
     }
 
-    /// Returns the last value of a header.
+    /// Returns the first value of a header.
     pub fn header(&self, name: &str) -> Option<&str> {
-        self.response
-            .header(name)
-            .map(|values| values.last().as_str())
+        self.response.headers.text(name)
     }
 
     /// Reads the next line of the body, without its line ending. Returns `None` after the last line.
     pub async fn line(&mut self) -> Result<Option<String>, Error> {
-        let mut line = String::new();
-        let read = self.response.read_line(&mut line).await;
-        if read.map_err(|error| self.unanswered(error.to_string()))? == 0 {
-            self.finish();
-            return Ok(None);
+        let mut searched = 0;
+        let mut has_more = true;
+        loop {
+            let found = self.buffer[searched..].iter().position(|it| *it == b'\n');
+            if let Some(length) = found {
+                let line = self.buffer.drain(..=searched + length).collect();
+                return self.decode_line(line).map(Some);
+            }
+            if !has_more {
+                let rest = std::mem::take(&mut self.buffer);
+                let is_line = !rest.is_empty();
+                return is_line.then(|| self.decode_line(rest)).transpose();
+            }
+            searched = self.buffer.len();
+            has_more = self.read().await?;
         }
-        line.truncate(line.trim_end_matches(['\r', '\n']).len());
-        Ok(Some(line))
     }
 
     /// Reads the complete body.
     pub async fn bytes(&mut self) -> Result<Vec<u8>, Error> {
-        let mut body = Vec::new();
-        let declared_length = self.response.len();
-        let reader = self.response.take_body();
-        let read = reader.take(ANSWER_LIMIT).read_to_end(&mut body).await;
-        read.map_err(|error| self.unanswered(error.to_string()))?;
-        if declared_length.is_some_and(|length| length != body.len()) {
-            return Err(self.unanswered("the body is truncated".to_owned()));
+        while self.read().await? {
+            if self.buffer.len() > BODY_LIMIT {
+                return Err(self.unanswered(h1::Error::BodyTooLong(BODY_LIMIT)));
+            }
+        }
+        Ok(std::mem::take(&mut self.buffer))
+    }
+
+    /// Reads more of the body into the buffer. Returns whether the body continues.
+    async fn read(&mut self) -> Result<bool, Error> {
+        let Some(stream) = &mut self.stream else {
+            return Ok(false);
+        };
+        let read = stream.read_body(&mut self.decoder, &mut self.buffer).await;
+        let has_more = read.map_err(|error| self.unanswered(error))?;
+        if !has_more {
+            self.finish();
+        }
+        Ok(has_more)
+    }
+
+    fn decode_line(&self, mut bytes: Vec<u8>) -> Result<String, Error> {
+        while let Some(b'\r' | b'\n') = bytes.last() {
+            bytes.pop();
         }
-        self.finish();
-        Ok(body)
+        String::from_utf8(bytes).map_err(|error| self.unanswered(error))
     }
 
-    fn unanswered(&self, reason: String) -> Error {
+    fn unanswered(&self, reason: impl ToString) -> Error {
         Error::Unanswered {
             address: self.address,
-            reason,
+            reason: reason.to_string(),
         }
     }
 
+    /// Returns the connection to the pool if it can carry another request.
     fn finish(&mut self) {
-        let closes_connection = self.header("Connection").is_some_and(|it| it == "close");
-        if !self.is_done && !closes_connection {
-            self.client.return_idle(self.address, self.stream.clone());
+        let stream = self.stream.take();
+        if let Some(stream) = stream.filter(|_| self.response.is_persistent) {
+            self.client.return_idle(self.address, stream);
         }
-        self.is_done = true;
     }
 }
--- /dev/null
+++ b/crates/web/tests/client.rs
@@ -0,0 +1,141 @@
+//! Answers of backend servers reach the caller of the client whole, or as errors.
+
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::thread;
+use std::time::Duration;
+
+use async_io::block_on;
+use socket2::SockRef;
+use web::client::Answer;
+use web::client::Call;
+use web::client::Client;
+use web::client::Error;
+
+const TIMEOUT: Duration = Duration::from_secs(20);
+
+/// How a server ends a connection after its answer.
+#[derive(Clone, Copy)]
+enum End {
+    Close,
+    Reset,
+}
+
+/// Starts a server that reads one request, answers with `bytes` and ends the connection.
+fn serve(bytes: impl Into<Vec<u8>>, end: End) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    let bytes = bytes.into();
+    thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a connection");
+        read_request(&mut stream);
+        let _ = stream.write_all(&bytes);
+        if matches!(end, End::Reset) {
+            // The bytes have to arrive before the reset, which discards what is still to be sent.
+            thread::sleep(Duration::from_millis(50));
+            let _ = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+        }
+    });
+    address
+}
+
+fn read_request(stream: &mut TcpStream) {
+    let mut bytes = Vec::new();
+    while !bytes.ends_with(b"\r\n\r\n") {
+        let mut byte = [0];
+        stream.read_exact(&mut byte).expect("a request head");
+        bytes.push(byte[0]);
+    }
+}
+
+async fn send(address: SocketAddr) -> Result<Answer, Error> {
+    let client = Client::default();
+    client.send(&Call::get(address, "/"), TIMEOUT).await
+}
+
+fn read_body(bytes: &str, end: End) -> Result<String, Error> {
+    let address = serve(bytes, end);
+    block_on(async {
+        let body = send(address).await?.bytes().await?;
+        Ok(String::from_utf8_lossy(&body).into_owned())
+    })
+}
+
+/// Checks the body of an answer; `None` if it is incomplete.
+fn check(bytes: &str, end: End, expected: Option<&str>) {
+    let body = read_body(bytes, end);
+    assert_eq!(body.as_deref().ok(), expected, "{bytes:?}: {body:?}");
+}
+
+#[test]
+fn body_with_length_is_whole_or_error() {
+    let head = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n";
+    check(&format!("{head}whole"), End::Close, Some("whole"));
+    check(&format!("{head}who"), End::Close, None);
+}
+
+#[test]
+fn body_in_chunks_is_whole_or_error() {
+    let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    check(
+        &format!("{head}5\r\nwhole\r\n0\r\n\r\n"),
+        End::Close,
+        Some("whole"),
+    );
+    check(&format!("{head}5\r\nwhole\r\n0\r\n"), End::Close, None);
+    check(&format!("{head}5\r\nwhole\r\n"), End::Close, None);
+    check(&format!("{head}5\r\nwho"), End::Close, None);
+}
+
+#[test]
+fn body_until_close_is_whole_or_error() {
+    let head = "HTTP/1.1 200 OK\r\n\r\n";
+    check(&format!("{head}whole"), End::Close, Some("whole"));
+    check(&format!("{head}who"), End::Reset, None);
+}
+
+#[test]
+fn body_longer_than_limit_is_error() {
+    let address = serve(
+        [
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4100000\r\n".to_vec(),
+            vec![b'a'; 0x410_0000],
+            b"\r\n0\r\n\r\n".to_vec(),
+        ]
+        .concat(),
+        End::Close,
+    );
+    let read = block_on(async { send(address).await?.bytes().await });
+    assert!(read.is_err(), "{:?} bytes", read.map(|it| it.len()));
+}
+
+/// Checks the lines of a body, which may arrive in one piece.
+fn check_lines(bytes: &str, expected: &[&str]) {
+    let address = serve(bytes, End::Close);
+    let lines = block_on(async {
+        let mut answer = send(address).await?;
+        let mut lines = Vec::new();
+        while let Some(line) = answer.line().await? {
+            lines.push(line);
+        }
+        Ok::<_, Error>(lines)
+    });
+    assert_eq!(lines.expect("whole lines"), expected);
+}
+
+#[test]
+fn lines_until_close_are_read() {
+    check_lines(
+        "HTTP/1.1 200 OK\r\n\r\none\ntwo\r\nrest",
+        &["one", "two", "rest"],
+    );
+}
+
+#[test]
+fn lines_with_length_are_read() {
+    let head = "HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\n";
+    check_lines(&format!("{head}one\ntwo\n"), &["one", "two"]);
+}
