--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -1,4 +1,5 @@
-//! HTTP/1.1 server and client for all parts of the project, single-threaded and based on `async-h1`.
+//! HTTP/1.1 server, based on `async-h1`, and client, based on `h1`, for all parts of the project.
+//! Both run on one thread.
 //!
 //! This crate adds to the library: limits on the size and the time of requests, a descriptive
 //! response to malformed requests, detection of callers that disconnect, streamed bodies, and a
