Log the pauses that servers ask for, and requests sent in them

The adapter now reads Retry-After of a 503 response, and the entry logs it with the server, and each request that is sent to a server in its pause with the time since its placement.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -22,6 +22,7 @@
 use crate::events::Splitter;
 use crate::exchange::Ending;
 use crate::exchange::Exchange;
+use crate::notice;
 use crate::port::Forwarding;
 use crate::port::Verdict;
 use crate::registration::Registration;
@@ -106,6 +107,18 @@
     let sent_at = clock::now();
     if let Some(server_state) = node.state.borrow_mut().servers.get_mut(target.server.key()) {
         server_state.health.on_dispatch(sent_at);
+        let pause_left = server_state.pause_left(sent_at);
+        if !pause_left.is_zero() {
+            node.metrics.sent_in_pause.inc();
+            log::info!(
+                target: "server",
+                request = exchange.metadata.id.as_deref().unwrap_or("-"),
+                server = target.server.id.as_str(),
+                pause_left_ms = pause_left.as_millis() as u64,
+                placed_ms_ago = sent_at.since(now).as_millis() as u64;
+                "request sent to a server during the pause that it asked for"
+            );
+        }
     }
     let head = node.protocol.forward(
         &exchange.request,
@@ -123,7 +136,15 @@
         registration.sent(sent_at, exchange.service.engine.as_ref());
     }
     let watchdog = Watchdog::of(exchange, target);
-    let response = send_and_receive(node, exchange, &mut stream, head, answer, &registration);
+    let response = send_and_receive(
+        node,
+        exchange,
+        &mut stream,
+        head,
+        answer,
+        &registration,
+        &target.server,
+    );
     let stalled = async {
         watchdog.expired(node, &registration.progress).await;
         registration.overdue(clock::now());
@@ -181,6 +202,7 @@
     mut head: h1::Request,
     answer: &mut Answer,
     registration: &Registration<'_>,
+    server: &Server,
 ) -> Result<Completion, Error> {
     if !exchange.body.is_empty() || exchange.request.framing != Framing::Empty {
         head.framing = Framing::Length(exchange.body.len() as u64);
@@ -197,6 +219,7 @@
         .read_response(&head.method, RESPONSE_HEAD_LIMIT)
         .await?;
     exchange.ending.framing = Some(response.framing);
+    notice::record(node, server, &response);
     let expected_id = exchange.metadata.id.as_deref();
     if let Some(id) = node.protocol.response_id(&response)
         && expected_id.is_some_and(|it| it != id)
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod logs;
 pub mod metrics;
 pub mod node;
+pub mod notice;
 pub mod peers;
 pub mod port;
 pub mod records;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -77,6 +77,10 @@
     pub first_token: DurationHistograms,
     /// Streams of servers that ended without an error of the connection.
     pub streams: Family<StreamLabels, Counter>,
+    /// Responses by which a server asked for a pause.
+    pub pauses: Counter,
+    /// Requests sent to a server during a pause that it had asked for.
+    pub sent_in_pause: Counter,
     /// Retries sent after the first attempt.
     pub retries: Counter,
     /// Retries that the retry budget did not permit.
@@ -108,6 +112,8 @@
             requests: Family::default(),
             first_token: Family::new_with_constructor(duration_histogram),
             streams: Family::default(),
+            pauses: Counter::default(),
+            sent_in_pause: Counter::default(),
             retries: Counter::default(),
             retries_denied: Counter::default(),
             running: Gauge::default(),
@@ -179,6 +185,16 @@
             "Streams of servers that ended",
             self.streams.clone(),
         );
+        registry.register(
+            "pauses",
+            "Responses by which a server asked for a pause",
+            self.pauses.clone(),
+        );
+        registry.register(
+            "sent_in_pause",
+            "Requests sent to a server that had asked for a pause",
+            self.sent_in_pause.clone(),
+        );
         registry.register("retries", "Attempts after the first", self.retries.clone());
         registry.register(
             "retries_denied",
--- a/crates/gateway/src/port.rs
+++ b/crates/gateway/src/port.rs
@@ -118,6 +118,9 @@
     /// Reads from a backend server's response whether it ran the request.
     fn verdict(&self, response: &Response) -> Verdict;
 
+    /// Reads from a backend server's response what it says about further work.
+    fn notice(&self, response: &Response) -> Notice;
+
     /// Returns the request id in a backend server's response, if there is one.
     fn response_id<'a>(&self, response: &'a Response) -> Option<&'a str>;
 
@@ -214,6 +217,13 @@
     pub reservation_id: Option<String>,
 }
 
+/// What a backend server's response says about further work.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Notice {
+    /// The time for which the server takes no work from this entry.
+    pub pause: Option<Duration>,
+}
+
 /// Whether the request ran, according to a server's response.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Verdict {
--- a/crates/gateway/src/reserve.rs
+++ b/crates/gateway/src/reserve.rs
@@ -19,6 +19,7 @@
 use crate::Node;
 use crate::dial;
 use crate::dial::Reuse;
+use crate::notice;
 use crate::port::Command;
 use crate::port::Reservation;
 use crate::target::Target;
@@ -150,6 +151,7 @@
     let mut stream = dial::connect(node, server).await?;
     stream.writer().write(&bytes).await?;
     let response = stream.read_response(&head.method, RESPONSE_LIMIT).await?;
+    notice::record(node, server, &response);
     let mut decoder = Decoder::new(response.framing);
     stream.read_whole_body(&mut decoder, RESPONSE_LIMIT).await?;
     dial::keep(node, server, stream, Reuse::of(&response));
--- a/crates/placement/src/servers.rs
+++ b/crates/placement/src/servers.rs
@@ -21,6 +21,8 @@
 /// The time for which a server gets no work after it announced that it leaves, or after another
 /// server answered at its address, if the list does not change.
 const EXCLUSION_TIME: Duration = Duration::from_secs(10);
+/// The longest pause of a server. A malformed value must not exclude it for good.
+const LONGEST_PAUSE: Duration = Duration::from_secs(3_600);
 
 /// A backend server as the platform lists it.
 #[derive(Clone, Debug, PartialEq)]
@@ -90,6 +92,8 @@
     is_lapsed: bool,
     /// When it was last excluded from new work.
     excluded_at: Option<Moment>,
+    /// The end of the pause that it asked this entry for.
+    paused_until: Option<Moment>,
 }
 
 impl Servers {
@@ -227,6 +231,7 @@
             last_activity: None,
             is_lapsed: false,
             excluded_at: None,
+            paused_until: None,
         }
     }
 
@@ -258,6 +263,17 @@
         (now.since(at) < lifetime).then_some(latency)
     }
 
+    /// Records that the server asked for a pause of this length.
+    pub fn pause(&mut self, now: Moment, length: Duration) {
+        let until = now + length.min(LONGEST_PAUSE);
+        self.paused_until = self.paused_until.max(Some(until));
+    }
+
+    /// Returns the time left of the pause that the server asked for; zero if it asked for none.
+    pub fn pause_left(&self, now: Moment) -> Duration {
+        self.paused_until.map_or(Duration::ZERO, |it| now.until(it))
+    }
+
     fn is_excluded(&self, now: Moment) -> bool {
         self.excluded_at
             .is_some_and(|it| now.since(it) < EXCLUSION_TIME)
