--- a/crates/placement/tests/servers.rs
+++ b/crates/placement/tests/servers.rs
@@ -52,6 +52,13 @@
         self.servers.remove(self.now, id);
     }
 
+    /// Records that server `a` asked for a pause.
+    fn pause(&mut self, length: Duration) {
+        let key = server("a", 1, 1).key();
+        let state = self.servers.get_mut(key).expect("a server");
+        state.pause(self.now, length);
+    }
+
     /// Checks which servers get work.
     fn check(&self, expected: &[&str]) {
         let usable = self.servers.usable(self.now, "app");
@@ -136,3 +143,38 @@
     assert!(!servers.remove(now, "a"));
     assert!(!servers.remove(now, "b"));
 }
+
+#[test]
+fn pause_ends_at_its_time_or_when_the_server_restarts() {
+    let mut list = List::new();
+    list.pause(Duration::from_secs(3));
+    list.check(&[]);
+    list.now = list.now + Duration::from_millis(2_999);
+    list.check(&[]);
+    list.now = list.now + Duration::from_millis(1);
+    list.check(&["a"]);
+    list.pause(Duration::from_secs(3));
+    list.add(server("a", 2, 1));
+    list.check(&["a"]);
+}
+
+#[test]
+fn pause_shorter_does_not_end_a_longer_one() {
+    let mut list = List::new();
+    list.pause(Duration::from_secs(3));
+    list.pause(Duration::from_secs(1));
+    list.now = list.now + Duration::from_secs(2);
+    list.check(&[]);
+}
+
+#[test]
+fn pause_outlasts_a_removal_from_the_list() {
+    let mut list = List::new();
+    list.read(2);
+    list.pause(Duration::from_secs(3));
+    list.remove("a");
+    list.add(server("a", 1, 2));
+    list.check(&[]);
+    list.now = list.now + Duration::from_secs(3);
+    list.check(&["a"]);
+}
