Send nothing to a server that says in an answer that it leaves

The instance read only the platform's list, which may lag or keep calling the server ready. Change: the mark belongs to the server's process. It holds until a record of a later start, also if the record goes off the list and returns; other entries learn of it by the rumour that exists, and leave the server out for 10 s, or longer by its own answers to them. leaving_lasts_until_the_server_restarts and leaving_outlasts_a_removal_from_the_list check it without a process; they need a function that this commit adds.

--- a/crates/gateway/src/notice.rs
+++ b/crates/gateway/src/notice.rs
@@ -1,13 +1,18 @@
 //! Records what backend servers' responses say about further work.
 
 use h1::Response;
+use membership::message::Rumour;
 use placement::Server;
 
 use crate::Node;
 
 /// Records what a server's response says about further work.
 pub fn record(node: &Node, server: &Server, response: &Response) {
-    let Some(pause) = node.protocol.notice(response).pause else {
+    let notice = node.protocol.notice(response);
+    if notice.is_leaving {
+        record_leaving(node, server);
+    }
+    let Some(pause) = notice.pause else {
         return;
     };
     node.metrics.pauses.inc();
@@ -16,3 +21,13 @@
         server_state.pause(clock::now(), pause);
     }
 }
+
+/// Records that a server leaves, and gossips it to other entries.
+fn record_leaving(node: &Node, server: &Server) {
+    let mut state = node.state.borrow_mut();
+    if state.servers.mark_leaving(server.key()) {
+        log::info!(target: "server", server = server.id.as_str(); "the server leaves by its own answer");
+        let server = server.incarnation();
+        state.members.gossip(Rumour::ServerLeaving { server });
+    }
+}
--- a/crates/gateway/src/port.rs
+++ b/crates/gateway/src/port.rs
@@ -222,6 +222,8 @@
 pub struct Notice {
     /// The time for which the server takes no work from this entry.
     pub pause: Option<Duration>,
+    /// Whether the server leaves and takes no more work from any entry.
+    pub is_leaving: bool,
 }
 
 /// Whether the request ran, according to a server's response.
--- a/crates/placement/src/servers.rs
+++ b/crates/placement/src/servers.rs
@@ -18,8 +18,10 @@
 const LATENCY_WEIGHT: f64 = 0.2;
 /// The time for which the last report of a removed server is kept.
 const REMOVED_TTL: Duration = Duration::from_secs(30);
-/// The time for which a server gets no work after it announced that it leaves, or after another
-/// server answered at its address, if the list does not change.
+/// The time for which it is kept of a server that was leaving, which may serve for minutes more.
+const REMOVED_LEAVING_TTL: Duration = Duration::from_secs(600);
+/// The time for which a server gets no work after another entry reported that it leaves, or after
+/// another server answered at its address, if the list does not change.
 const EXCLUSION_TIME: Duration = Duration::from_secs(10);
 /// The longest pause of a server. A malformed value must not exclude it for good.
 const LONGEST_PAUSE: Duration = Duration::from_secs(3_600);
@@ -74,6 +76,18 @@
     sequence: u64,
     at: Moment,
     paused_until: Option<Moment>,
+    is_leaving: bool,
+}
+
+impl Removed {
+    fn is_expired(&self, now: Moment) -> bool {
+        let ttl = if self.is_leaving {
+            REMOVED_LEAVING_TTL
+        } else {
+            REMOVED_TTL
+        };
+        now.since(self.at) >= ttl
+    }
 }
 
 /// A server and its state as observed by this entry.
@@ -134,15 +148,19 @@
         let report = (server.started_ms, server.sequence);
         let removed = self.removed.get(&server.id);
         let is_outdated =
-            |it: &Removed| now.since(it.at) < REMOVED_TTL && report <= (it.started_ms, it.sequence);
+            |it: &Removed| !it.is_expired(now) && report <= (it.started_ms, it.sequence);
         if removed.is_some_and(is_outdated) {
             return false;
         }
         let Some(state) = self.states.get_mut(&server.id) else {
             let same_process = removed.filter(|it| it.started_ms == server.started_ms);
+            let is_leaving = server.is_leaving || same_process.is_some_and(|it| it.is_leaving);
             let state = State {
                 paused_until: same_process.and_then(|it| it.paused_until),
-                ..State::new(server)
+                ..State::new(Server {
+                    is_leaving,
+                    ..server
+                })
             };
             self.states.insert(state.server.id.clone(), state);
             return true;
@@ -182,14 +200,26 @@
             sequence: state.server.sequence,
             at: now,
             paused_until: state.paused_until,
+            is_leaving: state.server.is_leaving,
         };
         self.states.remove(id);
-        self.removed.retain(|_, it| now.since(it.at) < REMOVED_TTL);
+        self.removed.retain(|_, it| !it.is_expired(now));
         self.removed.insert(id.to_owned(), removed);
         true
     }
 
-    /// Excludes a server that announced that it takes no new work, or at whose address another one
+    /// Marks a server that announced in an answer that it leaves. Returns whether it was not marked
+    /// before.
+    pub fn mark_leaving(&mut self, key: u64) -> bool {
+        let Some(state) = self.get_mut(key) else {
+            return false;
+        };
+        let is_changed = !state.server.is_leaving;
+        Rc::make_mut(&mut state.server).is_leaving = true;
+        is_changed
+    }
+
+    /// Excludes a server that another entry reports as leaving, or at whose address another one
     /// answers. Returns whether it was not excluded before.
     pub fn exclude(&mut self, now: Moment, key: u64) -> bool {
         let Some(state) = self.get_mut(key) else {
--- a/crates/placement/tests/servers.rs
+++ b/crates/placement/tests/servers.rs
@@ -178,3 +178,33 @@
     list.now = list.now + Duration::from_secs(3);
     list.check(&["a"]);
 }
+
+#[test]
+fn leaving_lasts_until_the_server_restarts() {
+    let mut list = List::new();
+    let key = server("a", 1, 1).key();
+    assert!(list.servers.mark_leaving(key));
+    assert!(!list.servers.mark_leaving(key));
+    list.check(&[]);
+    list.now = list.now + Duration::from_secs(60);
+    list.add(server("a", 1, 2));
+    list.check(&[]);
+    list.add(server("a", 2, 1));
+    list.check(&["a"]);
+}
+
+#[test]
+fn leaving_outlasts_a_removal_from_the_list() {
+    let mut list = List::new();
+    list.read(2);
+    list.servers.mark_leaving(server("a", 1, 1).key());
+    list.remove("a");
+    list.now = list.now + Duration::from_secs(60);
+    list.read(20);
+    list.add(server("b", 1, 1));
+    list.remove("b");
+    list.add(server("a", 1, 2));
+    list.check(&[]);
+    list.add(server("a", 2, 1));
+    list.check(&["a"]);
+}
