--- a/crates/gateway/src/notice.rs
+++ b/crates/gateway/src/notice.rs
@@ -18,7 +18,7 @@
     node.metrics.pauses.inc();
     log::info!(target: "server", server = server.id.as_str(), pause_ms = pause.as_millis() as u64, status = response.status; "the server asked for a pause");
     if let Some(server_state) = node.state.borrow_mut().servers.get_mut(server.key()) {
-        server_state.pause(clock::now(), pause);
+        server_state.pause.extend(clock::now(), pause);
     }
 }
 
--- a/crates/h1/src/headers.rs
+++ b/crates/h1/src/headers.rs
@@ -1,5 +1,7 @@
 //! Header fields in their original order and spelling.
 
+use std::time::Duration;
+
 /// Fields that apply to a single connection; see RFC 9110, section 7.6.1.
 const HOP_BY_HOP: [&str; 9] = [
     "connection",
@@ -53,6 +55,11 @@
         self.text(name)?.parse().ok()
     }
 
+    /// Returns the first value of that name as a time in seconds, if it is one.
+    pub fn seconds(&self, name: &str) -> Option<Duration> {
+        Duration::try_from_secs_f64(self.number(name)?).ok()
+    }
+
     /// Returns all values of that name.
     pub fn all<'a>(&'a self, name: &'a str) -> impl Iterator<Item = &'a [u8]> {
         let fields = self
--- a/crates/placement/src/servers.rs
+++ b/crates/placement/src/servers.rs
@@ -7,6 +7,7 @@
 
 use domain::Moment;
 use domain::digest;
+use routing::Pause;
 use routing::health::Health;
 
 /// The grace period after an outage of the list, in which a server that lapsed during the outage
@@ -23,8 +24,6 @@
 /// The time for which a server gets no work after another entry reported that it leaves, or after
 /// another server answered at its address, if the list does not change.
 const EXCLUSION_TIME: Duration = Duration::from_secs(10);
-/// The longest pause of a server. A malformed value must not exclude it for good.
-const LONGEST_PAUSE: Duration = Duration::from_secs(3_600);
 
 /// A backend server as the platform lists it.
 #[derive(Clone, Debug, PartialEq)]
@@ -75,7 +74,7 @@
     started_ms: u64,
     sequence: u64,
     at: Moment,
-    paused_until: Option<Moment>,
+    pause: Pause,
     is_leaving: bool,
 }
 
@@ -107,8 +106,8 @@
     is_lapsed: bool,
     /// When it was last excluded from new work.
     excluded_at: Option<Moment>,
-    /// The end of the pause that it asked this entry for.
-    paused_until: Option<Moment>,
+    /// The pause that it asked this entry for.
+    pub pause: Pause,
 }
 
 impl Servers {
@@ -156,7 +155,7 @@
             let same_process = removed.filter(|it| it.started_ms == server.started_ms);
             let is_leaving = server.is_leaving || same_process.is_some_and(|it| it.is_leaving);
             let state = State {
-                paused_until: same_process.and_then(|it| it.paused_until),
+                pause: same_process.map(|it| it.pause).unwrap_or_default(),
                 ..State::new(Server {
                     is_leaving,
                     ..server
@@ -199,7 +198,7 @@
             started_ms: state.server.started_ms,
             sequence: state.server.sequence,
             at: now,
-            paused_until: state.paused_until,
+            pause: state.pause,
             is_leaving: state.server.is_leaving,
         };
         self.states.remove(id);
@@ -246,7 +245,7 @@
     pub fn pause_of_all(&self, now: Moment, service: &str) -> Option<Duration> {
         let servers = self.states.values();
         let staying = servers.filter(|it| it.server.service == service && it.is_staying(now));
-        let first = staying.map(|it| it.pause_left(now)).min();
+        let first = staying.map(|it| it.pause.left(now)).min();
         first.filter(|it| !it.is_zero())
     }
 
@@ -276,7 +275,7 @@
             last_activity: None,
             is_lapsed: false,
             excluded_at: None,
-            paused_until: None,
+            pause: Pause::default(),
         }
     }
 
@@ -308,20 +307,9 @@
         (now.since(at) < lifetime).then_some(latency)
     }
 
-    /// Records that the server asked for a pause of this length.
-    pub fn pause(&mut self, now: Moment, length: Duration) {
-        let until = now + length.min(LONGEST_PAUSE);
-        self.paused_until = self.paused_until.max(Some(until));
-    }
-
-    /// Returns the time left of the pause that the server asked for; zero if it asked for none.
-    pub fn pause_left(&self, now: Moment) -> Duration {
-        self.paused_until.map_or(Duration::ZERO, |it| now.until(it))
-    }
-
     /// Returns whether the server takes new work.
     pub fn is_usable(&self, now: Moment) -> bool {
-        self.is_staying(now) && self.pause_left(now).is_zero()
+        self.is_staying(now) && self.pause.is_over(now)
     }
 
     /// Returns whether the server takes new work now or after a pause.
--- a/crates/placement/tests/servers.rs
+++ b/crates/placement/tests/servers.rs
@@ -56,7 +56,7 @@
     fn pause(&mut self, length: Duration) {
         let key = server("a", 1, 1).key();
         let state = self.servers.get_mut(key).expect("a server");
-        state.pause(self.now, length);
+        state.pause.extend(self.now, length);
     }
 
     /// Checks which servers get work.
