Honour the pauses of backend servers in coriander-entry

A plain server that answered 503 with Retry-After: 3 got 51 requests in that pause from one entry, and an engine 2 (further ones were held back by the circuit breaker). Change: engines and plain servers have the same Pause as the servers of coriander-node; answers to prompts, reservations and service calls set it. If all servers are in a pause, callers are refused with the time at which the first ends. A 503 of a plain service with Retry-After is passed on to the caller as before.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -217,6 +217,7 @@
         );
         let answer = node.client.send_unpooled(&call, self.time_left()).await;
         let answer = answer.map_err(connection_error)?;
+        record_notice(node, &self.placement.engine, &answer);
         check_status(&answer)?;
         self.read(node, answer, stream, output).await
     }
@@ -234,7 +235,10 @@
             }),
         );
         match node.client.send_unpooled(&call, CALL_TIMEOUT).await {
-            Ok(answer) => check_status(&answer),
+            Ok(answer) => {
+                record_notice(node, &member.name, &answer);
+                check_status(&answer)
+            }
             // A reservation runs no work, so a lost answer only holds memory until the guard
             // cancels the reservation.
             Err(_) => Err(Error::Unreachable),
@@ -318,6 +322,16 @@
     }
 }
 
+/// Records what a backend server's answer says about further work.
+pub fn record_notice(node: &Node, server: &str, answer: &Answer) {
+    if let Some(pause) = answer.pause() {
+        log::info!(target: "engines", "{server} asked for a pause of {pause:?}.");
+        node.core
+            .borrow_mut()
+            .record_pause(clock::now(), server, pause);
+    }
+}
+
 /// Marks a backend server as leaving and broadcasts that to all entries.
 pub fn announce_leaving(node: &Node, server: &str) {
     if node.core.borrow_mut().mark_leaving(server) {
--- a/crates/entry/src/chat/serve.rs
+++ b/crates/entry/src/chat/serve.rs
@@ -285,8 +285,9 @@
             Failure::refused(Kind::NotFound, message).retry_after(DEFAULT_RETRY_AFTER)
         }
         Refusal::TooLong { .. } => Failure::refused(Kind::TooLongForFleet, message),
-        Refusal::Down(wait) | Refusal::Full(wait) | Refusal::TooLate(wait) => {
-            Failure::refused(Kind::Overloaded, message).retry_after(wait)
-        }
+        Refusal::Down(wait)
+        | Refusal::Paused(wait)
+        | Refusal::Full(wait)
+        | Refusal::TooLate(wait) => Failure::refused(Kind::Overloaded, message).retry_after(wait),
     }
 }
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -17,6 +17,7 @@
 use claim::Tickets;
 use config::Fold;
 use config::View;
+use domain::Moment;
 use domain::fleet::BackendServer;
 use domain::key::Incarnation;
 use limit::Allotment;
@@ -143,6 +144,12 @@
     pub fn mark_leaving(&mut self, server: &str) -> bool {
         self.router.mark_leaving(server) | self.servers.mark_leaving(server)
     }
+
+    /// Records that a backend server asked for a pause of this length.
+    pub fn record_pause(&mut self, now: Moment, server: &str, length: Duration) {
+        self.router.record_pause(now, server, length);
+        self.servers.record_pause(now, server, length);
+    }
 }
 
 impl Node {
--- a/crates/entry/src/servers.rs
+++ b/crates/entry/src/servers.rs
@@ -3,9 +3,11 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use domain::Moment;
 use domain::fleet::BackendServer;
+use routing::Pause;
 use routing::engine::Load;
 use routing::health::Health;
 use routing::leaving::Leaving;
@@ -24,6 +26,7 @@
     address: SocketAddr,
     health: Health,
     leaving: Leaving,
+    pause: Pause,
 }
 
 impl Servers {
@@ -42,6 +45,7 @@
                 address: server.address,
                 health: Health::default(),
                 leaving: Leaving::default(),
+                pause: Pause::default(),
             });
             let server_state = Server {
                 service: service.service.clone(),
@@ -67,6 +71,22 @@
         server.is_some_and(|it| it.leaving.mark())
     }
 
+    /// Records that a server asked for a pause of this length.
+    pub fn record_pause(&mut self, now: Moment, name: &str, length: Duration) {
+        if let Some(server) = self.servers.get_mut(name) {
+            server.pause.extend(now, length);
+        }
+    }
+
+    /// Returns the time until the first server of a service ends its pause, if all of them that do
+    /// not leave are in one.
+    pub fn pause_of_all(&self, now: Moment, service: &str) -> Option<Duration> {
+        let servers = self.servers.values();
+        let staying = servers.filter(|it| it.service == service && !it.leaving.is_marked());
+        let first = staying.map(|it| it.pause.left(now)).min();
+        first.filter(|it| !it.is_zero())
+    }
+
     /// Records that a server is unreachable.
     pub fn record_unreachable(&mut self, now: Moment, name: &str) {
         if let Some(server) = self.servers.get_mut(name) {
@@ -83,7 +103,8 @@
     pub fn next(&mut self, now: Moment, service: &str, excluded: &[String]) -> Option<Choice> {
         self.cursor = self.cursor.wrapping_add(1);
         let usable = self.servers.iter_mut().filter(|(name, it)| {
-            let is_usable = !it.leaving.is_marked() && it.health.is_usable(now);
+            let takes_work = !it.leaving.is_marked() && it.pause.is_over(now);
+            let is_usable = takes_work && it.health.is_usable(now);
             it.service == service && is_usable && !excluded.contains(name)
         });
         let mut usable: Vec<_> = usable.collect();
--- a/crates/entry/src/services.rs
+++ b/crates/entry/src/services.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use domain::Failure;
+use domain::Moment;
 use domain::failure::Execution;
 use domain::failure::Kind;
 use futures_lite::future;
@@ -166,7 +167,7 @@
                 .servers
                 .next(now, self.service, &excluded);
             let Some(choice) = choice else {
-                return Err(self.unavailable());
+                return Err(self.unavailable(node, now));
             };
             node.record_step(self.id.number, format!("sent to {}", choice.name));
             let before = self.execution.replace(Execution::Maybe);
@@ -214,6 +215,7 @@
             }
             Err(error) => return Err(record_failure(error)),
         };
+        attempt::record_notice(node, &choice.name, &answer);
         if answer.status() == 503 && answer.header(LEAVING_HEADER).is_some() {
             attempt::announce_leaving(node, &choice.name);
             return Err(Error::Leaving);
@@ -242,7 +244,9 @@
         call.header("Request-Id", self.id.to_string())
     }
 
-    fn unavailable(&self) -> Failure {
+    fn unavailable(&self, node: &Node, now: Moment) -> Failure {
+        let core = node.core.borrow();
+        let pause = core.servers.pause_of_all(now, self.service);
         let message = format!(
             "no server of `{}` is available now: retry later",
             self.service
@@ -250,6 +254,6 @@
 
         Failure::refused(Kind::Overloaded, message)
             .with_execution(self.execution.get())
-            .retry_after(RETRY_AFTER)
+            .retry_after(pause.unwrap_or(RETRY_AFTER))
     }
 }
--- a/crates/harness/src/lib.rs
+++ b/crates/harness/src/lib.rs
@@ -7,6 +7,8 @@
 
 pub mod process;
 
+pub mod raw;
+
 pub use cluster::Cluster;
 pub use load::Customer;
 pub use load::customer;
--- a/crates/routing/src/engine.rs
+++ b/crates/routing/src/engine.rs
@@ -9,6 +9,7 @@
 use crate::leaving::Leaving;
 use crate::level::LEVELS;
 use crate::level::Level;
+use crate::pause::Pause;
 
 /// The largest fraction of an engine's memory that a gang may use.
 const GANG_MEMORY_FRACTION: f64 = 0.9;
@@ -43,6 +44,8 @@
     pub health: Health,
     /// Whether any source has reported that it is leaving.
     pub leaving: Leaving,
+    /// The pause that it asked for.
+    pub pause: Pause,
     load: Load,
     /// The moment that `load` describes.
     load_as_of: Moment,
@@ -75,6 +78,7 @@
             memory_tokens,
             health: Health::default(),
             leaving: Leaving::default(),
+            pause: Pause::default(),
             load: Load::default(),
             load_as_of: Moment::default(),
             sent: Vec::new(),
@@ -174,7 +178,7 @@
 
     /// Returns whether new work may be sent to the engine.
     pub fn is_usable(&self, now: Moment) -> bool {
-        !self.leaving.is_marked() && self.health.is_usable(now)
+        !self.leaving.is_marked() && self.pause.is_over(now) && self.health.is_usable(now)
     }
 
     /// Returns whether the engine serves a model.
--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -91,6 +91,9 @@
     /// All engines are down.
     #[error("no backend server responds now: retry in {} ms", .0.as_millis())]
     Down(Duration),
+    /// All engines asked for a pause.
+    #[error("every backend server of the model asked for a pause: retry in {} ms", .0.as_millis())]
+    Paused(Duration),
     /// The job needs more memory than all engines together can provide.
     #[error("the prompt needs {needed} tokens of memory, but the fleet has {fleet}: shorten it")]
     TooLong {
@@ -144,6 +147,13 @@
         engine.is_some_and(|it| it.leaving.mark())
     }
 
+    /// Records that an engine asked for a pause of this length.
+    pub fn record_pause(&mut self, now: Moment, engine: &str, length: Duration) {
+        if let Some(engine) = self.pool.get_mut(engine) {
+            engine.pause.extend(now, length);
+        }
+    }
+
     /// Records that an engine can't be reached.
     pub fn record_unreachable(&mut self, now: Moment, engine: &str) {
         if let Some(engine) = self.pool.get_mut(engine) {
@@ -259,6 +269,11 @@
         if engines.clone().all(|it| it.leaving.is_marked()) {
             return Err(Refusal::NoEngine(job.model.clone()));
         }
+        let staying = engines.clone().filter(|it| !it.leaving.is_marked());
+        let pause_left = staying.map(|it| it.pause.left(now)).min();
+        if let Some(left) = pause_left.filter(|it| !it.is_zero()) {
+            return Err(Refusal::Paused(left));
+        }
         if !engines.any(|it| it.is_usable(now)) {
             return Err(Refusal::Down(DOWN_RETRY_AFTER));
         }
--- a/crates/routing/tests/router.rs
+++ b/crates/routing/tests/router.rs
@@ -220,3 +220,17 @@
     assert!(quarantine.is_refused(NOW, 7) && !quarantine.is_refused(NOW, 8));
     assert!(!quarantine.is_refused(NOW + Duration::from_secs(4_000), 7));
 }
+
+#[test]
+fn router_paused_engines_get_no_jobs_until_the_first_pause_ends() {
+    let mut router = router(2);
+    let pause = Duration::from_secs(3);
+    router.record_pause(NOW, "runner-0", pause);
+    router.admit(NOW, job(1, 1_000)).unwrap();
+    assert_eq!(router.next(NOW).unwrap().engine, "runner-1");
+    router.record_pause(NOW, "runner-1", pause * 2);
+    let refusal = router.admit(NOW, job(2, 1_000));
+    assert_eq!(refusal, Err(Refusal::Paused(pause)));
+    router.admit(NOW + pause, job(2, 1_000)).unwrap();
+    assert_eq!(router.next(NOW + pause).unwrap().engine, "runner-0");
+}
