--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -168,12 +168,8 @@
         };
         let result = self.run_guarded(node, &mut guard, stream, output).await;
         guard.end = result.as_ref().err().map_or(End::Done, Error::router_end);
-        match result {
-            Err(Error::Leaving) => announce_leaving(node, &guard.current),
-            Err(Error::Broken(_) | Error::Truncated) => {
-                crash::detect(node, self.prompt.fingerprint, &guard.servers).await;
-            }
-            _ => {}
+        if let Err(Error::Broken(_) | Error::Truncated) = result {
+            crash::detect(node, self.prompt.fingerprint, &guard.servers).await;
         }
         result.map_err(|error| Failed {
             error,
@@ -324,6 +320,9 @@
 
 /// Records what a backend server's answer says about further work.
 pub fn record_notice(node: &Node, server: &str, answer: &Answer) {
+    if answer.header(LEAVING_HEADER).is_some() {
+        announce_leaving(node, server);
+    }
     if let Some(pause) = answer.pause() {
         log::info!(target: "engines", "{server} asked for a pause of {pause:?}.");
         node.core
@@ -333,7 +332,7 @@
 }
 
 /// Marks a backend server as leaving and broadcasts that to all entries.
-pub fn announce_leaving(node: &Node, server: &str) {
+fn announce_leaving(node: &Node, server: &str) {
     if node.core.borrow_mut().mark_leaving(server) {
         datagrams::broadcast(
             node,
--- a/crates/entry/src/services.rs
+++ b/crates/entry/src/services.rs
@@ -217,7 +217,6 @@
         };
         attempt::record_notice(node, &choice.name, &answer);
         if answer.status() == 503 && answer.header(LEAVING_HEADER).is_some() {
-            attempt::announce_leaving(node, &choice.name);
             return Err(Error::Leaving);
         }
         let content_type = answer
--- a/crates/harness/tests/notices.rs
+++ b/crates/harness/tests/notices.rs
@@ -1,4 +1,4 @@
-//! Backend servers that ask for a pause in an answer get no work until it ends.
+//! Backend servers that ask for a pause or announce their leaving in an answer get no work.
 
 use std::time::Duration;
 use std::time::Instant;
@@ -17,6 +17,8 @@
 
 /// An answer by which a server turns a request away and asks for a pause of three seconds.
 const PAUSE: &str = "HTTP/1.1 503 Busy\r\nRetry-After: 3\r\nContent-Length: 0\r\n\r\n";
+/// An answer of a server that leaves.
+const LEAVING: &str = "HTTP/1.1 200 OK\r\nCoriander-Leaving: yes\r\nContent-Length: 2\r\n\r\n{}";
 /// The length of the pause, and the time within which a leaving server gets its last request.
 const NOTICE_TIME: Duration = Duration::from_secs(3);
 /// Requests that arrive within this time after an answer were sent before it was read.
@@ -110,3 +112,11 @@
 fn paused_engine_gets_no_requests_until_its_pause_ends() {
     check_pause(engine(Options::default().memory_tokens), chat);
 }
+
+#[test]
+fn service_that_leaves_by_an_answer_gets_no_requests() {
+    let rig = start(service(), Answer::Once(LEAVING));
+    let arrivals = arrivals(&rig, book, NOTICE_TIME * 2);
+    let late = arrivals.iter().filter(|it| **it > NOTICE_TIME);
+    assert_eq!(late.count(), 0, "{arrivals:?}");
+}
