Reject a trailer without end

Servers in trouble may send bytes without end until the caller closes. The trailer's length is now limited.

--- a/crates/h1/src/body.rs
+++ b/crates/h1/src/body.rs
@@ -75,6 +75,8 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Decoder {
     state: State,
+    /// The number of bytes of the trailer so far.
+    trailer_length: usize,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -98,6 +100,8 @@
 /// The maximum length of the size line of a chunk or of a trailer line, in bytes. Longer lines would
 /// only waste memory.
 const LINE_LIMIT: usize = 4_096;
+/// The maximum length of a trailer, in bytes.
+const TRAILER_LIMIT: usize = 16_384;
 
 impl Decoder {
     /// Returns a decoder at the start of a body.
@@ -108,7 +112,10 @@
             Framing::Chunked => State::Size,
             Framing::UntilClose => State::UntilClose,
         };
-        Self { state }
+        Self {
+            state,
+            trailer_length: 0,
+        }
     }
 
     /// Returns whether the body is complete.
@@ -198,6 +205,10 @@
                 if input[..end].trim_ascii().is_empty() {
                     self.state = State::Done;
                 }
+                self.trailer_length += end;
+                if self.trailer_length > TRAILER_LIMIT {
+                    return Err(Error::Malformed("trailer"));
+                }
                 Ok(Some(end + 1))
             }
         }
--- a/crates/h1/tests/messages.rs
+++ b/crates/h1/tests/messages.rs
@@ -159,3 +159,10 @@
         let _ = Response::parse(&bytes, "GET");
     }
 }
+
+#[test]
+fn decode_trailer_without_end_is_rejected() {
+    let trailer = format!("0\r\n{}", "a: b\r\n".repeat(5_000));
+    let decoded = decode(Framing::Chunked, trailer.as_bytes(), 1_024);
+    assert!(matches!(decoded, Err(Error::Malformed(_))), "{decoded:?}");
+}
