--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -270,7 +270,7 @@
     loop {
         bytes.clear();
         let has_more = stream.read_body(&mut decoder, &mut bytes).await?;
-        let ready = splitter.push(&bytes);
+        let ready = splitter.push(&bytes)?;
         let end = (!has_more).then(|| splitter.finish(framing));
         if end.is_some() {
             exchange.ending.partial_event_bytes = splitter.partial_event_len();
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -3,6 +3,9 @@
 use h1::Error;
 use h1::Framing;
 
+/// The maximum length of an event, in bytes.
+const EVENT_LIMIT: usize = 256 * 1024;
+
 /// Splits the bytes of a stream into whole events.
 #[derive(Clone, Debug, Default)]
 pub struct Splitter {
@@ -29,8 +32,8 @@
         self.last_id
     }
 
-    /// Adds bytes and returns the events that they complete.
-    pub fn push(&mut self, bytes: &[u8]) -> Vec<u8> {
+    /// Adds bytes and returns the events that they complete. Fails if the next event is too long.
+    pub fn push(&mut self, bytes: &[u8]) -> Result<Vec<u8>, Error> {
         self.pending.extend_from_slice(bytes);
         let mut out = Vec::new();
         let mut start = 0;
@@ -47,7 +50,10 @@
             }
         }
         self.pending.drain(..start);
-        out
+        if self.pending.len() > EVENT_LIMIT {
+            return Err(Error::Malformed("event"));
+        }
+        Ok(out)
     }
 
     /// Returns the number of bytes after the last whole event.
--- a/crates/gateway/tests/events.rs
+++ b/crates/gateway/tests/events.rs
@@ -13,7 +13,7 @@
     let mut splitter = Splitter::after(last);
     let mut out = Vec::new();
     for piece in text.as_bytes().chunks(size) {
-        out.extend(splitter.push(piece));
+        out.extend(splitter.push(piece).expect("short events"));
     }
     (String::from_utf8(out).expect("text"), splitter.last_id())
 }
@@ -39,7 +39,7 @@
 /// Checks whether a stream that ends after `text` is complete.
 fn check_finish(text: &str, framing: Framing, is_complete: bool) {
     let mut splitter = Splitter::after(None);
-    splitter.push(text.as_bytes());
+    splitter.push(text.as_bytes()).expect("short events");
     assert_eq!(splitter.finish(framing).is_ok(), is_complete, "{text:?}");
 }
 
@@ -65,6 +65,14 @@
     assert!(Splitter::after(Some(6)).finish(Framing::UntilClose).is_ok());
 }
 
+#[test]
+fn push_event_without_end_is_rejected() {
+    let mut splitter = Splitter::after(None);
+    let piece = "data: d\n".repeat(1_000);
+    let pushed = (0..100).map(|_| splitter.push(piece.as_bytes()));
+    assert!(pushed.filter_map(Result::err).next().is_some());
+}
+
 proptest! {
     #[test]
     fn push_piece_size_does_not_matter(count in 0_u64..20, size in 1_usize..60) {
