--- a/crates/h1/src/stream.rs
+++ b/crates/h1/src/stream.rs
@@ -134,18 +134,22 @@
         }
     }
 
-    /// Reads the head of a response to a request with `method`, of at most `limit` bytes. Interim
-    /// responses are skipped.
+    /// Reads the head of a response to a request with `method`. Interim responses are skipped; all
+    /// heads together may have `limit` bytes.
     pub async fn read_response(&mut self, method: &str, limit: usize) -> Result<Response, Error> {
+        let mut skipped = 0;
         loop {
             if let Some((response, length)) = Response::parse(&self.buffer, method)? {
                 self.buffer.drain(..length);
-                if response.is_interim() {
+                if !response.is_interim() {
+                    return Ok(response);
+                }
+                skipped += length;
+                if skipped <= limit {
                     continue;
                 }
-                return Ok(response);
             }
-            if self.buffer.len() > limit {
+            if skipped + self.buffer.len() > limit {
                 return Err(Error::HeadTooLong(limit));
             }
             self.fill_within_message().await?;
