Let other tasks run while a connection always has more to read

A connection on which bytes come at least as fast as they are read never had to wait, so its task kept the only thread: neither its own timeout nor any other request, probe or log line ran until the server stopped. Events that the caller already has, comments, and whatever else is read and dropped did this without end.

--- a/crates/h1/src/stream.rs
+++ b/crates/h1/src/stream.rs
@@ -19,12 +19,16 @@
 
 /// The number of bytes requested in each read.
 const READ_SIZE: usize = 16 * 1024;
+/// The number of reads after which a connection that always has more to read yields to other tasks.
+const READS_PER_TURN: u32 = 16;
 
 /// A connection with a read buffer.
 #[derive(Debug)]
 pub struct Stream {
     socket: Rc<Async<TcpStream>>,
     buffer: Vec<u8>,
+    /// The number of reads since other tasks could run.
+    reads: u32,
 }
 
 /// The writing side of a connection.
@@ -61,6 +65,7 @@
         Ok(Self {
             socket: Rc::new(socket),
             buffer: Vec::new(),
+            reads: 0,
         })
     }
 
@@ -72,6 +77,11 @@
     /// Reads more bytes into the buffer. Returns the number of bytes, which is 0 at the end of the
     /// connection. No byte is lost if the future is dropped before it completes.
     pub async fn fill(&mut self) -> Result<usize, Error> {
+        self.reads += 1;
+        if self.reads > READS_PER_TURN {
+            self.reads = 0;
+            futures_lite::future::yield_now().await;
+        }
         loop {
             let start = self.buffer.len();
             self.buffer.resize(start + READ_SIZE, 0);
@@ -79,6 +89,7 @@
             self.buffer.truncate(start + *result.as_ref().unwrap_or(&0));
             match result {
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                    self.reads = 0;
                     self.socket.readable().await?;
                 }
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
