--- a/crates/entry/src/services.rs
+++ b/crates/entry/src/services.rs
@@ -31,6 +31,8 @@
 
 /// The maximum length of a request body, in bytes.
 const BODY_LIMIT: u64 = 1024 * 1024;
+/// The maximum length of an answer, in bytes. It is kept in memory until the caller has it.
+const ANSWER_LIMIT: usize = 16 * 1024 * 1024;
 /// The `Retry-After` of a response when no server is available or the deadline has passed.
 const RETRY_AFTER: Duration = Duration::from_secs(2);
 
@@ -223,7 +225,10 @@
             .header("Content-Type")
             .unwrap_or("application/octet-stream");
         let content_type = content_type.to_owned();
-        let body = answer.bytes().await.map_err(record_failure)?;
+        let body = answer
+            .bytes_within(ANSWER_LIMIT)
+            .await
+            .map_err(record_failure)?;
         node.core
             .borrow_mut()
             .servers
--- a/crates/harness/src/raw.rs
+++ b/crates/harness/src/raw.rs
@@ -12,14 +12,40 @@
 use std::time::Instant;
 
 use anyhow::Result;
+use domain::fleet::BackendServer;
+use domain::fleet::Engine;
+use domain::fleet::Kind;
+use domain::fleet::Service;
 use h1::Request;
 use h1::body::Decoder;
 
+use crate::Cluster;
+use crate::cluster::Options;
+
 /// The paths of calls that bring no work, which get the answer [`LOAD`].
 const CONTROL_PATHS: [&str; 4] = ["/load", "/cancel", "/holds", "/orders"];
 /// A load report which says that the server takes work.
 const LOAD: &str = "{\"incarnation\":1,\"is_leaving\":false}";
 
+/// The number of bytes of each write of an answer without end.
+const ENDLESS_WRITE: usize = 256 * 1024;
+
+/// Returns the kind of a server of the plain service that a cluster has.
+pub fn service() -> Kind {
+    Kind::Service(Service {
+        service: "bookings".to_owned(),
+    })
+}
+
+/// Returns the kind of an engine for the model that a cluster has.
+pub fn engine() -> Kind {
+    Kind::Engine(Engine {
+        models: vec!["assistant".to_owned()],
+        memory_tokens: Options::default().memory_tokens,
+        checks_fencing: false,
+    })
+}
+
 /// How a server answers requests.
 #[derive(Clone, Copy, Debug)]
 pub enum Answer {
@@ -39,7 +65,7 @@
 
 #[derive(Debug)]
 struct Shared {
-    answer: Mutex<Answer>,
+    answer: Answer,
     arrivals: Mutex<Vec<Instant>>,
 }
 
@@ -49,7 +75,7 @@
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let address = listener.local_addr()?;
         let shared = Arc::new(Shared {
-            answer: Mutex::new(answer),
+            answer,
             arrivals: Mutex::default(),
         });
         let serving = shared.clone();
@@ -62,9 +88,16 @@
         Ok(Self { address, shared })
     }
 
-    /// Replaces the answer to further requests.
-    pub fn set_answer(&self, answer: Answer) {
-        *lock(&self.shared.answer) = answer;
+    /// Adds the server to the configuration of a cluster, beside the cluster's own servers.
+    pub fn join(&self, cluster: &Cluster, kind: Kind) -> Result<()> {
+        let mut fleet = cluster.fleet();
+        fleet.backend_servers.push(BackendServer {
+            name: "raw".to_owned(),
+            address: self.address,
+            data_centre: "dc-0".to_owned(),
+            kind,
+        });
+        cluster.publish(&fleet)
     }
 
     /// Returns when requests arrived, without calls that bring no work.
@@ -85,12 +118,13 @@
             return;
         }
         lock(&self.arrivals).push(Instant::now());
-        let answer = *lock(&self.answer);
-        match answer {
+        match self.answer {
             Answer::Once(bytes) => {
                 let _ = stream.write_all(bytes.as_bytes());
             }
             Answer::Endless(first, rest) => {
+                // Many copies at once, so that the reader always finds more to read.
+                let rest = rest.repeat(ENDLESS_WRITE / rest.len());
                 let mut written = stream.write_all(first.as_bytes());
                 while written.is_ok() {
                     written = stream.write_all(rest.as_bytes());
--- a/crates/harness/tests/notices.rs
+++ b/crates/harness/tests/notices.rs
@@ -5,13 +5,11 @@
 
 use async_io::Timer;
 use async_io::block_on;
-use domain::fleet::BackendServer;
-use domain::fleet::Engine;
 use domain::fleet::Kind;
-use domain::fleet::Service;
 use harness::Cluster;
 use harness::cluster::Options;
 use harness::customer::Prompt;
+use harness::raw;
 use harness::raw::Answer;
 use harness::raw::Server;
 
@@ -34,31 +32,10 @@
     })
     .unwrap();
     let server = Server::start(answer).unwrap();
-    let mut fleet = cluster.fleet();
-    fleet.backend_servers.push(BackendServer {
-        name: "raw".to_owned(),
-        address: server.address,
-        data_centre: "dc-0".to_owned(),
-        kind,
-    });
-    cluster.publish(&fleet).unwrap();
+    server.join(&cluster, kind).unwrap();
     (cluster, server)
 }
 
-fn service() -> Kind {
-    Kind::Service(Service {
-        service: "bookings".to_owned(),
-    })
-}
-
-fn engine(cluster_memory: u64) -> Kind {
-    Kind::Engine(Engine {
-        models: vec!["assistant".to_owned()],
-        memory_tokens: cluster_memory,
-        checks_fencing: false,
-    })
-}
-
 fn book(cluster: &Cluster) {
     let customer = cluster.customer("riders");
     block_on(customer.service(cluster.entry_address(0), "bookings/x", None)).unwrap();
@@ -105,17 +82,17 @@
 
 #[test]
 fn paused_service_gets_no_requests_until_its_pause_ends() {
-    check_pause(service(), book);
+    check_pause(raw::service(), book);
 }
 
 #[test]
 fn paused_engine_gets_no_requests_until_its_pause_ends() {
-    check_pause(engine(Options::default().memory_tokens), chat);
+    check_pause(raw::engine(), chat);
 }
 
 #[test]
 fn service_that_leaves_by_an_answer_gets_no_requests() {
-    let rig = start(service(), Answer::Once(LEAVING));
+    let rig = start(raw::service(), Answer::Once(LEAVING));
     let arrivals = arrivals(&rig, book, NOTICE_TIME * 2);
     let late = arrivals.iter().filter(|it| **it > NOTICE_TIME);
     assert_eq!(late.count(), 0, "{arrivals:?}");
--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -27,6 +27,8 @@
 const SERVICE_UNAVAILABLE: u16 = 503;
 /// The maximum length of a response head, in bytes.
 const HEAD_LIMIT: usize = 64 * 1024;
+/// The maximum length of a line, in bytes.
+const LINE_LIMIT: usize = 1024 * 1024;
 /// The maximum length of a response body that is read completely, in bytes.
 const BODY_LIMIT: usize = 64 * 1024 * 1024;
 /// The time after which a connection fails if the server acknowledges nothing.
@@ -301,15 +303,25 @@
                 return is_line.then(|| self.decode_line(rest)).transpose();
             }
             searched = self.buffer.len();
+            if searched > LINE_LIMIT {
+                return Err(self.unanswered(h1::Error::Malformed("line")));
+            }
             has_more = self.read().await?;
         }
     }
 
     /// Reads the complete body.
     pub async fn bytes(&mut self) -> Result<Vec<u8>, Error> {
-        while self.read().await? {
-            if self.buffer.len() > BODY_LIMIT {
-                return Err(self.unanswered(h1::Error::BodyTooLong(BODY_LIMIT)));
+        self.bytes_within(BODY_LIMIT).await
+    }
+
+    /// Reads the complete body of at most `limit` bytes.
+    pub async fn bytes_within(&mut self, limit: usize) -> Result<Vec<u8>, Error> {
+        let mut has_more = true;
+        while has_more {
+            has_more = self.read().await?;
+            if self.buffer.len() > limit {
+                return Err(self.unanswered(h1::Error::BodyTooLong(limit)));
             }
         }
         Ok(std::mem::take(&mut self.buffer))
--- a/crates/web/tests/client.rs
+++ b/crates/web/tests/client.rs
@@ -139,3 +139,43 @@
     let head = "HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\n";
     check_lines(&format!("{head}one\ntwo\n"), &["one", "two"]);
 }
+
+/// Starts a server that answers with `first` and then with copies of `rest` until it is closed.
+fn serve_endless(first: &'static str, rest: &'static str) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a connection");
+        read_request(&mut stream);
+        let rest = rest.repeat(256 * 1024 / rest.len());
+        let mut written = stream.write_all(first.as_bytes());
+        while written.is_ok() {
+            written = stream.write_all(rest.as_bytes());
+        }
+    });
+    address
+}
+
+/// Checks that an answer without end is an error, whether it is read whole or by lines.
+fn check_endless(first: &'static str, rest: &'static str) {
+    let whole = block_on(async {
+        let mut answer = send(serve_endless(first, rest)).await?;
+        answer.bytes().await
+    });
+    assert!(whole.is_err(), "{first:?} {rest:?}");
+    let line = block_on(async {
+        let mut answer = send(serve_endless(first, rest)).await?;
+        answer.line().await
+    });
+    assert!(line.is_err(), "{first:?} {rest:?}");
+}
+
+#[test]
+fn endless_answer_is_error() {
+    check_endless("HTTP/1.1 200 OK\r\nX-A: ", "a");
+    check_endless("", "HTTP/1.1 100 Continue\r\n\r\n");
+    check_endless("HTTP/1.1 200 OK\r\n\r\n", "a");
+    let chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    check_endless(chunked, "1");
+    check_endless(chunked, "4\r\naaaa\r\n");
+}
