--- a/crates/web/src/stream.rs
+++ b/crates/web/src/stream.rs
@@ -9,6 +9,7 @@
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
 use std::task::Context;
 use std::task::Poll;
@@ -24,6 +25,9 @@
 /// left.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
+/// The number of reads after which a connection that always has more to read yields to other tasks.
+const READS_PER_TURN: u32 = 16;
+
 /// A shared TCP connection.
 #[derive(Clone, Debug)]
 pub struct Stream(Arc<Shared>);
@@ -32,6 +36,8 @@
 struct Shared {
     io: Async<TcpStream>,
     is_read_closed: AtomicBool,
+    /// The number of reads since other tasks could run.
+    reads: AtomicU32,
 }
 
 impl Stream {
@@ -42,6 +48,7 @@
         Self(Arc::new(Shared {
             io,
             is_read_closed: AtomicBool::new(false),
+            reads: AtomicU32::new(0),
         }))
     }
 
@@ -96,7 +103,10 @@
                 .read_with(|mut io| io::Read::read(&mut io, &mut buffer))
                 .await
                 .is_ok_and(|n| n > 0)
-            {}
+            {
+                // A sender that is faster than this reader must not keep other tasks waiting.
+                future::yield_now().await;
+            }
         };
         within(limit, drain).await;
     }
@@ -134,7 +144,16 @@
         if self.is_read_closed() {
             return Poll::Ready(Ok(0));
         }
-        Pin::new(&mut &self.0.io).poll_read(cx, buffer)
+        if self.0.reads.fetch_add(1, Ordering::Relaxed) >= READS_PER_TURN {
+            self.0.reads.store(0, Ordering::Relaxed);
+            cx.waker().wake_by_ref();
+            return Poll::Pending;
+        }
+        let read = Pin::new(&mut &self.0.io).poll_read(cx, buffer);
+        if read.is_pending() {
+            self.0.reads.store(0, Ordering::Relaxed);
+        }
+        read
     }
 }
 
