Don't read the rest of a body that the handler did not read

async-h1 reads the rest of a request's body before the next request. A body without end was read forever, and the connection never closed.

--- a/crates/harness/tests/input.rs
+++ b/crates/harness/tests/input.rs
@@ -4,6 +4,7 @@
 use std::io::Write;
 use std::net::Shutdown;
 use std::net::TcpStream;
+use std::thread;
 use std::time::Duration;
 
 use async_io::block_on;
@@ -15,6 +16,10 @@
 use serde_json::json;
 use web::client::Call;
 
+/// The time after which a test fails if a connection is still open.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(20);
+/// The number of bytes of each write of input without end.
+const ENDLESS_WRITE: usize = 256 * 1024;
 /// The timeout for receiving a request from a caller, in the settings of this cluster.
 const CALLER_TIMEOUT_MS: u64 = 700;
 
@@ -242,3 +247,35 @@
     assert_eq!(output.status.code(), Some(2));
     assert!(String::from_utf8_lossy(&output.stderr).contains("missing field"));
 }
+
+/// Sends `first` and then copies of `rest` until the entry closes the connection. Checks that it
+/// does, and that it answers others meanwhile.
+fn check_endless(cluster: &Cluster, first: &str, rest: &str) {
+    let mut stream = TcpStream::connect(cluster.entry_address(0)).unwrap();
+    let rest = rest.repeat(ENDLESS_WRITE / rest.len());
+    stream.write_all(first.as_bytes()).unwrap();
+    let sending = thread::spawn(move || while stream.write_all(rest.as_bytes()).is_ok() {});
+    for _ in 0..5 {
+        let customer = cluster.customer("forum");
+        assert!(block_on(customer.entries(cluster.entry_address(0))).is_ok());
+        thread::sleep(Duration::from_millis(100));
+    }
+    let closed = || sending.is_finished();
+    cluster
+        .wait_until(CLOSE_TIMEOUT, "the connection to be closed", closed)
+        .unwrap();
+}
+
+#[test]
+fn input_without_end_is_closed() {
+    let cluster = start();
+    let line = "POST /v1/chat/completions HTTP/1.1\r\n";
+    check_endless(&cluster, "", "a");
+    check_endless(&cluster, "", "\r\n");
+    check_endless(&cluster, &format!("{line}X-A: "), "a");
+    check_endless(&cluster, line, "X-A: a\r\n");
+    check_endless(&cluster, &head(usize::MAX >> 1), "a");
+    let chunked = format!("{line}Host: entry\r\nTransfer-Encoding: chunked\r\n\r\n");
+    check_endless(&cluster, &chunked, "4\r\naaaa\r\n");
+    check_endless(&cluster, &format!("{chunked}0\r\n"), "a: b\r\n");
+}
--- a/crates/web/src/server.rs
+++ b/crates/web/src/server.rs
@@ -83,6 +83,8 @@
 pub struct Exchange {
     request: Request,
     body_read_sender: Sender<()>,
+    /// Whether the request has no body, or its body was read completely.
+    is_read: Rc<Cell<bool>>,
     timeout: Duration,
 }
 
@@ -149,6 +151,7 @@
             }
             Some(Ok(_)) => {
                 let _ = self.body_read_sender.try_send(());
+                self.is_read.set(true);
                 Ok(body)
             }
         }
@@ -201,9 +204,11 @@
     let (body_read_sender, body_read_receiver) = async_channel::bounded(1);
     let is_busy = Rc::new(Cell::new(false));
     let endpoint = |request: Request| {
+        let is_read = Rc::new(Cell::new(request.len() == Some(0)));
         let exchange = Exchange {
             request,
             body_read_sender: body_read_sender.clone(),
+            is_read: is_read.clone(),
             timeout: handle.timeout,
         };
         is_busy.set(true);
@@ -213,7 +218,9 @@
         let handle = handle.clone();
         async move {
             let mut reply = reply.await;
-            if handle.stop.is_closed() {
+            // The rest of a body may be long or without end, so it is not read for the sake of the
+            // connection.
+            if handle.stop.is_closed() || !is_read.get() {
                 reply = reply.closing();
             }
             if reply.closes_connection() {
