Go on probing listed addresses at which no member is alive

An instance that restarts in an outage of the store, after its peers have declared it dead, found nobody until the store was back, and answered its callers 503 until then. Cause: peers probe the addresses of dead members once per read of the list, which they can't read in the outage, and the restarted instance has no list at all.

--- a/crates/membership/src/members.rs
+++ b/crates/membership/src/members.rs
@@ -3,6 +3,7 @@
 use core::net::SocketAddr;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use domain::Moment;
@@ -48,9 +49,10 @@
     peers: BTreeMap<Incarnation, Peer>,
     /// Incarnations whose address another process now uses, with the time when that was detected.
     replaced: BTreeMap<Incarnation, Moment>,
-    /// Addresses from the platform's list at which no member is known to be alive.
-    silent: Vec<SocketAddr>,
-    listed_count: usize,
+    /// Addresses of the entries on the platform's list when it was last read.
+    listed: BTreeSet<SocketAddr>,
+    /// Those at which no member is known to be alive, the next one to be probed first.
+    silent: VecDeque<SocketAddr>,
     probes: BTreeMap<u64, Probe>,
     /// Probes on behalf of others, by the sequence number used here.
     relays: BTreeMap<u64, Relay>,
@@ -107,8 +109,8 @@
             config_next: 0,
             peers: BTreeMap::new(),
             replaced: BTreeMap::new(),
-            silent: Vec::new(),
-            listed_count: 1,
+            listed: BTreeSet::new(),
+            silent: VecDeque::new(),
             probes: BTreeMap::new(),
             relays: BTreeMap::new(),
             probe_order: Vec::new(),
@@ -145,15 +147,16 @@
     /// probes to those without a known alive member. Without these probes, after a restart of the
     /// whole fleet each entry would place work without the others' load until it discovered them.
     pub fn set_listed(&mut self, addresses: &[SocketAddr], random: &mut impl Rng) -> Vec<Datagram> {
-        self.listed_count = addresses.len().max(1);
+        self.listed = addresses.iter().copied().collect();
         let alive = self.peers.values().filter(|it| it.state != State::Dead);
         let alive: BTreeSet<SocketAddr> = alive.map(|it| it.member.peer_address).collect();
         // Dead members are probed again while they are listed, because after a network partition
         // each side considers the other dead.
         let is_silent = |it: &&SocketAddr| **it != self.local.peer_address && !alive.contains(*it);
-        self.silent = addresses.iter().filter(is_silent).copied().collect();
-        self.silent.shuffle(random);
-        let targets: Vec<SocketAddr> = self.silent.iter().take(JOIN_PROBE_LIMIT).copied().collect();
+        let mut silent: Vec<SocketAddr> = addresses.iter().filter(is_silent).copied().collect();
+        silent.shuffle(random);
+        let targets = silent[..silent.len().min(JOIN_PROBE_LIMIT)].to_vec();
+        self.silent = silent.into();
         targets.into_iter().map(|to| self.join_probe(to)).collect()
     }
 
@@ -323,6 +326,7 @@
         }
         for member in dead {
             output.events.push(Event::Changed(member.incarnation));
+            self.probe_if_listed(member.peer_address);
             self.gossip(Rumour::Member {
                 member,
                 state: State::Dead,
@@ -335,8 +339,10 @@
     }
 
     fn probe_next(&mut self, now: Moment, random: &mut impl Rng, output: &mut Output) {
-        // The first probe may have been lost, or sent before the other entry was listening.
-        if let Some(to) = self.silent.pop() {
+        // An earlier probe may have been lost, or sent before the other entry was listening. Probing
+        // goes on, because an entry that starts while the platform is unavailable knows no others.
+        if let Some(to) = self.silent.pop_front() {
+            self.silent.push_back(to);
             let datagram = self.join_probe(to);
             output.datagrams.push(datagram);
         }
@@ -469,10 +475,20 @@
                 since: now,
             },
         );
+        if state == State::Dead {
+            self.probe_if_listed(member.peer_address);
+        }
         output.events.push(Event::Changed(id));
         self.gossip(Rumour::Member { member, state });
     }
 
+    /// Lets an address at which a member died be probed, if it is on the platform's list.
+    fn probe_if_listed(&mut self, address: SocketAddr) {
+        if self.listed.contains(&address) && !self.silent.contains(&address) {
+            self.silent.push_back(address);
+        }
+    }
+
     /// Returns a probe to an address, so that a member there describes itself in its reply.
     fn join_probe(&mut self, to: SocketAddr) -> Datagram {
         let sequence = self.next_sequence();
--- a/crates/membership/src/members/views.rs
+++ b/crates/membership/src/members/views.rs
@@ -14,7 +14,7 @@
     /// Returns the expected number of entries, which is the larger of the numbers of listed and of
     /// alive entries.
     pub fn expected(&self) -> usize {
-        self.listed_count.max(self.alive().count())
+        self.listed.len().max(self.alive().count())
     }
 
     /// Returns all members that are not dead, including suspects, this entry first.
--- a/crates/membership/tests/members.rs
+++ b/crates/membership/tests/members.rs
@@ -277,3 +277,21 @@
         }
     }
 }
+
+#[test]
+fn members_entry_restarted_after_its_death_is_found_without_the_list() {
+    let mut network = Network::new(3);
+    network.run(Duration::from_secs(3));
+    network.isolated.insert(1);
+    network.run(DETECTION_LIMIT * 2);
+    assert_eq!(network.ready(0), BTreeSet::from([1, 3]));
+    network.isolated.remove(&1);
+    let restarted = Member {
+        incarnation: Incarnation(100),
+        ..member(1)
+    };
+    network.members[1] = Members::new(restarted);
+    network.run(DETECTION_LIMIT);
+    assert_eq!(network.ready(0), BTreeSet::from([1, 3, 100]));
+    assert_eq!(network.ready(1), BTreeSet::from([1, 3, 100]));
+}
