Bound the memory of all answers that are kept whole

All answers together may use a quarter of the process's memory, like callers' bodies; an answer beyond that counts as broken.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -22,6 +22,7 @@
 use crate::events::Splitter;
 use crate::exchange::Ending;
 use crate::exchange::Exchange;
+use crate::held;
 use crate::notice;
 use crate::port::Forwarding;
 use crate::port::Verdict;
@@ -34,8 +35,8 @@
 
 /// The size limit of a response head, in bytes.
 const RESPONSE_HEAD_LIMIT: usize = 64 * 1024;
-/// The size limit of a response body that is buffered whole, in bytes.
-const RESPONSE_BODY_LIMIT: usize = 16 * 1024 * 1024;
+/// Answers of servers may take up the process's memory divided by this.
+const ANSWER_MEMORY_DIVISOR: usize = 4;
 /// The delay before each check of whether a server whose connection broke accepts connections
 /// again. A server that crashed takes longer to restart.
 const CRASH_CHECK_DELAYS: [Duration; 2] = [Duration::from_millis(50), Duration::from_millis(250)];
@@ -46,7 +47,7 @@
     /// The caller received the whole answer.
     Delivered,
     /// The server answered; nothing was sent to the caller yet.
-    Answered(Response, Vec<u8>),
+    Answered(Response, held::Body),
     /// Writing to the caller failed.
     CallerLeft,
     /// The server could not be connected to; nothing was sent.
@@ -231,9 +232,8 @@
         return Ok(completion);
     }
     let mut decoder = Decoder::new(response.framing);
-    let body = stream
-        .read_whole_body(&mut decoder, RESPONSE_BODY_LIMIT)
-        .await?;
+    let limit = node.settings().memory_limit / ANSWER_MEMORY_DIVISOR;
+    let body = node.answers.read(stream, &mut decoder, limit).await?;
     let reuse = Reuse::of(&response).filter(|_| writing.is_finished());
     let outcome = match verdict {
         Verdict::Ran if answer.state() != State::NotBegun => {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod events;
 pub mod exchange;
 pub mod follow;
+pub mod held;
 pub mod listener;
 pub mod logs;
 pub mod metrics;
--- a/crates/gateway/src/listener.rs
+++ b/crates/gateway/src/listener.rs
@@ -149,6 +149,7 @@
         Error::Malformed(_) => Some(400),
         Error::HeadTooLong(_) => Some(431),
         Error::BodyTooLong(_) => Some(413),
+        Error::NoMemory(_) => Some(503),
         Error::Closed | Error::Truncated | Error::Io(_) => None,
     }
 }
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -24,6 +24,7 @@
 use routing::Quarantine;
 
 use crate::connections::Pool;
+use crate::held;
 use crate::metrics::Metrics;
 use crate::port::Decoder;
 use crate::port::Protocol;
@@ -53,6 +54,8 @@
     pub running_requests: Cell<usize>,
     /// The size of callers' bodies in memory, in bytes.
     pub body_bytes: Cell<usize>,
+    /// The memory that the bodies of servers' answers use.
+    pub answers: held::Memory,
     next_number: Cell<u64>,
     /// The channel for announcements of later configurations by peers.
     pub config_hints: (Sender<Hint>, Receiver<Hint>),
@@ -127,6 +130,7 @@
             datagrams,
             running_requests: Cell::new(0),
             body_bytes: Cell::new(0),
+            answers: held::Memory::default(),
             next_number: Cell::new(0),
             config_hints: async_channel::bounded(1),
             gaps: async_channel::bounded(1),
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -17,6 +17,7 @@
 use crate::attempt::Outcome;
 use crate::exchange;
 use crate::exchange::Exchange;
+use crate::held;
 use crate::port::Metadata;
 use crate::refusal::Refusal;
 use crate::relay::Answer;
@@ -127,7 +128,7 @@
         answer: &mut Answer,
     ) -> Result<&'static str, Refusal> {
         self.add_retry_credit(node);
-        let mut failure: Option<(Response, Vec<u8>)> = None;
+        let mut failure: Option<(Response, held::Body)> = None;
         loop {
             let mut target = match self.place(node) {
                 Ok(target) => target,
@@ -156,7 +157,7 @@
                         // as a promise that the request did not run.
                         return Err(Refusal::Failed);
                     }
-                    let passed_on = answer.send_whole(response, &body).await;
+                    let passed_on = answer.send_whole(response, &body.bytes).await;
                     return Ok(passed_on.map_or("caller_left", |()| "answered"));
                 }
                 Outcome::CallerLeft => return Ok("caller_left"),
@@ -200,13 +201,13 @@
     async fn give_up(
         &self,
         answer: &mut Answer,
-        failure: Option<(Response, Vec<u8>)>,
+        failure: Option<(Response, held::Body)>,
         refusal: Refusal,
     ) -> Result<&'static str, Refusal> {
         if let Some((response, body)) = failure
             && answer.state() == State::NotBegun
         {
-            let passed_on = answer.send_whole(response, &body).await;
+            let passed_on = answer.send_whole(response, &body.bytes).await;
             return Ok(passed_on.map_or("caller_left", |()| "answered"));
         }
         if self.may_have_run {
--- a/crates/h1/src/error.rs
+++ b/crates/h1/src/error.rs
@@ -20,6 +20,9 @@
     /// The body is longer than the limit.
     #[error("the body is longer than {0} bytes: send a shorter one")]
     BodyTooLong(usize),
+    /// The bodies in memory together are longer than the limit.
+    #[error("the bodies in memory are longer than {0} bytes together: retry later")]
+    NoMemory(usize),
     /// The connection failed.
     #[error("the connection failed ({0}): open a new one")]
     Io(#[from] io::Error),
