Recognise when the platform's store comes back from an older copy

In a drill the store may come back from a copy some seconds old, and give offsets out again. The instances read on from their position: servers at reused offsets got no request in 20 s, an instance whose record was lost did not write it again, and an instance that the store refuses learned nothing of it (tests below, on the code before). Cause: a position was an offset, which does not say what it points to after a return. Positions of a later era are later, also in the numbers that peers exchange, so ranges of different eras never continue one another, and an instance that hears of a later era from a peer reads the whole list at once, or takes a peer's. Servers that the store lost stay usable for the grace period of lapsed ones. The instance writes its own record again, also if it is missing for another reason. A lost position no longer makes an instance unready while it waits for the whole list. Configurations compare versions as before, so they don't go back. One log line and the counter store_returns tell of a return. In is_continued_by_rejects_gap only the renamed function changed.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -26,6 +26,7 @@
 use crate::port::Platform;
 use crate::port::Record;
 use crate::port::Snapshot;
+use crate::position;
 
 /// The wait time of a long poll for a change of the configuration. A connection that stalls
 /// meanwhile does no harm, since entries whose connections work announce the change.
@@ -149,7 +150,7 @@
         }
         let (next, is_behind) = {
             let state = node.state.borrow();
-            (state.records.servers_position(), state.records.is_behind())
+            (state.records.read_position(), state.records.is_behind())
         };
         match read_list(&node, &*platform, List::Servers, next, Duration::ZERO).await {
             Ok((scope, changes)) => {
@@ -160,7 +161,7 @@
                     datagrams::broadcast_delta(&node);
                 }
             }
-            Err(Error::Gone) => node.state.borrow_mut().records.drop_position(),
+            Err(Error::Gone) => node.state.borrow_mut().records.lose_position(),
             Err(error) => {
                 if next.is_none() || is_behind {
                     fetch_from_peers(&node, List::Servers).await;
@@ -248,17 +249,7 @@
 /// Adds this instance to the list of entries, then reads the list periodically.
 pub async fn entries<P: Platform>(node: Rc<Node>, platform: Rc<P>) {
     let mut backoff = Backoff::default();
-    loop {
-        let settings = node.settings();
-        let announced = platform
-            .announce(&settings.name, settings.peer_address)
-            .await;
-        count_call(&node, List::Entries, &announced);
-        match announced {
-            Ok(()) => break,
-            Err(error) => backoff.wait(&node, "entries", &error).await,
-        }
-    }
+    announce(&node, &*platform, &mut backoff).await;
     loop {
         let snapshot = platform.snapshot(List::Entries).await;
         count_call(&node, List::Entries, &snapshot);
@@ -271,13 +262,42 @@
                 peers.sort();
                 peers.dedup();
                 datagrams::join(&node, &peers);
-                Timer::after(ENTRIES_INTERVAL).await;
+                let name = &node.settings().name;
+                let is_listed = snapshot.records.iter().any(|it| it.key == *name);
+                if store_returned_within(&node, ENTRIES_INTERVAL).await || !is_listed {
+                    announce(&node, &*platform, &mut backoff).await;
+                }
             }
             Err(error) => backoff.wait(&node, "entries", &error).await,
         }
     }
 }
 
+/// Adds this instance to the list of entries, however often that takes.
+async fn announce<P: Platform>(node: &Node, platform: &P, backoff: &mut Backoff) {
+    loop {
+        let settings = node.settings();
+        let announced = platform
+            .announce(&settings.name, settings.peer_address)
+            .await;
+        count_call(node, List::Entries, &announced);
+        match announced {
+            Ok(()) => return,
+            Err(error) => backoff.wait(node, "entries", &error).await,
+        }
+    }
+}
+
+/// Waits for `limit`, or until the store has come back from an older copy. Returns whether it has.
+async fn store_returned_within(node: &Node, limit: Duration) -> bool {
+    let returned = async { node.returns.1.recv().await.is_ok() };
+    let ended = async {
+        Timer::after(limit).await;
+        false
+    };
+    future::or(returned, ended).await
+}
+
 /// Where records were read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Source {
@@ -313,6 +333,7 @@
     let result = match next {
         None => {
             let snapshot = platform.snapshot(list).await;
+            let snapshot = snapshot.and_then(|it| check_era(node, list, it));
             snapshot.map(|it| (Scope::All, into_changes(it)))
         }
         Some(from) => {
@@ -324,6 +345,17 @@
     result
 }
 
+/// Rejects a list of servers that was read before the store's last known return.
+fn check_era(node: &Node, list: List, snapshot: Snapshot) -> Result<Snapshot, Error> {
+    let position = node.state.borrow().records.servers_position();
+    let known_era = position.map_or(0, position::era);
+    if list == List::Servers && position::era(snapshot.next) < known_era {
+        let reason = "its list is older than the store's last return";
+        return Err(Error::Malformed(reason.to_owned()));
+    }
+    Ok(snapshot)
+}
+
 fn count_call<T>(node: &Node, list: List, result: &Result<T, Error>) {
     let outcome = match result {
         Ok(_) | Err(Error::Gone) => "done",
@@ -372,6 +404,14 @@
     let mut state = node.state.borrow_mut();
     let state = &mut *state;
     state.servers.record_read(now);
+    if state.records.is_before_return(changes.next) {
+        let era = position::era(changes.next);
+        log::warn!(target: "platform", era, source:% = source; "the store came back from an older copy; what it lost is read and written again");
+        node.metrics.store_returns.inc();
+        state.servers.record_return(now);
+        // The channel holds one signal. If one is already there, this one is not needed.
+        let _ = node.returns.0.try_send(());
+    }
     let mut changed = Vec::new();
     let mut all_servers = Vec::new();
     for record in &changes.records {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod notice;
 pub mod peers;
 pub mod port;
+pub mod position;
 pub mod records;
 pub mod refusal;
 pub mod registration;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -91,6 +91,8 @@
     pub servers: Gauge,
     /// Calls to the platform.
     pub platform_calls: Family<CallLabels, Counter>,
+    /// Returns of the platform's store from an older copy.
+    pub store_returns: Counter,
     /// List changes that other entries broadcast.
     pub deltas: Family<DeltaLabels, Counter>,
     /// Calls of other entries that fetched a list.
@@ -117,6 +119,7 @@
             config_version: Gauge::default(),
             servers: Gauge::default(),
             platform_calls: Family::default(),
+            store_returns: Counter::default(),
             deltas: Family::default(),
             peer_calls: Family::default(),
             entries_alive: Gauge::default(),
@@ -209,6 +212,11 @@
             "Calls to the platform",
             self.platform_calls.clone(),
         );
+        registry.register(
+            "store_returns",
+            "Returns of the platform's store from an older copy",
+            self.store_returns.clone(),
+        );
         registry.register(
             "deltas",
             "List changes broadcast by other entries",
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -61,6 +61,9 @@
     pub config_hints: (Sender<Hint>, Receiver<Hint>),
     /// Signals that changes of the list of servers are missing, so that it is read at once.
     pub gaps: (Sender<()>, Receiver<()>),
+    /// Signals that the platform's store came back from an older copy, so that what this instance
+    /// wrote there is written again.
+    pub returns: (Sender<()>, Receiver<()>),
     /// Closed when callers' idle connections have to be closed.
     close_sender: Sender<()>,
     close_receiver: Receiver<()>,
@@ -134,6 +137,7 @@
             next_number: Cell::new(0),
             config_hints: async_channel::bounded(1),
             gaps: async_channel::bounded(1),
+            returns: async_channel::bounded(1),
             close_sender,
             close_receiver,
             settings: RefCell::new(Rc::new(settings)),
--- a/crates/gateway/src/port.rs
+++ b/crates/gateway/src/port.rs
@@ -94,8 +94,9 @@
     /// The platform refused the call and did not carry it out.
     #[error("the platform refused the call with status {0}: retry later")]
     Refused(u16),
-    /// The records at the position are no longer kept.
-    #[error("the records at this position are no longer kept: read a snapshot")]
+    /// The store has no records from this position on: they are deleted, or it came back from an
+    /// older copy.
+    #[error("the store has no records from this position on: read a snapshot")]
     Gone,
     /// The answer can't be decoded.
     #[error("the platform's answer is malformed ({0}): check its version")]
--- a/crates/gateway/src/records.rs
+++ b/crates/gateway/src/records.rs
@@ -15,6 +15,7 @@
 
 use crate::port::List;
 use crate::port::Snapshot;
+use crate::position;
 
 /// The interval between two reads of the list of servers: a third of the 2 s after which a leaving
 /// server must receive no more work.
@@ -44,6 +45,9 @@
     updated: Option<Moment>,
     /// Whether another entry has broadcast changes that start after the cached position.
     is_behind: bool,
+    /// Whether the platform has no changes from the cached position on, so that the whole list has to
+    /// be read.
+    is_position_lost: bool,
     /// The latest changes. Each range starts where the previous one ends, and the last one ends at
     /// the cached position.
     recent: VecDeque<Range>,
@@ -63,6 +67,12 @@
         self.servers_position
     }
 
+    /// Returns the position from which to read changes of servers from the platform; absent if the
+    /// whole list has to be read.
+    pub fn read_position(&self) -> Option<u64> {
+        self.servers_position.filter(|_| !self.is_position_lost)
+    }
+
     /// Stores the record of the configuration in force.
     pub fn store_routes(&mut self, record: &Record, next: u64) {
         self.routes = Some(record.clone());
@@ -85,6 +95,7 @@
     pub fn store_servers(&mut self, now: Moment, from: u64, next: u64, changed: Vec<Record>) {
         self.updated = Some(now);
         self.is_behind = false;
+        self.is_position_lost = false;
         self.recent.retain(|it| now.since(it.stored) < REPEAT_TIME);
         let position = self.servers_position;
         if position.is_some_and(|it| next <= it) {
@@ -118,11 +129,20 @@
         self.servers_position = Some(next);
         self.updated = Some(now);
         self.is_behind = false;
+        self.is_position_lost = false;
+    }
+
+    /// Records that the platform has no changes from the cached position on: they are deleted, or
+    /// the store came back from an older copy.
+    pub fn lose_position(&mut self) {
+        self.is_position_lost = true;
     }
 
-    /// Drops the position, since the platform no longer keeps the records there.
-    pub fn drop_position(&mut self) {
-        self.servers_position = None;
+    /// Returns whether a list that is complete up to `next` shows that the store came back from an
+    /// older copy since the cached list was read.
+    pub fn is_before_return(&self, next: u64) -> bool {
+        let position = self.servers_position;
+        position.is_some_and(|it| position::era(it) < position::era(next))
     }
 
     /// Returns the delta to broadcast to the other entries after a read. If there are no recent
@@ -139,7 +159,7 @@
 
     /// Returns whether the delta of another entry continues from the cached position.
     pub fn is_continued_by(&self, delta: &Delta) -> bool {
-        let position = self.servers_position;
+        let position = self.read_position();
         position.is_some_and(|it| delta.from <= it && it <= delta.to)
     }
 
--- a/crates/gateway/tests/records.rs
+++ b/crates/gateway/tests/records.rs
@@ -6,6 +6,7 @@
 
 use domain::Moment;
 use gateway::port::List;
+use gateway::position;
 use gateway::records::Cache;
 use gateway::records::READ_INTERVAL;
 use proptest::collection::vec;
@@ -107,10 +108,26 @@
     assert!(cache.is_continued_by(&delta(5, 5)));
     assert!(!cache.is_continued_by(&delta(6, 9)));
     assert!(!cache.is_continued_by(&delta(1, 4)));
-    cache.drop_position();
+    cache.lose_position();
     assert!(!cache.is_continued_by(&delta(5, 9)));
 }
 
+#[test]
+fn is_continued_by_rejects_other_eras() {
+    let at = position::encode;
+    let mut cache = Cache::default();
+    cache.store_servers(START, at(1, 0), at(1, 5), Vec::new());
+    assert!(!cache.is_before_return(at(1, 9)));
+    // The older store had given out the same offsets.
+    let older = delta(at(0, 2), at(0, 9));
+    assert!(!cache.is_continued_by(&older));
+    assert!(!cache.record_ignored(&older));
+    let newer = delta(at(2, 2), at(2, 9));
+    assert!(!cache.is_continued_by(&newer));
+    assert!(cache.record_ignored(&newer));
+    assert!(cache.is_before_return(at(2, 0)));
+}
+
 #[test]
 fn next_read_missing_changes_are_read_at_once() {
     let mut cache = Cache::default();
@@ -175,6 +192,21 @@
         self.apply(from, log.len() as u64, records);
     }
 
+    /// Reads a log of which parts may be lost since the last read. The whole log is read then.
+    fn read_in_era(&mut self, era: u64, log: &[Record]) {
+        let from = self.position();
+        let next = position::encode(era, log.len() as u64);
+        if position::era(from) == era {
+            let records = log[position::offset(from) as usize..].to_vec();
+            return self.apply(from, next, records);
+        }
+        let newest = newest(log);
+        let states = newest.iter().map(|(key, it)| (key.clone(), state_of(it)));
+        self.known = states.collect();
+        self.cache
+            .replace_servers(START, next, newest.into_values().collect());
+    }
+
     fn receive(&mut self, delta: &Delta) {
         if self.cache.is_continued_by(delta) {
             self.apply(delta.from, delta.to, delta.records.clone());
@@ -187,6 +219,12 @@
     usize::from(value[0])
 }
 
+/// Returns the newest record of each server.
+fn newest(log: &[Record]) -> BTreeMap<String, Record> {
+    let records = log.iter().map(|it| (it.key.clone(), it.clone()));
+    records.collect()
+}
+
 #[derive(Clone, Debug)]
 enum Step {
     /// A server changes its state.
@@ -237,3 +275,48 @@
         }
     }
 }
+
+proptest! {
+    #![proptest_config(Config {
+        rng_seed: RngSeed::Fixed(7), failure_persistence: None, cases: 500, ..Config::default()
+    })]
+    #[test]
+    fn delta_returns_of_the_store_leave_all_entries_with_the_same_list(
+        steps in vec((step(), any::<prop::sample::Index>(), 0..8_u8), 0..80)
+    ) {
+        let mut log: Vec<Record> = Vec::new();
+        let mut era = 0;
+        let mut entries: [Entry; ENTRIES] = Default::default();
+        for entry in &mut entries {
+            entry.apply(0, 0, Vec::new());
+        }
+        for (number, (step, kept, chance)) in steps.into_iter().enumerate() {
+            if chance == 0 {
+                // The store comes back from a copy that has only the first records.
+                log.truncate(kept.index(log.len() + 1));
+                era += 1;
+            }
+            match step {
+                Step::Change(server) => log.push(Record {
+                    key: format!("i-{server}"),
+                    value: Some(vec![number as u8 + 1]),
+                    next: position::encode(era, log.len() as u64 + 1),
+                }),
+                Step::Read(reader, receivers) => {
+                    entries[reader].read_in_era(era, &log);
+                    let delta = entries[reader].cache.delta().expect("a delta");
+                    for (entry, _) in entries.iter_mut().zip(receivers).filter(|it| it.1) {
+                        entry.receive(&delta);
+                    }
+                }
+            }
+        }
+        let expected: Vec<_> = newest(&log).into_values().map(|it| (it.key, it.value)).collect();
+        for entry in &mut entries {
+            entry.read_in_era(era, &log);
+            let records = entry.cache.snapshot(List::Servers).records;
+            let records: Vec<_> = records.into_iter().map(|it| (it.key, it.value)).collect();
+            prop_assert_eq!(&records, &expected);
+        }
+    }
+}
--- a/crates/placement/src/servers.rs
+++ b/crates/placement/src/servers.rs
@@ -142,6 +142,12 @@
         }
     }
 
+    /// Records that the list came back from an older copy. Servers that it lost are kept for the grace
+    /// period, in which they are written again.
+    pub fn record_return(&mut self, now: Moment) {
+        self.outage_end = Some(now);
+    }
+
     /// Adds or updates one server of the list. Returns whether anything changed.
     pub fn add(&mut self, now: Moment, server: Server) -> bool {
         let report = (server.started_ms, server.sequence);
--- a/crates/placement/tests/servers.rs
+++ b/crates/placement/tests/servers.rs
@@ -208,3 +208,22 @@
     list.add(server("a", 2, 1));
     list.check(&["a"]);
 }
+
+#[test]
+fn replace_after_a_return_waits_for_the_grace_period() {
+    let mut list = List::new();
+    list.add(server("b", 1, 1));
+    list.read(2);
+    list.servers.record_return(list.now);
+    list.servers.replace(list.now, vec![server("b", 1, 1)]);
+    list.check(&["a", "b"]);
+    list.read(1);
+    list.check(&["a", "b"]);
+    list.add(server("a", 1, 2));
+    list.read(4);
+    list.check(&["a", "b"]);
+    list.servers.record_return(list.now);
+    list.servers.replace(list.now, vec![server("b", 1, 1)]);
+    list.read(4);
+    list.check(&["b"]);
+}
