--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -11,11 +11,11 @@
 use async_io::Timer;
 use domain::Moment;
 use futures_lite::future;
-use rand::RngExt;
 use route::Table;
 use wire::Delta;
 
 use crate::Node;
+use crate::backoff::Backoff;
 use crate::calls;
 use crate::datagrams;
 use crate::metrics::CallLabels;
@@ -40,12 +40,6 @@
 const HINT_DELAY: Duration = Duration::from_millis(200);
 /// The number of peers from which a list is requested.
 const MAX_PEERS_TRIED: usize = 3;
-/// The delay after a first failed call, which doubles up to `MAX_RETRY_DELAY`.
-const FIRST_RETRY_DELAY: Duration = Duration::from_millis(100);
-/// The maximum delay while requests can be served.
-const MAX_RETRY_DELAY: Duration = Duration::from_millis(800);
-/// The maximum delay while no requests can be served because the list was never read.
-const MAX_RETRY_DELAY_UNSERVED: Duration = Duration::from_millis(160);
 
 /// Follows the configuration of routes until the process ends.
 pub async fn routes<P: Platform>(node: Rc<Node>, platform: Rc<P>) {
@@ -465,38 +459,3 @@
     let phase = state.phase();
     state.members.set_phase(phase);
 }
-
-/// Exponential backoff between failed calls.
-#[derive(Debug, Default)]
-struct Backoff {
-    failures: u32,
-}
-
-impl Backoff {
-    fn succeeded(&mut self, list: &'static str) {
-        if self.failures > 0 {
-            log::info!(target: "platform", list = list, failures = self.failures; "the platform answers again");
-        }
-        self.failures = 0;
-    }
-
-    async fn wait(&mut self, node: &Node, list: &'static str, error: &Error) {
-        clock::wait_until(self.failed(node, list, error)).await;
-    }
-
-    /// Records a failed call and returns when to retry.
-    fn failed(&mut self, node: &Node, list: &'static str, error: &Error) -> Moment {
-        if self.failures == 0 {
-            log::warn!(target: "platform", list = list, error:% = error; "can't read from the platform; the current data stays in force");
-        }
-        let max_delay = if node.state.borrow().can_serve() {
-            MAX_RETRY_DELAY
-        } else {
-            MAX_RETRY_DELAY_UNSERVED
-        };
-        let delay = (FIRST_RETRY_DELAY * 2_u32.pow(self.failures.min(8))).min(max_delay);
-        self.failures += 1;
-        let jitter = 0.5 + rand::rng().random::<f64>();
-        clock::now() + delay.mul_f64(jitter)
-    }
-}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 //! Architecture invariant: no borrow of [`node::State`] lasts across an await.
 
 pub mod attempt;
+pub mod backoff;
 pub mod calls;
 pub mod connections;
 pub mod datagrams;
--- a/crates/membership/src/members.rs
+++ b/crates/membership/src/members.rs
@@ -22,6 +22,7 @@
 use crate::message::Rumour;
 
 mod homes;
+mod listed;
 mod views;
 
 /// The time between two probes by one entry.
@@ -35,9 +36,6 @@
 /// The number of members that are asked to probe another one indirectly.
 const HELPER_COUNT: usize = 2;
 
-/// The maximum number of listed addresses that are probed at once. In a larger fleet the replies
-/// name the other members. An entry joins once, so this adds nothing to the steady traffic.
-const JOIN_PROBE_LIMIT: usize = 96;
 /// A pause between two ticks above which this process itself is assumed to have been stopped.
 const PAUSE_LIMIT: Duration = Duration::from_millis(1_000);
 
@@ -143,23 +141,6 @@
         self.config_next = next;
     }
 
-    /// Sets the addresses of the entries on the platform's list, including this one's. Returns
-    /// probes to those without a known alive member. Without these probes, after a restart of the
-    /// whole fleet each entry would place work without the others' load until it discovered them.
-    pub fn set_listed(&mut self, addresses: &[SocketAddr], random: &mut impl Rng) -> Vec<Datagram> {
-        self.listed = addresses.iter().copied().collect();
-        let alive = self.peers.values().filter(|it| it.state != State::Dead);
-        let alive: BTreeSet<SocketAddr> = alive.map(|it| it.member.peer_address).collect();
-        // Dead members are probed again while they are listed, because after a network partition
-        // each side considers the other dead.
-        let is_silent = |it: &&SocketAddr| **it != self.local.peer_address && !alive.contains(*it);
-        let mut silent: Vec<SocketAddr> = addresses.iter().filter(is_silent).copied().collect();
-        silent.shuffle(random);
-        let targets = silent[..silent.len().min(JOIN_PROBE_LIMIT)].to_vec();
-        self.silent = silent.into();
-        targets.into_iter().map(|to| self.join_probe(to)).collect()
-    }
-
     /// Sends a rumour to the others along with the next datagrams.
     pub fn gossip(&mut self, rumour: Rumour) {
         self.gossip_queue.push(rumour);
@@ -339,13 +320,7 @@
     }
 
     fn probe_next(&mut self, now: Moment, random: &mut impl Rng, output: &mut Output) {
-        // An earlier probe may have been lost, or sent before the other entry was listening. Probing
-        // goes on, because an entry that starts while the platform is unavailable knows no others.
-        if let Some(to) = self.silent.pop_front() {
-            self.silent.push_back(to);
-            let datagram = self.join_probe(to);
-            output.datagrams.push(datagram);
-        }
+        output.datagrams.extend(self.probe_next_silent());
         let target = loop {
             let Some(target) = self.probe_order.pop() else {
                 let alive = self.peers.iter().filter(|(_, it)| it.state != State::Dead);
@@ -482,20 +457,6 @@
         self.gossip(Rumour::Member { member, state });
     }
 
-    /// Lets an address at which a member died be probed, if it is on the platform's list.
-    fn probe_if_listed(&mut self, address: SocketAddr) {
-        if self.listed.contains(&address) && !self.silent.contains(&address) {
-            self.silent.push_back(address);
-        }
-    }
-
-    /// Returns a probe to an address, so that a member there describes itself in its reply.
-    fn join_probe(&mut self, to: SocketAddr) -> Datagram {
-        let sequence = self.next_sequence();
-        let message = self.message(Kind::Probe { sequence });
-        Datagram { to, message }
-    }
-
     fn message(&mut self, kind: Kind) -> Message {
         let rumours = self.gossip_queue.take(self.peers.len() + 1);
         Message {
