--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -30,7 +30,7 @@
 const ROOM_CHECK_INTERVAL: Duration = Duration::from_millis(80);
 /// The number of servers that a stream which has begun may be sent to before the request fails.
 const RESUME_LIMIT: usize = 5;
-/// The number of servers that are unreachable or start a pause that are tried before a request is refused.
+/// The number of servers to which a request could not be sent before it is refused.
 const CONNECT_LIMIT: usize = 4;
 
 /// Serves one request and returns whether the caller's connection stays open.
--- a/crates/h1/src/head.rs
+++ b/crates/h1/src/head.rs
@@ -1,9 +1,13 @@
 //! Parsing and encoding of the heads of requests and responses.
 
+use std::time::Duration;
+
 use crate::Error;
 use crate::Framing;
 use crate::Headers;
 
+/// The status of a server that turns a request away.
+const SERVICE_UNAVAILABLE: u16 = 503;
 /// The maximum number of header fields of a message.
 const FIELD_LIMIT: usize = 128;
 
@@ -152,6 +156,13 @@
         (100..200).contains(&self.status)
     }
 
+    /// Returns the pause that a server asks for, if it turned the request away; see RFC 9110, section
+    /// 10.2.3. Only a time in seconds is understood, with or without a fraction.
+    pub fn pause(&self) -> Option<Duration> {
+        let pause = self.headers.seconds("Retry-After");
+        pause.filter(|_| self.status == SERVICE_UNAVAILABLE)
+    }
+
     /// Encodes the head, including the fields for its framing and persistence.
     pub fn encode(&self) -> Vec<u8> {
         let mut out = Vec::with_capacity(ENCODED_CAPACITY);
--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -23,8 +23,6 @@
 
 /// The maximum number of idle connections in the pool for each address.
 const IDLE_LIMIT: usize = 32;
-/// The status of a server that turns a request away.
-const SERVICE_UNAVAILABLE: u16 = 503;
 /// The maximum length of a response head, in bytes.
 const HEAD_LIMIT: usize = 64 * 1024;
 /// The maximum length of a line, in bytes.
@@ -283,8 +281,7 @@
 
     /// Returns the pause that the server asks for, if it turned the request away.
     pub fn pause(&self) -> Option<Duration> {
-        let pause = self.response.headers.seconds("Retry-After");
-        pause.filter(|_| self.response.status == SERVICE_UNAVAILABLE)
+        self.response.pause()
     }
 
     /// Reads the next line of the body, without its line ending. Returns `None` after the last line.
