Log the shared parts of prompts whose answers end early

The log names a crash with the fingerprint of a whole request, so it can't tell whether crashes have a part of the prompt in common.

No behaviour changes.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -160,6 +160,10 @@
                 target: "broken",
                 request = exchange.metadata.id.as_deref().unwrap_or("-"),
                 server = target.server.id.as_str(),
+                fingerprint = exchange.fingerprint,
+                shared_parts = exchange.metadata.shared_part_names(),
+                framing = exchange.ending.framing.map_or("-", Framing::name),
+                events = exchange.ending.event_count,
                 error:% = error;
                 "the server's response ended early"
             );
@@ -271,6 +275,7 @@
         bytes.clear();
         let has_more = stream.read_body(&mut decoder, &mut bytes).await?;
         let ready = splitter.push(&bytes)?;
+        exchange.ending.event_count = splitter.event_count();
         let end = (!has_more).then(|| splitter.finish(framing));
         if end.is_some() {
             exchange.ending.partial_event_bytes = splitter.partial_event_len();
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -12,8 +12,10 @@
     pending: Vec<u8>,
     /// The id of the last event that was passed on.
     last_id: Option<u64>,
-    /// Whether the caller has any event of the stream, also from an earlier attempt.
-    has_events: bool,
+    /// Whether the caller has events from an earlier attempt.
+    is_resumed: bool,
+    /// The number of whole events.
+    event_count: u64,
 }
 
 impl Splitter {
@@ -23,7 +25,8 @@
         Self {
             pending: Vec::new(),
             last_id,
-            has_events: last_id.is_some(),
+            is_resumed: last_id.is_some(),
+            event_count: 0,
         }
     }
 
@@ -32,6 +35,11 @@
         self.last_id
     }
 
+    /// Returns the number of whole events in this stream, including those that were dropped.
+    pub fn event_count(&self) -> u64 {
+        self.event_count
+    }
+
     /// Adds bytes and returns the events that they complete. Fails if the next event is too long.
     pub fn push(&mut self, bytes: &[u8]) -> Result<Vec<u8>, Error> {
         self.pending.extend_from_slice(bytes);
@@ -40,7 +48,7 @@
         while let Some(length) = event_length(&self.pending[start..]) {
             let event = &self.pending[start..start + length];
             start += length;
-            self.has_events = true;
+            self.event_count += 1;
             match event_id(event) {
                 Some(id) if self.last_id.is_some_and(|it| id <= it) => {}
                 id => {
@@ -64,7 +72,8 @@
     /// Checks that the stream is complete at the end of its body. The end of a connection shows
     /// only that the server sends no more, so a stream that ends with it needs at least one event.
     pub fn finish(&self, framing: Framing) -> Result<(), Error> {
-        let is_empty = framing == Framing::UntilClose && !self.has_events;
+        let has_events = self.is_resumed || self.event_count > 0;
+        let is_empty = framing == Framing::UntilClose && !has_events;
         if is_empty || !self.pending.is_empty() {
             return Err(Error::Truncated);
         }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -72,6 +72,8 @@
 pub struct Ending {
     /// How the body is delimited; `None` before the head of the answer.
     pub framing: Option<Framing>,
+    /// The number of whole events that the server sent.
+    pub event_count: u64,
     /// The number of bytes after the last complete event of a stream that ended.
     pub partial_event_bytes: usize,
 }
@@ -291,6 +293,7 @@
             longest_pause_ms = self.timing.longest_pause.as_millis() as u64,
             elapsed_ms = clock::now().since(self.arrived).as_millis() as u64,
             framing = self.ending.framing.map_or("-", Framing::name),
+            events = self.ending.event_count,
             partial_event_bytes = self.ending.partial_event_bytes,
             last_event = self.last_event.unwrap_or_default(),
             outcome;
--- a/crates/gateway/src/port.rs
+++ b/crates/gateway/src/port.rs
@@ -157,10 +157,24 @@
     pub key: Option<String>,
     /// The prompt, if the request carries one.
     pub prompt: Option<Prompt>,
+    /// Digests of the parts of the prompt that other requests may share, in order.
+    pub shared_parts: Vec<u64>,
     /// The id of the last event of a stream that the caller has received.
     pub last_event: Option<u64>,
 }
 
+impl Metadata {
+    /// Returns the digests of the shared parts in hexadecimal, separated by commas, for logs.
+    pub fn shared_part_names(&self) -> String {
+        let names: Vec<String> = self
+            .shared_parts
+            .iter()
+            .map(|it| format!("{it:016x}"))
+            .collect();
+        names.join(",")
+    }
+}
+
 /// The size of a prompt and of its answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Prompt {
