--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -169,7 +169,7 @@
         let result = self.run_guarded(node, &mut guard, stream, output).await;
         guard.end = result.as_ref().err().map_or(End::Done, Error::router_end);
         if let Err(Error::Broken(_) | Error::Truncated) = result {
-            crash::detect(node, self.prompt.fingerprint, &guard.servers).await;
+            crash::detect(node, &self.prompt.fingerprint, &guard.servers).await;
         }
         result.map_err(|error| Failed {
             error,
--- a/crates/entry/src/chat/prompt.rs
+++ b/crates/entry/src/chat/prompt.rs
@@ -10,6 +10,7 @@
 use domain::length;
 use routing::Job;
 use routing::job::Tenant;
+use routing::quarantine::Fingerprint;
 use serde::Deserialize;
 
 use crate::node::Node;
@@ -58,8 +59,8 @@
     pub tokens: u64,
     /// The limit on the length of the answer, in tokens.
     pub answer_tokens: u64,
-    /// A hash of model and text that identifies equal prompts.
-    pub fingerprint: u64,
+    /// Describes the prompt for the quarantine.
+    pub fingerprint: Fingerprint,
 }
 
 impl Prompt {
@@ -88,7 +89,10 @@
             );
             return Err(Failure::refused(Kind::TooLong, message));
         }
-        let fingerprint = digest::seeded(text.as_bytes(), digest::fast(body.model.as_bytes()));
+        let fingerprint = Fingerprint {
+            request: digest::seeded(text.as_bytes(), digest::fast(body.model.as_bytes())),
+            parts: Vec::new(),
+        };
         Ok(Self {
             model: body.model,
             text,
--- a/crates/entry/src/chat/serve.rs
+++ b/crates/entry/src/chat/serve.rs
@@ -24,6 +24,7 @@
 use crate::attempt;
 use crate::attempt::Attempt;
 use crate::attempt::Failed;
+use crate::crash;
 use crate::dispatch::Waiter;
 use crate::grade;
 use crate::limits;
@@ -173,6 +174,9 @@
             arrived: self.arrived,
         };
         let result = attempt.run(node, stream, output).await;
+        if result.is_ok() {
+            crash::record_success(node, &self.prompt.fingerprint);
+        }
         if let Err(Failed { error, server }) = &result {
             node.record_step(
                 self.id.number,
@@ -224,11 +228,7 @@
     }
 
     fn check_quarantine(&self, node: &Node, execution: Execution) -> Result<(), Failure> {
-        let core = node.core.borrow();
-        if !core
-            .quarantine
-            .is_refused(clock::now(), self.prompt.fingerprint)
-        {
+        if crash::admits(node, &self.prompt.fingerprint) {
             return Ok(());
         }
         let message = "backend servers crashed each time they ran this prompt: change it";
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -15,6 +15,7 @@
 use membership::message::Rumour;
 use wire::Frame;
 
+use crate::crash;
 use crate::dispatch;
 use crate::engines;
 use crate::follow;
@@ -24,6 +25,8 @@
 
 /// The interval between two ticks of the membership protocol.
 const TICK_INTERVAL: Duration = Duration::from_millis(50);
+/// The interval between two summaries of prompts that are refused.
+const SUMMARY_INTERVAL: Duration = Duration::from_secs(1);
 /// The maximum length of a datagram, in bytes.
 const DATAGRAM_LIMIT: usize = 64 * 1024;
 /// The number of attempts to find a port that is free for both TCP and UDP.
@@ -68,6 +71,7 @@
 pub async fn gossip(node: Rc<Node>, socket: Rc<Async<UdpSocket>>) {
     let mut buffer = vec![0; DATAGRAM_LIMIT];
     let mut next_tick = clock::now();
+    let mut next_summary = clock::now();
     loop {
         let received = async { Some(socket.recv_from(&mut buffer).await) };
         let due = async {
@@ -82,6 +86,10 @@
             }
             None => {
                 next_tick = clock::now() + TICK_INTERVAL;
+                if clock::now() >= next_summary {
+                    next_summary = clock::now() + SUMMARY_INTERVAL;
+                    crash::send_summary(&node);
+                }
                 let mut core = node.core.borrow_mut();
                 let phase = core.phase();
                 core.members.set_phase(phase);
@@ -106,6 +114,10 @@
             engines::apply_reports(node, loads);
             Output::default()
         }
+        Ok(Frame::Quarantine(report)) => {
+            crash::apply(node, from, &report);
+            Output::default()
+        }
         Ok(Frame::Updates(_) | Frame::Snapshot(_) | Frame::Delta(_)) => {
             log::debug!(target: "peers", "Datagram from {from}: routing updates are unused here.");
             Output::default()
@@ -155,17 +167,6 @@
     let mut core = node.core.borrow_mut();
     match &rumour {
         Rumour::Member { .. } => {}
-        Rumour::Crash {
-            fingerprint,
-            server,
-        } => {
-            if core
-                .quarantine
-                .record_crash(clock::now(), *fingerprint, server)
-            {
-                core.members.gossip(rumour.clone());
-            }
-        }
         Rumour::ServerLeaving { server } => {
             if core.mark_leaving(server) {
                 core.members.gossip(rumour.clone());
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -2,9 +2,7 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
 
-use async_io::Timer;
 use domain::Moment;
 use futures_lite::future;
 use h1::Error;
@@ -14,9 +12,9 @@
 use h1::body::Decoder;
 use membership::message::Rumour;
 use placement::Server;
-use web::stream::within;
 
 use crate::Node;
+use crate::crash;
 use crate::dial;
 use crate::dial::Reuse;
 use crate::events::Splitter;
@@ -37,9 +35,6 @@
 const RESPONSE_HEAD_LIMIT: usize = 64 * 1024;
 /// Answers of servers may take up the process's memory divided by this.
 const ANSWER_MEMORY_DIVISOR: usize = 4;
-/// The delay before each check of whether a server whose connection broke accepts connections
-/// again. A server that crashed takes longer to restart.
-const CRASH_CHECK_DELAYS: [Duration; 2] = [Duration::from_millis(50), Duration::from_millis(250)];
 
 /// How an attempt ended.
 #[derive(Debug)]
@@ -52,7 +47,8 @@
     CallerLeft,
     /// The server could not be connected to; nothing was sent.
     Unreached,
-    /// The server asked for a pause or left while the attempt was prepared; nothing was sent.
+    /// The server asked for a pause or left, or the request came under quarantine, while the attempt
+    /// was prepared; nothing was sent.
     Withdrawn,
     /// Memory could not be reserved at a helper; nothing was sent.
     NoRoom,
@@ -107,11 +103,8 @@
         }
     };
     let sent_at = clock::now();
-    if let Some(server_state) = node.state.borrow_mut().servers.get_mut(target.server.key()) {
-        if !server_state.is_usable(sent_at) {
-            return Outcome::Withdrawn;
-        }
-        server_state.health.on_dispatch(sent_at);
+    if !dispatch(node, exchange, target, sent_at) {
+        return Outcome::Withdrawn;
     }
     exchange.attempts += 1;
     exchange.ending = Ending::default();
@@ -148,6 +141,9 @@
     match future::or(response, stalled).await {
         Ok(Completion { outcome, reuse }) => {
             record_health(node, exchange, target, sent_at, &outcome);
+            if has_run(exchange, &outcome) {
+                crash::record_end(node, exchange, &target.server);
+            }
             if matches!(outcome, Outcome::OtherServer) {
                 mark_replaced(node, &target.server);
                 return outcome;
@@ -160,8 +156,8 @@
                 target: "broken",
                 request = exchange.metadata.id.as_deref().unwrap_or("-"),
                 server = target.server.id.as_str(),
-                fingerprint = exchange.fingerprint,
-                shared_parts = exchange.metadata.shared_part_names(),
+                fingerprint = exchange.fingerprint.request,
+                shared_parts = exchange.fingerprint.part_names(),
                 framing = exchange.ending.framing.map_or("-", Framing::name),
                 events = exchange.ending.event_count,
                 error:% = error;
@@ -172,19 +168,44 @@
                 server_state.health.on_failure(clock::now());
             }
             drop(state);
-            let check = check_crash(node.clone(), exchange.fingerprint, target.server.clone());
-            node.executor.spawn(check).detach();
+            let attempt = crash::Attempt::of(exchange, &target.server);
+            node.executor.spawn(attempt.check(node.clone())).detach();
             Outcome::Broken
         }
     }
 }
 
+/// Returns whether the server ran the request to its end.
+fn has_run(exchange: &Exchange, outcome: &Outcome) -> bool {
+    match outcome {
+        Outcome::Delivered => exchange.ending.event_count > 0,
+        Outcome::Answered(response, _) => (200..300).contains(&response.status),
+        _ => false,
+    }
+}
+
 /// The result of an attempt whose response was read to its end.
 struct Completion {
     outcome: Outcome,
     reuse: Option<Reuse>,
 }
 
+/// Records that a request is about to be sent to a server. Returns false if that is no longer allowed.
+fn dispatch(node: &Node, exchange: &Exchange, target: &Target, now: Moment) -> bool {
+    let mut state = node.state.borrow_mut();
+    if state.quarantine.is_refused(now, &exchange.fingerprint) {
+        return false;
+    }
+    let Some(server_state) = state.servers.get_mut(target.server.key()) else {
+        return true;
+    };
+    if server_state.is_usable(now) {
+        server_state.health.on_dispatch(now);
+        return true;
+    }
+    false
+}
+
 fn mark_unreachable(node: &Node, server_key: u64) {
     let now = clock::now();
     node.connections.borrow_mut().close(server_key);
@@ -381,37 +402,3 @@
         server.record_latency(now, now.since(sent_at));
     }
 }
-
-/// Checks whether a server whose connection broke has crashed. If so, counts the crash towards the
-/// quarantine of the request that it ran.
-async fn check_crash(node: Rc<Node>, fingerprint: u64, server: Rc<Server>) {
-    for delay in CRASH_CHECK_DELAYS {
-        Timer::after(delay).await;
-        let connect = Stream::connect(server.address, dial::ACK_TIMEOUT);
-        if let Some(Ok(_)) = within(dial::CONNECT_TIMEOUT, connect).await {
-            return;
-        }
-    }
-    mark_unreachable(&node, server.key());
-    let now = clock::now();
-    let mut state = node.state.borrow_mut();
-    let incarnation = server.incarnation();
-    if state
-        .quarantine
-        .record_crash(now, fingerprint, &incarnation)
-    {
-        let rumour = Rumour::Crash {
-            fingerprint,
-            server: incarnation,
-        };
-        state.members.gossip(rumour);
-        let crashes = state.quarantine.crash_count(now, fingerprint);
-        log::warn!(
-            target: "quarantine",
-            fingerprint,
-            crashes,
-            server = server.id.as_str();
-            "a server crashed while running a request"
-        );
-    }
-}
--- /dev/null
+++ b/crates/gateway/src/crash.rs
@@ -0,0 +1,194 @@
+//! Detects servers that crash while they have a request, and the requests that crash them.
+
+use std::io::ErrorKind;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_io::Timer;
+use h1::Error;
+use h1::Framing;
+use h1::Stream;
+use placement::Server;
+use routing::quarantine::Fingerprint;
+use routing::quarantine::Progress;
+use routing::quarantine::Report;
+use web::stream::within;
+use wire::Frame;
+
+use crate::Node;
+use crate::datagrams;
+use crate::dial;
+use crate::exchange::Exchange;
+
+/// The delay before each check of whether a server whose connection broke accepts connections
+/// again. A server that crashed takes longer to restart.
+const CHECK_DELAYS: [Duration; 2] = [Duration::from_millis(50), Duration::from_millis(250)];
+/// A server that crashes under a request does so at the beginning of the answer. If it has sent more
+/// events than this, the request is not a suspect.
+const BEGINNING_EVENTS: u64 = 2;
+/// The number of entries that get a summary of the suspects at a time.
+const SUMMARY_PEERS: usize = 3;
+
+/// An attempt that ended when its server may have crashed.
+pub struct Attempt {
+    fingerprint: Fingerprint,
+    /// How far the server had come; absent if too far for the request to be a suspect.
+    progress: Option<Progress>,
+    server: Rc<Server>,
+}
+
+impl Attempt {
+    /// Returns the current or the last attempt of a request.
+    pub fn of(exchange: &Exchange, server: &Rc<Server>) -> Self {
+        let is_stream = exchange.route.kind.is_stream();
+        let ending = &exchange.ending;
+        let progress = match ending.framing {
+            None if is_stream => Some(Progress::Waiting),
+            _ if ending.event_count <= BEGINNING_EVENTS => Some(Progress::Begun),
+            _ => None,
+        };
+        Self {
+            fingerprint: exchange.fingerprint.clone(),
+            progress,
+            server: server.clone(),
+        }
+    }
+
+    /// Checks whether the server has crashed after its answer broke off. If so, the request becomes a
+    /// suspect.
+    pub async fn check(self, node: Rc<Node>) {
+        let state = probe(self.server.address).await;
+        if state == State::Listening {
+            return;
+        }
+        self.record_crash(&node, state);
+    }
+
+    /// Checks whether the server has crashed after an answer that ended with the connection. If not,
+    /// the request ran to its end.
+    pub async fn check_end(self, node: Rc<Node>) {
+        let state = probe(self.server.address).await;
+        if state == State::Listening {
+            record_success(&node, &self.fingerprint);
+        } else {
+            self.record_crash(&node, state);
+        }
+    }
+
+    fn record_crash(&self, node: &Node, state: State) {
+        let now = clock::now();
+        let incarnation = self.server.incarnation();
+        node.connections.borrow_mut().close(self.server.key());
+        let report = {
+            let mut node_state = node.state.borrow_mut();
+            if let Some(server_state) = node_state.servers.get_mut(self.server.key()) {
+                server_state.health.on_unreachable(now);
+            }
+            let Some(progress) = self.progress else {
+                return;
+            };
+            // A server that can't be reached may have lost its connection rather than its process.
+            let progress = match state {
+                State::Refusing => progress,
+                _ => Progress::Waiting,
+            };
+            let quarantine = &mut node_state.quarantine;
+            let report = quarantine.record_crash(now, &self.fingerprint, &incarnation, progress);
+            log::warn!(
+                target: "quarantine",
+                fingerprint = self.fingerprint.request,
+                shared_parts = self.fingerprint.part_names(),
+                progress:? = progress,
+                crashes = quarantine.crash_count(&self.fingerprint),
+                suspects = quarantine.len(),
+                server = self.server.id.as_str();
+                "a server crashed while running a request"
+            );
+            report
+        };
+        broadcast(node, report);
+    }
+}
+
+/// What is known of a server's process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum State {
+    /// It accepts connections.
+    Listening,
+    /// Its address refuses connections.
+    Refusing,
+    /// It does not respond.
+    Silent,
+}
+
+async fn probe(address: SocketAddr) -> State {
+    for delay in CHECK_DELAYS {
+        Timer::after(delay).await;
+        let connect = Stream::connect(address, dial::ACK_TIMEOUT);
+        match within(dial::CONNECT_TIMEOUT, connect).await {
+            Some(Ok(_)) => return State::Listening,
+            Some(Err(Error::Io(error))) if error.kind() == ErrorKind::ConnectionRefused => {
+                return State::Refusing;
+            }
+            _ => {}
+        }
+    }
+    State::Silent
+}
+
+/// Records that a server answered a request to its end.
+pub fn record_end(node: &Rc<Node>, exchange: &Exchange, server: &Rc<Server>) {
+    let is_open = {
+        let state = node.state.borrow();
+        state
+            .quarantine
+            .is_open(clock::now(), &exchange.fingerprint)
+    };
+    if exchange.ending.framing != Some(Framing::UntilClose) {
+        record_success(node, &exchange.fingerprint);
+    } else if is_open {
+        // The connection also ends if the server crashes.
+        let attempt = Attempt::of(exchange, server);
+        node.executor
+            .spawn(attempt.check_end(node.clone()))
+            .detach();
+    }
+}
+
+fn record_success(node: &Node, fingerprint: &Fingerprint) {
+    let report = {
+        let mut state = node.state.borrow_mut();
+        state.quarantine.record_success(clock::now(), fingerprint)
+    };
+    broadcast(node, report);
+}
+
+/// Applies what another entry knows of requests that crash servers.
+pub fn apply(node: &Node, from: SocketAddr, report: &Report) {
+    let reply = {
+        let mut state = node.state.borrow_mut();
+        state.quarantine.apply(clock::now(), report)
+    };
+    if let Some(reply) = reply {
+        datagrams::send(node, from, &Frame::Quarantine(reply).encode());
+    }
+}
+
+/// Sends the suspects that are refused to some random entries, which may have missed reports.
+pub fn send_summary(node: &Node) {
+    let state = node.state.borrow();
+    let Some(summary) = state.quarantine.summary(clock::now()) else {
+        return;
+    };
+    let frame = Frame::Quarantine(summary).encode();
+    for member in state.members.sample(SUMMARY_PEERS, &mut rand::rng()) {
+        datagrams::send(node, member.peer_address, &frame);
+    }
+}
+
+fn broadcast(node: &Node, report: Option<Report>) {
+    if let Some(report) = report {
+        datagrams::broadcast(node, &Frame::Quarantine(report));
+    }
+}
--- a/crates/gateway/src/datagrams.rs
+++ b/crates/gateway/src/datagrams.rs
@@ -65,7 +65,7 @@
 }
 
 /// Sends a frame to all other entries. It is encoded once.
-fn broadcast(node: &Node, frame: &Frame) {
+pub fn broadcast(node: &Node, frame: &Frame) {
     let bytes = frame.encode();
     let state = node.state.borrow();
     for member in state.members.alive().skip(1) {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -16,6 +16,8 @@
 use route::Route;
 use route::Service;
 use route::Table;
+use routing::quarantine::Decision;
+use routing::quarantine::Fingerprint;
 
 use crate::Node;
 use crate::port::Metadata;
@@ -63,8 +65,8 @@
     pub ending: Ending,
     /// Whether a server may have run the request.
     pub may_have_run: bool,
-    /// A hash that is the same when the caller sends the same work again.
-    pub fingerprint: u64,
+    /// Describes the work for the quarantine.
+    pub fingerprint: Fingerprint,
 }
 
 /// How a server's answer is delimited, and what was left at its end.
@@ -128,7 +130,10 @@
     let route_deadline = arrived + route.time_limit;
     let timeout = metadata.timeout.unwrap_or(route.time_limit);
     Ok(Exchange {
-        fingerprint: digest::seeded(name.as_bytes(), request_hash),
+        fingerprint: Fingerprint {
+            request: digest::seeded(name.as_bytes(), request_hash),
+            parts: metadata.shared_parts.clone(),
+        },
         caller_deadline: arrived + timeout,
         route_deadline,
         last_event: metadata.last_event,
@@ -185,7 +190,14 @@
         let now = clock::now();
         let mut state = node.state.borrow_mut();
         let state = &mut *state;
-        if state.quarantine.is_refused(now, self.fingerprint) {
+        let members = &state.members;
+        let decision = state
+            .quarantine
+            .admit(now, &self.fingerprint, |it| members.is_owner(it));
+        if let Decision::Test(digest) = decision {
+            log::info!(target: "quarantine", digest; "a request tests whether it still crashes servers");
+        }
+        if decision == Decision::Refuse {
             return Err(Refusal::Quarantined);
         }
         let mut random = rand::rng();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod backoff;
 pub mod calls;
 pub mod connections;
+pub mod crash;
 pub mod datagrams;
 pub mod dial;
 pub mod endpoints;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -13,6 +13,7 @@
 use wire::Frame;
 
 use crate::Node;
+use crate::crash;
 use crate::datagrams;
 use crate::follow;
 
@@ -53,6 +54,7 @@
                 if now >= next_snapshot {
                     next_snapshot = now + SNAPSHOT_INTERVAL;
                     datagrams::broadcast_snapshot(&node);
+                    crash::send_summary(&node);
                 }
                 node.state.borrow_mut().members.tick(now, &mut rand::rng())
             }
@@ -81,6 +83,10 @@
             drop(state);
             follow::apply_delta(node, from, delta);
         }
+        Ok(Frame::Quarantine(report)) => {
+            drop(state);
+            crash::apply(node, from, &report);
+        }
         Ok(Frame::Loads(_)) => {
             log::debug!(target: "peers", from:% = from; "ignored a load report, which the gateway does not use");
         }
@@ -120,6 +126,10 @@
                 member.peer_address,
                 &Frame::Snapshot(snapshot).encode(),
             );
+            if let Some(summary) = state.quarantine.summary(now) {
+                let frame = Frame::Quarantine(summary).encode();
+                datagrams::send(node, member.peer_address, &frame);
+            }
         }
         None => {
             log::info!(target: "peers", incarnation:% = incarnation, alive; "an entry left or died");
@@ -134,10 +144,6 @@
     let mut state = node.state.borrow_mut();
     let is_changed = match &rumour {
         Rumour::Member { .. } => false,
-        Rumour::Crash {
-            fingerprint,
-            server,
-        } => state.quarantine.record_crash(now, *fingerprint, server),
         Rumour::ServerLeaving { server } => {
             let keys = state
                 .servers
--- a/crates/gateway/src/port.rs
+++ b/crates/gateway/src/port.rs
@@ -163,18 +163,6 @@
     pub last_event: Option<u64>,
 }
 
-impl Metadata {
-    /// Returns the digests of the shared parts in hexadecimal, separated by commas, for logs.
-    pub fn shared_part_names(&self) -> String {
-        let names: Vec<String> = self
-            .shared_parts
-            .iter()
-            .map(|it| format!("{it:016x}"))
-            .collect();
-        names.join(",")
-    }
-}
-
 /// The size of a prompt and of its answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Prompt {
--- a/crates/membership/src/members/views.rs
+++ b/crates/membership/src/members/views.rs
@@ -1,6 +1,7 @@
 //! Queries of the members as this entry sees them.
 
 use domain::key::Incarnation;
+use domain::rendezvous;
 use rand::Rng;
 use rand::seq::IteratorRandom;
 
@@ -50,6 +51,14 @@
         self.alive().find(|it| it.incarnation == incarnation)
     }
 
+    /// Returns whether this entry is the one of those alive that rendezvous hashing chooses for a
+    /// subject. Entries with different views may each be the one.
+    pub fn is_owner(&self, subject: u64) -> bool {
+        let weight = |it: &Member| rendezvous::weight(&subject.to_le_bytes(), it.name.as_bytes());
+        let own = weight(&self.local);
+        self.alive().all(|it| weight(it) <= own)
+    }
+
     /// Returns the rank of this entry among the responsive ones by incarnation, from 0.
     pub fn rank(&self) -> usize {
         let own = self.local.incarnation;
--- a/crates/membership/src/message.rs
+++ b/crates/membership/src/message.rs
@@ -55,13 +55,6 @@
         /// The state of the member as the sender sees it.
         state: State,
     },
-    /// A request may have crashed a backend server.
-    Crash {
-        /// The request's fingerprint.
-        fingerprint: u64,
-        /// The backend server.
-        server: String,
-    },
     /// A backend server accepts no new work.
     ServerLeaving {
         /// The backend server.
--- a/crates/wire/schema/peer.capnp
+++ b/crates/wire/schema/peer.capnp
@@ -43,8 +43,8 @@
       member @0 :Member;
       state @1 :State;
     }
-    # A prompt, given by its fingerprint, may have crashed the engine of a backend server.
-    crash :group {
+    # Obsolete: crashes are in the suspects of a datagram. Receivers skip it.
+    obsoleteCrash :group {
       fingerprint @2 :UInt64;
       server @3 :Text;
     }
@@ -131,6 +131,15 @@
   next @3 :UInt64;
 }
 
+struct Suspect {
+  # A digest of a request, or of a part of its prompt, that may have crashed servers.
+  digest @0 :UInt64;
+  # The digests of the names of the servers that crashed.
+  servers @1 :List(UInt64);
+  # The weight of the evidence of each crash.
+  weights @2 :List(UInt8);
+}
+
 struct Datagram {
   # One datagram between entries (`Frame` in the code). The sender, `configNext` and the rumours are
   # set in probe, ack, probeFor and news only, which are the messages of the membership protocol.
@@ -170,6 +179,12 @@
       to @14 :UInt64;
       records @15 :List(Record);
     }
+    quarantine :group {
+      # What the sender knows of requests that crash servers (`Report` in the code).
+      suspects @16 :List(Suspect);
+      # Digests of requests that ran to their end.
+      cleared @17 :List(UInt64);
+    }
   }
 }
 
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -15,6 +15,7 @@
 use placement::Snapshot;
 use placement::Update;
 use routing::level::LEVELS;
+use routing::quarantine::Report;
 
 use crate::Delta;
 use crate::Error;
@@ -24,6 +25,7 @@
 use crate::peer_capnp::load;
 use crate::peer_capnp::member;
 use crate::peer_capnp::rumour;
+use crate::suspects;
 use crate::update;
 
 /// The initial capacity of the buffer for an encoded frame, in bytes.
@@ -41,6 +43,8 @@
     /// All requests in progress that the sender has placed, to make up for lost updates. Only the
     /// gateway sends and uses them.
     Snapshot(Snapshot),
+    /// What the sender knows of requests that crash servers.
+    Quarantine(Report),
     /// Changes to the list of servers. Only the gateway sends and uses them.
     Delta(Delta),
 }
@@ -64,6 +68,7 @@
         match self {
             Self::Message(message) => write_message(message, datagram),
             Self::Delta(delta) => listing::write(delta, datagram.init_listing()),
+            Self::Quarantine(it) => suspects::write(it, datagram.init_quarantine()),
             Self::Snapshot(snapshot) => update::write_snapshot(snapshot, datagram.init_roster()),
             Self::Loads(loads) => {
                 let mut list = datagram.init_loads(loads.len() as u32);
@@ -97,6 +102,7 @@
                 return Ok(Self::Loads(loads));
             }
             datagram::Listing(delta) => return Ok(Self::Delta(listing::read(delta)?)),
+            datagram::Quarantine(it) => return Ok(Self::Quarantine(suspects::read(it)?)),
             datagram::Roster(it) => return Ok(Self::Snapshot(update::read_snapshot(it)?)),
             datagram::Work(updates) => {
                 let updates = updates?
@@ -116,7 +122,7 @@
         let rumours = datagram
             .get_rumours()?
             .iter()
-            .map(read_rumour)
+            .filter_map(|it| read_rumour(it).transpose())
             .collect::<Result<_, _>>()?;
         Ok(Self::Message(Message {
             from: read_member(datagram.get_from()?)?,
@@ -189,35 +195,25 @@
                 State::Dead => rumour::State::Dead,
             });
         }
-        Rumour::Crash {
-            fingerprint,
-            server,
-        } => {
-            let mut group = builder.init_crash();
-            group.set_fingerprint(*fingerprint);
-            group.set_server(server);
-        }
         Rumour::ServerLeaving { server } => builder.set_server_leaving(server),
     }
 }
 
-fn read_rumour(reader: rumour::Reader<'_>) -> Result<Rumour, Error> {
+/// Reads a rumour. Returns `None` for one of a kind that is no longer used.
+fn read_rumour(reader: rumour::Reader<'_>) -> Result<Option<Rumour>, Error> {
     Ok(match reader.which()? {
-        rumour::Member(group) => Rumour::Member {
+        rumour::Member(group) => Some(Rumour::Member {
             member: read_member(group.get_member()?)?,
             state: match group.get_state()? {
                 rumour::State::Alive => State::Alive,
                 rumour::State::Suspect => State::Suspect,
                 rumour::State::Dead => State::Dead,
             },
-        },
-        rumour::Crash(group) => Rumour::Crash {
-            fingerprint: group.get_fingerprint(),
-            server: group.get_server()?.to_str()?.to_owned(),
-        },
-        rumour::ServerLeaving(server) => Rumour::ServerLeaving {
+        }),
+        rumour::ObsoleteCrash(_) => None,
+        rumour::ServerLeaving(server) => Some(Rumour::ServerLeaving {
             server: server?.to_str()?.to_owned(),
-        },
+        }),
     })
 }
 
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod call;
 pub mod frame;
 pub mod listing;
+mod suspects;
 mod update;
 
 pub use frame::Frame;
--- a/crates/wire/src/peer_capnp.rs
+++ b/crates/wire/src/peer_capnp.rs
@@ -734,7 +734,7 @@
 }
 
 pub mod rumour {
-    pub use self::Which::{Member,Crash,ServerLeaving};
+    pub use self::Which::{Member,ObsoleteCrash,ServerLeaving};
 
     #[derive(Copy, Clone)]
     pub struct Owned(());
@@ -810,7 +810,7 @@
                     ))
                 }
                 1 => {
-                    ::core::result::Result::Ok(Crash(
+                    ::core::result::Result::Ok(ObsoleteCrash(
                         self.reader.into()
                     ))
                 }
@@ -884,7 +884,7 @@
             self.builder.into()
         }
         #[inline]
-        pub fn init_crash(mut self, ) -> crate::peer_capnp::rumour::crash::Builder<'a> {
+        pub fn init_obsolete_crash(mut self, ) -> crate::peer_capnp::rumour::obsolete_crash::Builder<'a> {
             self.builder.set_data_field::<u16>(1, 1);
             self.builder.set_data_field::<u64>(1, 0u64);
             self.builder.reborrow().get_pointer_field(0).clear();
@@ -914,7 +914,7 @@
                     ))
                 }
                 1 => {
-                    ::core::result::Result::Ok(Crash(
+                    ::core::result::Result::Ok(ObsoleteCrash(
                         self.builder.into()
                     ))
                 }
@@ -937,7 +937,7 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 52] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 53] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(136, 22, 33, 117, 245, 44, 155, 133),
             ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
@@ -968,19 +968,20 @@
             ::capnp::word(1, 0, 254, 255, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 224, 46, 74, 153, 230, 27, 186),
-            ::capnp::word(45, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(45, 0, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(2, 0, 253, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(20, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(32, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(24, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(36, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(109, 101, 109, 98, 101, 114, 0, 0),
-            ::capnp::word(99, 114, 97, 115, 104, 0, 0, 0),
+            ::capnp::word(111, 98, 115, 111, 108, 101, 116, 101),
+            ::capnp::word(67, 114, 97, 115, 104, 0, 0, 0),
             ::capnp::word(115, 101, 114, 118, 101, 114, 76, 101),
             ::capnp::word(97, 118, 105, 110, 103, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
@@ -994,7 +995,7 @@
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
                 0 => <crate::peer_capnp::rumour::member::Owned as ::capnp::introspect::Introspect>::introspect(),
-                1 => <crate::peer_capnp::rumour::crash::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <crate::peer_capnp::rumour::obsolete_crash::Owned as ::capnp::introspect::Introspect>::introspect(),
                 2 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
@@ -1011,16 +1012,16 @@
         );
         pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[0,1,2];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0,2];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1,2];
         pub(crate) const TYPE_ID: u64 = 0x859b_2cf5_7521_1688;
     }
     pub enum Which<A0,A1,A2> {
         Member(A0),
-        Crash(A1),
+        ObsoleteCrash(A1),
         ServerLeaving(A2),
     }
-    pub type WhichReader<'a,> = Which<crate::peer_capnp::rumour::member::Reader<'a>,crate::peer_capnp::rumour::crash::Reader<'a>,::capnp::Result<::capnp::text::Reader<'a>>>;
-    pub type WhichBuilder<'a,> = Which<crate::peer_capnp::rumour::member::Builder<'a>,crate::peer_capnp::rumour::crash::Builder<'a>,::capnp::Result<::capnp::text::Builder<'a>>>;
+    pub type WhichReader<'a,> = Which<crate::peer_capnp::rumour::member::Reader<'a>,crate::peer_capnp::rumour::obsolete_crash::Reader<'a>,::capnp::Result<::capnp::text::Reader<'a>>>;
+    pub type WhichBuilder<'a,> = Which<crate::peer_capnp::rumour::member::Builder<'a>,crate::peer_capnp::rumour::obsolete_crash::Builder<'a>,::capnp::Result<::capnp::text::Builder<'a>>>;
 
     #[repr(u16)]
     #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -1330,7 +1331,7 @@
         }
     }
 
-    pub mod crash {
+    pub mod obsolete_crash {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -1492,22 +1493,23 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 47] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(0, 224, 46, 74, 153, 230, 27, 186),
                 ::capnp::word(18, 0, 0, 0, 1, 0, 2, 0),
                 ::capnp::word(136, 22, 33, 117, 245, 44, 155, 133),
                 ::capnp::word(1, 0, 7, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 194, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 2, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 82, 117, 109, 111, 117),
-                ::capnp::word(114, 46, 99, 114, 97, 115, 104, 0),
+                ::capnp::word(114, 46, 111, 98, 115, 111, 108, 101),
+                ::capnp::word(116, 101, 67, 114, 97, 115, 104, 0),
                 ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
@@ -3233,8 +3235,291 @@
     }
 }
 
+pub mod suspect {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> Reader<'a,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_digest(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_servers(self) -> ::capnp::Result<::capnp::primitive_list::Reader<'a,u64>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_servers(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_weights(self) -> ::capnp::Result<::capnp::primitive_list::Reader<'a,u8>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_weights(&self) -> bool {
+            !self.reader.get_pointer_field(1).is_null()
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 2 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_digest(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_digest(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_servers(self) -> ::capnp::Result<::capnp::primitive_list::Builder<'a,u64>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_servers(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::primitive_list::Owned<u64>>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+        }
+        #[inline]
+        pub fn init_servers(self, size: u32) -> ::capnp::primitive_list::Builder<'a,u64> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), size)
+        }
+        #[inline]
+        pub fn has_servers(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_weights(self) -> ::capnp::Result<::capnp::primitive_list::Builder<'a,u8>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_weights(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::primitive_list::Owned<u8>>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
+        }
+        #[inline]
+        pub fn init_weights(self, size: u32) -> ::capnp::primitive_list::Builder<'a,u8> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), size)
+        }
+        #[inline]
+        pub fn has_weights(&self) -> bool {
+            !self.builder.is_pointer_field_null(1)
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 70] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(133, 42, 12, 177, 150, 19, 98, 161),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(70, 40, 94, 123, 201, 161, 243, 208),
+            ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 154, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+            ::capnp::word(110, 112, 58, 83, 117, 115, 112, 101),
+            ::capnp::word(99, 116, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(69, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(73, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(96, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(93, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(88, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(100, 105, 103, 101, 115, 116, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 101, 114, 118, 101, 114, 115, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(119, 101, 105, 103, 104, 116, 115, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <::capnp::primitive_list::Owned<u64> as ::capnp::introspect::Introspect>::introspect(),
+                2 => <::capnp::primitive_list::Owned<u8> as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1,2];
+        pub(crate) const TYPE_ID: u64 = 0xa162_1396_b10c_2a85;
+    }
+}
+
 pub mod datagram {
-    pub use self::Which::{Probe,Ack,ProbeFor,News,Loads,Work,Roster,Listing};
+    pub use self::Which::{Probe,Ack,ProbeFor,News,Loads,Work,Roster,Listing,Quarantine};
 
     #[derive(Copy, Clone)]
     pub struct Owned(());
@@ -3369,6 +3654,11 @@
                         self.reader.into()
                     ))
                 }
+                8 => {
+                    ::core::result::Result::Ok(Quarantine(
+                        self.reader.into()
+                    ))
+                }
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x))
             }
         }
@@ -3534,6 +3824,13 @@
             self.builder.into()
         }
         #[inline]
+        pub fn init_quarantine(mut self, ) -> crate::peer_capnp::datagram::quarantine::Builder<'a> {
+            self.builder.set_data_field::<u16>(8, 8);
+            self.builder.reborrow().get_pointer_field(2).clear();
+            self.builder.reborrow().get_pointer_field(3).clear();
+            self.builder.into()
+        }
+        #[inline]
         pub fn which(self) -> ::core::result::Result<WhichBuilder<'a,>, ::capnp::NotInSchema> {
             match self.builder.get_data_field::<u16>(8) {
                 0 => {
@@ -3576,6 +3873,11 @@
                         self.builder.into()
                     ))
                 }
+                8 => {
+                    ::core::result::Result::Ok(Quarantine(
+                        self.builder.into()
+                    ))
+                }
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x))
             }
         }
@@ -3593,98 +3895,105 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 175] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 184] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(253, 185, 205, 115, 77, 158, 110, 227),
             ::capnp::word(11, 0, 0, 0, 1, 0, 4, 0),
             ::capnp::word(70, 40, 94, 123, 201, 161, 243, 208),
-            ::capnp::word(4, 0, 7, 0, 0, 0, 8, 0),
+            ::capnp::word(4, 0, 7, 0, 0, 0, 9, 0),
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 162, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 111, 2, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 167, 2, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 68, 97, 116, 97, 103),
             ::capnp::word(114, 97, 109, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(44, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(48, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(37, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(65, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(32, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(44, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(60, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(72, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(41, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(69, 1, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(40, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(52, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(68, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(49, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(77, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(44, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(72, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(72, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(100, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 255, 255, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(69, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(97, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(64, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(76, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(92, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(104, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 254, 255, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(73, 1, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(101, 1, 0, 0, 34, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(68, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(80, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(96, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 253, 255, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(248, 154, 62, 179, 21, 179, 197, 196),
-            ::capnp::word(77, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(105, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(6, 0, 252, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(57, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(85, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(52, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(64, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(80, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(92, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 251, 255, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(61, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(89, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(56, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(84, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(84, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(112, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 250, 255, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(81, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(109, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(76, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(104, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(104, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(132, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 249, 255, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(23, 173, 186, 99, 42, 161, 51, 218),
-            ::capnp::word(101, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(129, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(10, 0, 248, 255, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(153, 243, 198, 150, 187, 178, 155, 128),
-            ::capnp::word(77, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(105, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(11, 0, 247, 255, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(70, 53, 0, 14, 43, 118, 21, 133),
+            ::capnp::word(81, 1, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -3769,6 +4078,8 @@
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(114, 111, 115, 116, 101, 114, 0, 0),
             ::capnp::word(108, 105, 115, 116, 105, 110, 103, 0),
+            ::capnp::word(113, 117, 97, 114, 97, 110, 116, 105),
+            ::capnp::word(110, 101, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -3783,6 +4094,7 @@
                 8 => <::capnp::struct_list::Owned<crate::peer_capnp::work::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 9 => <crate::peer_capnp::datagram::roster::Owned as ::capnp::introspect::Introspect>::introspect(),
                 10 => <crate::peer_capnp::datagram::listing::Owned as ::capnp::introspect::Introspect>::introspect(),
+                11 => <crate::peer_capnp::datagram::quarantine::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -3797,11 +4109,11 @@
             MEMBERS_BY_NAME
         );
         pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
-        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[3,4,5,6,7,8,9,10];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[4,1,0,10,7,6,3,5,9,2,8];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[3,4,5,6,7,8,9,10,11];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[4,1,0,10,7,6,3,5,11,9,2,8];
         pub(crate) const TYPE_ID: u64 = 0xe36e_9e4d_73cd_b9fd;
     }
-    pub enum Which<A0,A1,A2,A3,A4> {
+    pub enum Which<A0,A1,A2,A3,A4,A5> {
         Probe(u64),
         Ack(u64),
         ProbeFor(A0),
@@ -3810,9 +4122,10 @@
         Work(A2),
         Roster(A3),
         Listing(A4),
+        Quarantine(A5),
     }
-    pub type WhichReader<'a,> = Which<crate::peer_capnp::datagram::probe_for::Reader<'a>,::capnp::Result<::capnp::struct_list::Reader<'a,crate::peer_capnp::load::Owned>>,::capnp::Result<::capnp::struct_list::Reader<'a,crate::peer_capnp::work::Owned>>,crate::peer_capnp::datagram::roster::Reader<'a>,crate::peer_capnp::datagram::listing::Reader<'a>>;
-    pub type WhichBuilder<'a,> = Which<crate::peer_capnp::datagram::probe_for::Builder<'a>,::capnp::Result<::capnp::struct_list::Builder<'a,crate::peer_capnp::load::Owned>>,::capnp::Result<::capnp::struct_list::Builder<'a,crate::peer_capnp::work::Owned>>,crate::peer_capnp::datagram::roster::Builder<'a>,crate::peer_capnp::datagram::listing::Builder<'a>>;
+    pub type WhichReader<'a,> = Which<crate::peer_capnp::datagram::probe_for::Reader<'a>,::capnp::Result<::capnp::struct_list::Reader<'a,crate::peer_capnp::load::Owned>>,::capnp::Result<::capnp::struct_list::Reader<'a,crate::peer_capnp::work::Owned>>,crate::peer_capnp::datagram::roster::Reader<'a>,crate::peer_capnp::datagram::listing::Reader<'a>,crate::peer_capnp::datagram::quarantine::Reader<'a>>;
+    pub type WhichBuilder<'a,> = Which<crate::peer_capnp::datagram::probe_for::Builder<'a>,::capnp::Result<::capnp::struct_list::Builder<'a,crate::peer_capnp::load::Owned>>,::capnp::Result<::capnp::struct_list::Builder<'a,crate::peer_capnp::work::Owned>>,crate::peer_capnp::datagram::roster::Builder<'a>,crate::peer_capnp::datagram::listing::Builder<'a>,crate::peer_capnp::datagram::quarantine::Builder<'a>>;
 
     pub mod probe_for {
         #[derive(Copy, Clone)]
@@ -4602,6 +4915,262 @@
             pub(crate) const TYPE_ID: u64 = 0x809b_b2bb_96c6_f399;
         }
     }
+
+    pub mod quarantine {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> Reader<'a,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_suspects(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::peer_capnp::suspect::Owned>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_suspects(&self) -> bool {
+                !self.reader.get_pointer_field(2).is_null()
+            }
+            #[inline]
+            pub fn get_cleared(self) -> ::capnp::Result<::capnp::primitive_list::Reader<'a,u64>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(3), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_cleared(&self) -> bool {
+                !self.reader.get_pointer_field(3).is_null()
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 4 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_suspects(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::peer_capnp::suspect::Owned>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_suspects(&mut self, value: ::capnp::struct_list::Reader<'_,crate::peer_capnp::suspect::Owned>) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(2), value, false)
+            }
+            #[inline]
+            pub fn init_suspects(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::peer_capnp::suspect::Owned> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(2), size)
+            }
+            #[inline]
+            pub fn has_suspects(&self) -> bool {
+                !self.builder.is_pointer_field_null(2)
+            }
+            #[inline]
+            pub fn get_cleared(self) -> ::capnp::Result<::capnp::primitive_list::Builder<'a,u64>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(3), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_cleared(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::primitive_list::Owned<u64>>) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(3), value, false)
+            }
+            #[inline]
+            pub fn init_cleared(self, size: u32) -> ::capnp::primitive_list::Builder<'a,u64> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(3), size)
+            }
+            #[inline]
+            pub fn has_cleared(&self) -> bool {
+                !self.builder.is_pointer_field_null(3)
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 56] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(70, 53, 0, 14, 43, 118, 21, 133),
+                ::capnp::word(20, 0, 0, 0, 1, 0, 4, 0),
+                ::capnp::word(253, 185, 205, 115, 77, 158, 110, 227),
+                ::capnp::word(4, 0, 7, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 250, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+                ::capnp::word(110, 112, 58, 68, 97, 116, 97, 103),
+                ::capnp::word(114, 97, 109, 46, 113, 117, 97, 114),
+                ::capnp::word(97, 110, 116, 105, 110, 101, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 16, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(41, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(68, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 3, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 17, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(65, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(60, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(115, 117, 115, 112, 101, 99, 116, 115),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(133, 42, 12, 177, 150, 19, 98, 161),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(99, 108, 101, 97, 114, 101, 100, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <::capnp::struct_list::Owned<crate::peer_capnp::suspect::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <::capnp::primitive_list::Owned<u64> as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
+            pub(crate) const TYPE_ID: u64 = 0x8515_762b_0e00_3546;
+        }
+    }
 }
 
 pub mod key {
--- a/crates/wire/tests/frames.rs
+++ b/crates/wire/tests/frames.rs
@@ -8,6 +8,8 @@
 use placement::workload::Part;
 use placement::workload::Placement;
 use placement::workload::Timeliness;
+use routing::quarantine::Report;
+use routing::quarantine::Suspicion;
 use wire::Delta;
 use wire::Frame;
 use wire::Record;
@@ -83,3 +85,16 @@
         assert!(Frame::decode(bytes).is_err());
     }
 }
+
+#[test]
+fn quarantine_report_round_trip() {
+    let suspicion = |digest, crashes: &[(u64, u8)]| Suspicion {
+        digest,
+        crashes: crashes.to_vec(),
+    };
+    check_round_trip(Frame::Quarantine(Report {
+        suspects: vec![suspicion(7, &[(u64::MAX, 2), (1, 1)]), suspicion(8, &[])],
+        cleared: vec![3, 4],
+    }));
+    check_round_trip(Frame::Quarantine(Report::default()));
+}
