--- a/crates/gateway/src/notice.rs
+++ b/crates/gateway/src/notice.rs
@@ -12,6 +12,9 @@
     if notice.is_leaving {
         record_leaving(node, server);
     }
+    if let Some(limit_per_s) = notice.limit_per_s {
+        log::info!(target: "server", server = server.id.as_str(), limit_per_s; "the server named the requests a second that it takes");
+    }
     let Some(pause) = notice.pause else {
         return;
     };
--- a/crates/gateway/src/port.rs
+++ b/crates/gateway/src/port.rs
@@ -221,10 +221,12 @@
 }
 
 /// What a backend server's response says about further work.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Notice {
     /// The time for which the server takes no work from this entry.
     pub pause: Option<Duration>,
+    /// The number of requests a second that the server takes from all entries together.
+    pub limit_per_s: Option<f64>,
     /// Whether the server leaves and takes no more work from any entry.
     pub is_leaving: bool,
 }
