Check for a crash before a request is sent to a second server

What callers saw: an unknown part of prompts crashes four engines or more after all entries have restarted, since each request is sent to a second server at once, before the first crash is known. Found by asking what the quarantine knows after a loss of all instances.

crashing_part_unknown_after_a_restart_of_all_reaches_few_engines: before, more than 3 requests reach engines; after, it passes, with the other six.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -169,8 +169,6 @@
                 server_state.health.on_failure(clock::now());
             }
             drop(state);
-            let attempt = crash::Attempt::of(exchange, &target.server);
-            node.executor.spawn(attempt.check(node.clone())).detach();
             Outcome::Broken
         }
     }
--- a/crates/gateway/src/crash.rs
+++ b/crates/gateway/src/crash.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use async_channel::Receiver;
 use async_io::Timer;
 use h1::Error;
 use h1::Framing;
@@ -55,14 +56,20 @@
         }
     }
 
-    /// Checks whether the server has crashed after its answer broke off. If so, the request becomes a
-    /// suspect.
-    pub async fn check(self, node: Rc<Node>) {
-        let state = probe(self.server.address).await;
-        if state == State::Listening {
-            return;
-        }
-        self.record_crash(&node, state);
+    /// Starts to check whether the server has crashed after its answer broke off. If so, the request
+    /// becomes a suspect. The channel is closed when the outcome is known.
+    pub fn check(self, node: &Rc<Node>) -> Receiver<()> {
+        let (sender, receiver) = async_channel::bounded(1);
+        let task_node = node.clone();
+        let check = async move {
+            let state = probe(self.server.address).await;
+            if state != State::Listening {
+                self.record_crash(&task_node, state);
+            }
+            sender.close();
+        };
+        node.executor.spawn(check).detach();
+        receiver
     }
 
     /// Checks whether the server has crashed after an answer that ended with the connection. If not,
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -15,6 +15,7 @@
 use crate::Node;
 use crate::attempt;
 use crate::attempt::Outcome;
+use crate::crash;
 use crate::exchange;
 use crate::exchange::Exchange;
 use crate::held;
@@ -30,6 +31,9 @@
 const ROOM_CHECK_INTERVAL: Duration = Duration::from_millis(80);
 /// The number of servers that a stream which has begun may be sent to before the request fails.
 const RESUME_LIMIT: usize = 5;
+/// The longest wait for the check of whether a server has crashed, before a retry. A crashed server
+/// refuses connections at the first try.
+const CRASH_CHECK_WAIT: Duration = Duration::from_millis(100);
 /// The number of servers to which a request could not be sent before it is refused.
 const CONNECT_LIMIT: usize = 4;
 
@@ -188,6 +192,11 @@
                 }
                 Outcome::Broken => {
                     self.may_have_run = true;
+                    let checked = crash::Attempt::of(self, &target.server).check(node);
+                    if self.route.kind.is_retryable() {
+                        // The request itself may have crashed the server, and would crash the next.
+                        within(CRASH_CHECK_WAIT, checked.recv()).await;
+                    }
                     if !self.route.kind.is_retryable() || !self.take_retry(node) {
                         return self.give_up(answer, failure, Refusal::Failed).await;
                     }
