Name the check for a crash, and keep one copy of marking a server unreachable

crash::Attempt beside the module attempt, and two types named State, would stop a newcomer. No behaviour changes: the tests of the adapter, the gateway and the router pass.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -98,7 +98,7 @@
         Ok(stream) => stream,
         Err(error) => {
             log::info!(target: "server", server = target.server.id.as_str(), error:% = error; "can't connect to the server");
-            mark_unreachable(node, target.server.key());
+            node.mark_unreachable(clock::now(), target.server.key());
             return Outcome::Unreached;
         }
     };
@@ -205,14 +205,6 @@
     false
 }
 
-fn mark_unreachable(node: &Node, server_key: u64) {
-    let now = clock::now();
-    node.connections.borrow_mut().close(server_key);
-    if let Some(server_state) = node.state.borrow_mut().servers.get_mut(server_key) {
-        server_state.health.on_unreachable(now);
-    }
-}
-
 /// Sends the request and reads the response.
 async fn send_and_receive(
     node: &Rc<Node>,
--- a/crates/gateway/src/crash.rs
+++ b/crates/gateway/src/crash.rs
@@ -31,16 +31,16 @@
 /// The number of entries that get a summary of the suspects at a time.
 const SUMMARY_PEERS: usize = 3;
 
-/// An attempt that ended when its server may have crashed.
-pub struct Attempt {
+/// A check of whether a server crashed during an attempt.
+pub struct Check {
     fingerprint: Fingerprint,
     /// How far the server had come; absent if too far for the request to be a suspect.
     progress: Option<Progress>,
     server: Rc<Server>,
 }
 
-impl Attempt {
-    /// Returns the current or the last attempt of a request.
+impl Check {
+    /// Returns the check for the current or the last attempt of a request.
     pub fn of(exchange: &Exchange, server: &Rc<Server>) -> Self {
         let is_stream = exchange.route.kind.is_stream();
         let ending = &exchange.ending;
@@ -56,15 +56,15 @@
         }
     }
 
-    /// Starts to check whether the server has crashed after its answer broke off. If so, the request
-    /// becomes a suspect. The channel is closed when the outcome is known.
-    pub fn check(self, node: &Rc<Node>) -> Receiver<()> {
+    /// Starts the check after an answer broke off. If the server has crashed, the request becomes a
+    /// suspect. The channel is closed when the outcome is known.
+    pub fn start(self, node: &Rc<Node>) -> Receiver<()> {
         let (sender, receiver) = async_channel::bounded(1);
         let task_node = node.clone();
         let check = async move {
-            let state = probe(self.server.address).await;
-            if state != State::Listening {
-                self.record_crash(&task_node, state);
+            let listener = probe(self.server.address).await;
+            if listener != Listener::Open {
+                self.record_crash(&task_node, listener);
             }
             sender.close();
         };
@@ -72,35 +72,31 @@
         receiver
     }
 
-    /// Checks whether the server has crashed after an answer that ended with the connection. If not,
+    /// Runs the check after an answer that ended with the connection. If the server has not crashed,
     /// the request ran to its end.
-    pub async fn check_end(self, node: Rc<Node>) {
-        let state = probe(self.server.address).await;
-        if state == State::Listening {
+    async fn run_after_end(self, node: Rc<Node>) {
+        let listener = probe(self.server.address).await;
+        if listener == Listener::Open {
             record_success(&node, &self.fingerprint);
         } else {
-            self.record_crash(&node, state);
+            self.record_crash(&node, listener);
         }
     }
 
-    fn record_crash(&self, node: &Node, state: State) {
+    fn record_crash(&self, node: &Node, listener: Listener) {
         let now = clock::now();
+        node.mark_unreachable(now, self.server.key());
+        let Some(progress) = self.progress else {
+            return;
+        };
+        // A server that does not respond may have lost its connection rather than its process.
+        let progress = match listener {
+            Listener::Refusing => progress,
+            Listener::Open | Listener::Silent => Progress::Waiting,
+        };
         let incarnation = self.server.incarnation();
-        node.connections.borrow_mut().close(self.server.key());
         let report = {
-            let mut node_state = node.state.borrow_mut();
-            if let Some(server_state) = node_state.servers.get_mut(self.server.key()) {
-                server_state.health.on_unreachable(now);
-            }
-            let Some(progress) = self.progress else {
-                return;
-            };
-            // A server that can't be reached may have lost its connection rather than its process.
-            let progress = match state {
-                State::Refusing => progress,
-                _ => Progress::Waiting,
-            };
-            let quarantine = &mut node_state.quarantine;
+            let quarantine = &mut node.state.borrow_mut().quarantine;
             let report = quarantine.record_crash(now, &self.fingerprint, &incarnation, progress);
             log::warn!(
                 target: "quarantine",
@@ -118,47 +114,47 @@
     }
 }
 
-/// What is known of a server's process.
+/// What listens at the address of a server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum State {
-    /// It accepts connections.
-    Listening,
-    /// Its address refuses connections.
+enum Listener {
+    /// A process accepts connections.
+    Open,
+    /// Connections are refused.
     Refusing,
-    /// It does not respond.
+    /// Nothing responds.
     Silent,
 }
 
-async fn probe(address: SocketAddr) -> State {
+async fn probe(address: SocketAddr) -> Listener {
     for delay in CHECK_DELAYS {
         Timer::after(delay).await;
         let connect = Stream::connect(address, dial::ACK_TIMEOUT);
         match within(dial::CONNECT_TIMEOUT, connect).await {
-            Some(Ok(_)) => return State::Listening,
+            Some(Ok(_)) => return Listener::Open,
             Some(Err(Error::Io(error))) if error.kind() == ErrorKind::ConnectionRefused => {
-                return State::Refusing;
+                return Listener::Refusing;
             }
             _ => {}
         }
     }
-    State::Silent
+    Listener::Silent
 }
 
 /// Records that a server answered a request to its end.
 pub fn record_end(node: &Rc<Node>, exchange: &Exchange, server: &Rc<Server>) {
-    let is_open = {
+    let is_undecided = {
         let state = node.state.borrow();
         state
             .quarantine
-            .is_open(clock::now(), &exchange.fingerprint)
+            .is_undecided(clock::now(), &exchange.fingerprint)
     };
     if exchange.ending.framing != Some(Framing::UntilClose) {
         record_success(node, &exchange.fingerprint);
-    } else if is_open {
+    } else if is_undecided {
         // The connection also ends if the server crashes.
-        let attempt = Attempt::of(exchange, server);
+        let check = Check::of(exchange, server);
         node.executor
-            .spawn(attempt.check_end(node.clone()))
+            .spawn(check.run_after_end(node.clone()))
             .detach();
     }
 }
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -164,6 +164,14 @@
         }
     }
 
+    /// Closes the idle connections to a server that can't be reached, and opens its circuit breaker.
+    pub fn mark_unreachable(&self, now: Moment, server_key: u64) {
+        self.connections.borrow_mut().close(server_key);
+        if let Some(server_state) = self.state.borrow_mut().servers.get_mut(server_key) {
+            server_state.health.on_unreachable(now);
+        }
+    }
+
     /// Closes callers' idle connections at once, and the others after their current request.
     pub fn close_callers(&self) {
         self.close_sender.close();
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -9,6 +9,7 @@
 use h1::Request;
 use h1::Response;
 use h1::Stream;
+use placement::Server;
 use rand::RngExt;
 use web::stream::within;
 
@@ -192,12 +193,7 @@
                 }
                 Outcome::Broken => {
                     self.may_have_run = true;
-                    let checked = crash::Attempt::of(self, &target.server).check(node);
-                    if self.route.kind.is_retryable() {
-                        // The request itself may have crashed the server, and would crash the next.
-                        within(CRASH_CHECK_WAIT, checked.recv()).await;
-                    }
-                    if !self.route.kind.is_retryable() || !self.take_retry(node) {
+                    if !self.take_retry_after_break(node, &target.server).await {
                         return self.give_up(answer, failure, Refusal::Failed).await;
                     }
                 }
@@ -205,6 +201,17 @@
         }
     }
 
+    /// Returns whether the request may be retried after a server's answer broke off.
+    async fn take_retry_after_break(&self, node: &Rc<Node>, server: &Rc<Server>) -> bool {
+        let checked = crash::Check::of(self, server).start(node);
+        if !self.route.kind.is_retryable() {
+            return false;
+        }
+        // The request itself may have crashed the server, and would crash the next one.
+        within(CRASH_CHECK_WAIT, checked.recv()).await;
+        self.take_retry(node)
+    }
+
     /// Ends a request that no server answered in full. Passes on a server's error response if there
     /// is one. Answers "not run" only if no server may have run the request.
     async fn give_up(
--- a/crates/routing/src/quarantine.rs
+++ b/crates/routing/src/quarantine.rs
@@ -184,7 +184,7 @@
 
     /// Returns whether the end of a request tells anything new: a part of it has no proof, or a digest
     /// is a suspect.
-    pub fn is_open(&self, now: Moment, fingerprint: &Fingerprint) -> bool {
+    pub fn is_undecided(&self, now: Moment, fingerprint: &Fingerprint) -> bool {
         let mut parts = fingerprint.parts.iter().take(PART_LIMIT);
         let is_unproven = parts.any(|it| !self.is_proven(now, *it));
         is_unproven
