Delay only the retries of requests that a crash points to

Waiting for the check of a crash delayed the resumption of streams that had long begun, which are no suspects, by 50 ms of the 250 ms that a pause may last. Only a request whose answer had just begun waits now.

The 7 tests of platform/tests/crashes.rs pass, and those of streams and requests.

--- a/crates/gateway/src/crash.rs
+++ b/crates/gateway/src/crash.rs
@@ -56,6 +56,11 @@
         }
     }
 
+    /// Returns whether the request is a likely cause if the server has crashed.
+    pub fn is_prime_suspect(&self) -> bool {
+        self.progress == Some(Progress::Begun)
+    }
+
     /// Starts the check after an answer broke off. If the server has crashed, the request becomes a
     /// suspect. The channel is closed when the outcome is known.
     pub fn start(self, node: &Rc<Node>) -> Receiver<()> {
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -203,12 +203,16 @@
 
     /// Returns whether the request may be retried after a server's answer broke off.
     async fn take_retry_after_break(&self, node: &Rc<Node>, server: &Rc<Server>) -> bool {
-        let checked = crash::Check::of(self, server).start(node);
+        let check = crash::Check::of(self, server);
+        let is_prime_suspect = check.is_prime_suspect();
+        let checked = check.start(node);
         if !self.route.kind.is_retryable() {
             return false;
         }
-        // The request itself may have crashed the server, and would crash the next one.
-        within(CRASH_CHECK_WAIT, checked.recv()).await;
+        if is_prime_suspect {
+            // If the request itself has crashed the server, it would crash the next one.
+            within(CRASH_CHECK_WAIT, checked.recv()).await;
+        }
         self.take_retry(node)
     }
 
