Send the request that tests whether a digest is refused in vain

What callers would see: a digest that is refused in vain stays refused for an hour. Found by reading the change again.

Cause: a request is checked when it is placed and again before it is sent. The first check counts it as a test, which doubles the delay until the next one, so the second check refused it.

Change: the second check leaves out the latest test, which may be the request itself. A crash after the first check still refuses it.

quarantine_request_that_tests_a_digest_is_not_refused_before_it_is_sent fails before; the 12 tests of the quarantine pass.

--- a/crates/routing/src/quarantine.rs
+++ b/crates/routing/src/quarantine.rs
@@ -201,7 +201,7 @@
         fingerprint: &Fingerprint,
         is_tester: impl Fn(u64) -> bool,
     ) -> Decision {
-        let decision = self.decide(now, fingerprint);
+        let decision = self.decide(now, fingerprint, 0);
         let Decision::Test(digest) = decision else {
             return decision;
         };
@@ -215,10 +215,12 @@
 
     /// Returns whether a request that was admitted before is refused now.
     pub fn is_refused(&self, now: Moment, fingerprint: &Fingerprint) -> bool {
-        self.decide(now, fingerprint) == Decision::Refuse
+        // It may be the latest test itself.
+        self.decide(now, fingerprint, 1) == Decision::Refuse
     }
 
-    fn decide(&self, now: Moment, fingerprint: &Fingerprint) -> Decision {
+    /// Decides whether a request may run, without the latest `ignored_tests` of each digest.
+    fn decide(&self, now: Moment, fingerprint: &Fingerprint, ignored_tests: u32) -> Decision {
         let digests: Vec<u64> = fingerprint.digests().collect();
         let mut decision = Decision::Admit;
         for digest in &digests {
@@ -229,7 +231,8 @@
             if !suspect.is_refused(now) || !rivals.all(|it| digests.contains(&it)) {
                 continue;
             }
-            let test_delay = TEST_DELAY * 2_u32.saturating_pow(suspect.tests);
+            let test_delay =
+                TEST_DELAY * 2_u32.saturating_pow(suspect.tests.saturating_sub(ignored_tests));
             if now.since(suspect.last_crash) < test_delay {
                 return Decision::Refuse;
             }
--- a/crates/routing/tests/quarantine.rs
+++ b/crates/routing/tests/quarantine.rs
@@ -229,3 +229,15 @@
         &[(request(4, &[FIRST]), true), (request(5, &[BAD]), false)],
     );
 }
+
+#[test]
+fn quarantine_request_that_tests_a_digest_is_not_refused_before_it_is_sent() {
+    let mut quarantine = with_bad_part();
+    let bad = request(4, &[FIRST, BAD]);
+    let later = NOW + SECOND * 60;
+    let decision = quarantine.admit(later, &bad, |_| true);
+    assert!(matches!(decision, Decision::Test(_)));
+    assert!(!quarantine.is_refused(later, &bad));
+    crash(&mut quarantine, later, &bad, "d");
+    assert!(quarantine.is_refused(later, &bad));
+}
