Look up suspects only for answers that end with their connection

Each answer looked up whether its request was undecided, which only matters if the connection ends the answer.

--- a/crates/gateway/src/crash.rs
+++ b/crates/gateway/src/crash.rs
@@ -147,15 +147,12 @@
 
 /// Records that a server answered a request to its end.
 pub fn record_end(node: &Rc<Node>, exchange: &Exchange, server: &Rc<Server>) {
-    let is_undecided = {
-        let state = node.state.borrow();
-        state
-            .quarantine
-            .is_undecided(clock::now(), &exchange.fingerprint)
-    };
+    let fingerprint = &exchange.fingerprint;
     if exchange.ending.framing != Some(Framing::UntilClose) {
-        record_success(node, &exchange.fingerprint);
-    } else if is_undecided {
+        return record_success(node, fingerprint);
+    }
+    let state = node.state.borrow();
+    if state.quarantine.is_undecided(clock::now(), fingerprint) {
         // The connection also ends if the server crashes.
         let check = Check::of(exchange, server);
         node.executor
--- a/crates/harness/tests/finish.rs
+++ b/crates/harness/tests/finish.rs
@@ -30,6 +30,30 @@
     .unwrap()
 }
 
+/// Starts engines that crash under each prompt with the word poison.
+fn start_poisonable(engines: usize, services: usize) -> Cluster {
+    let cluster = Cluster::start(Options {
+        engines,
+        services,
+        ..Options::default()
+    })
+    .unwrap();
+    for engine in &cluster.engines {
+        cluster
+            .set_faults(engine.address, &json!({ "crash_on": "poison" }))
+            .unwrap();
+    }
+    cluster
+}
+
+/// Returns the number of engines that have not crashed.
+fn remaining_engines(cluster: &Cluster) -> usize {
+    let loads = cluster.engines.iter();
+    loads
+        .filter(|it| cluster.get_json(it.address, "/load").is_ok())
+        .count()
+}
+
 fn memory_used(cluster: &Cluster) -> u64 {
     let loads = cluster
         .engines
@@ -211,12 +235,7 @@
 
 #[test]
 fn keyed_prompt_is_not_retried_after_a_crash() {
-    let cluster = start(3);
-    for engine in &cluster.engines {
-        cluster
-            .set_faults(engine.address, &json!({ "crash_on": "poison" }))
-            .unwrap();
-    }
+    let cluster = start_poisonable(3, 1);
     let mut prompt =
         Prompt::new(1_000, 10, 1).with_idempotency_key(customer::generate_key().to_string());
     prompt.text.push_str("poison");
@@ -231,26 +250,12 @@
         (failure.kind, failure.ran),
         (Kind::BackendFailed, Execution::Maybe)
     );
-    let remaining = cluster
-        .engines
-        .iter()
-        .filter(|it| cluster.get_json(it.address, "/load").is_ok());
-    assert_eq!(remaining.count(), 2);
+    assert_eq!(remaining_engines(&cluster), 2);
 }
 
 #[test]
 fn poison_prompt_crashes_two_engines_at_most() {
-    let cluster = Cluster::start(Options {
-        engines: 5,
-        services: 0,
-        ..Options::default()
-    })
-    .unwrap();
-    for engine in &cluster.engines {
-        cluster
-            .set_faults(engine.address, &json!({ "crash_on": "poison" }))
-            .unwrap();
-    }
+    let cluster = start_poisonable(5, 0);
     let mut prompt = Prompt::new(1_000, 10, 1);
     prompt.text.push_str("poison");
     for index in [0, 1, 2, 0, 1, 2] {
@@ -258,11 +263,7 @@
         let received = block_on(cluster.customer("forum").prompt(entry, &prompt)).unwrap();
         assert_eq!(received.result.unwrap_err().kind, Kind::Quarantined);
     }
-    let remaining = cluster
-        .engines
-        .iter()
-        .filter(|it| cluster.get_json(it.address, "/load").is_ok());
-    assert_eq!(remaining.count(), 3);
+    assert_eq!(remaining_engines(&cluster), 3);
     let good = Prompt::new(1_000, 10, 2);
     let received = block_on(
         cluster
@@ -275,17 +276,7 @@
 
 #[test]
 fn poison_message_of_prompts_that_are_never_alike_crashes_few_engines() {
-    let cluster = Cluster::start(Options {
-        engines: 8,
-        services: 0,
-        ..Options::default()
-    })
-    .unwrap();
-    for engine in &cluster.engines {
-        cluster
-            .set_faults(engine.address, &json!({ "crash_on": "poison" }))
-            .unwrap();
-    }
+    let cluster = start_poisonable(8, 0);
     let ask = |context: &str, number: usize| {
         let mut prompt = Prompt::new(100, 10, 1);
         prompt.text = format!("rules\n{context}\nquestion {number}");
@@ -296,11 +287,7 @@
     for number in 0..9 {
         assert!(ask("poison", number).1.is_err());
     }
-    let remaining = cluster
-        .engines
-        .iter()
-        .filter(|it| cluster.get_json(it.address, "/load").is_ok());
-    assert!(remaining.count() >= cluster.engines.len() - CRASH_LIMIT);
+    assert!(remaining_engines(&cluster) >= cluster.engines.len() - CRASH_LIMIT);
     for number in 10..13 {
         let (is_complete, result) = ask("context", number);
         assert!(is_complete, "{result:?}");
