Let the end or the rise of a server's limit reach all instances

Cause: when a server's limit ended or rose, only the instance whose request learned of it acted on it. Its placements, no longer limited, kept the bucket of the others empty, so they never sent the request whose answer would have told them; and what a server once said to an instance went before any later report of another one. The end of a limit was not reported at all.

Change: the latest statement of a server counts, whichever instance heard it. The end of a limit is a statement too: it is broadcast, and repeated each second for a minute while answers confirm it, so an instance that missed it or was cut off learns of it. A request sent before a report of the limit doesn't end it. An instance that joins, or is reachable again, gets the limits in force at once.

--- a/crates/gateway/src/notice.rs
+++ b/crates/gateway/src/notice.rs
@@ -37,7 +37,7 @@
     }
 }
 
-/// Records the limit of a server, and broadcasts it to other entries.
+/// Records the limit of a server, or its end, and broadcasts it to other entries.
 fn record_limit(node: &Node, server: &Server, statement: Statement) {
     let now = clock::now();
     let change = {
@@ -45,22 +45,24 @@
         let rates = state.workload.rates_mut();
         rates.record(now, server.key(), statement)
     };
-    match (change, statement) {
-        (Some(Change::Ended), _) => {
-            log::info!(target: "server", server = server.id.as_str(); "the server names no limit of requests any more");
+    let Some(change) = change else {
+        return;
+    };
+    let per_s = statement.per_s();
+    match change {
+        Change::Changed => {
+            log::info!(target: "server", server = server.id.as_str(), limit_per_s = per_s; "the server named the requests a second that it takes");
         }
-        (Some(change), Statement::Limited(per_s)) => {
-            if change == Change::Changed {
-                log::info!(target: "server", server = server.id.as_str(), limit_per_s = per_s; "the server named the requests a second that it takes");
-            }
-            let limited = workload::Change::Limited {
-                server: server.key(),
-                per_s: per_s as f32,
-            };
-            datagrams::broadcast_change(node, now, node.next_job(), limited);
+        Change::Ended => {
+            log::info!(target: "server", server = server.id.as_str(); "the server names no limit of requests any more");
         }
-        _ => {}
+        Change::Repeated => {}
     }
+    let limited = workload::Change::Limited {
+        server: server.key(),
+        per_s: per_s as f32,
+    };
+    datagrams::broadcast_change(node, now, node.next_job(), limited);
 }
 
 /// Records that a server leaves, and gossips it to other entries.
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -10,6 +10,8 @@
 use membership::members::Output;
 use membership::message::Event;
 use membership::message::Rumour;
+use placement::Update;
+use placement::workload::Change;
 use wire::Frame;
 
 use crate::Node;
@@ -130,6 +132,18 @@
                 let frame = Frame::Quarantine(summary).encode();
                 datagrams::send(node, member.peer_address, &frame);
             }
+            let limits = state.workload.rates().in_force(now);
+            let limits = limits.map(|(server, per_s)| Update {
+                job: node.next_job(),
+                change: Change::Limited {
+                    server,
+                    per_s: per_s as f32,
+                },
+            });
+            let limits: Vec<Update> = limits.collect();
+            if !limits.is_empty() {
+                datagrams::send(node, member.peer_address, &Frame::Updates(limits).encode());
+            }
         }
         None => {
             log::info!(target: "peers", incarnation:% = incarnation, alive; "an entry left or died");
--- a/crates/placement/src/workload.rs
+++ b/crates/placement/src/workload.rs
@@ -59,7 +59,7 @@
     Limited {
         /// The server's key.
         server: u64,
-        /// The limit.
+        /// The limit; infinite if it has ended.
         per_s: f32,
     },
     /// It ended or was cancelled.
--- a/crates/placement/tests/rates.rs
+++ b/crates/placement/tests/rates.rs
@@ -141,3 +141,60 @@
         );
     }
 }
+
+#[test]
+fn limit_that_ended_elsewhere_ends_here() {
+    let mut rates = limited();
+    rates.record_report(after(1_000), SERVER, f64::INFINITY);
+    (0..9).for_each(|_| rates.record_placed(after(1_000), SERVER));
+    check(&rates, 1_000, 0);
+}
+
+#[test]
+fn limit_that_rose_elsewhere_rises_here() {
+    let mut rates = limited();
+    rates.record_report(after(1_000), SERVER, LIMIT * 10.0);
+    (0..20).for_each(|_| rates.record_placed(after(1_000), SERVER));
+    check(&rates, 1_000, 1_000);
+}
+
+#[test]
+fn end_of_a_limit_is_reported_again_after_a_second() {
+    let mut rates = limited();
+    let mut record = |millis| {
+        let statement = Statement::Unlimited(after(millis - 20));
+        rates.record(after(millis), SERVER, statement)
+    };
+    assert_eq!(record(100), Some(Change::Ended));
+    assert_eq!(record(1_099), None);
+    assert_eq!(record(1_100), Some(Change::Repeated));
+    assert_eq!(record(59_000), Some(Change::Repeated));
+}
+
+#[test]
+fn end_of_a_limit_is_forgotten_after_a_minute() {
+    let mut rates = limited();
+    rates.record(after(100), SERVER, Statement::Unlimited(after(50)));
+    rates.expire(after(60_100));
+    let statement = Statement::Unlimited(after(60_100));
+    assert_eq!(rates.record(after(60_200), SERVER, statement), None);
+}
+
+#[test]
+fn request_sent_before_a_report_does_not_end_the_limit() {
+    let mut rates = Rates::default();
+    rates.record_report(after(100), SERVER, LIMIT);
+    let statement = Statement::Unlimited(after(50));
+    assert_eq!(rates.record(after(200), SERVER, statement), None);
+    rates.record_placed(after(200), SERVER);
+    check(&rates, 200, 500);
+}
+
+#[test]
+fn limits_in_force_are_listed_for_an_entry_that_joins() {
+    let mut rates = limited();
+    rates.record_report(NOW, SERVER + 1, LIMIT);
+    rates.record_report(NOW, SERVER + 1, f64::INFINITY);
+    let listed: Vec<(u64, f64)> = rates.in_force(after(1)).collect();
+    assert_eq!(listed, [(SERVER, LIMIT)]);
+}
--- a/crates/wire/schema/peer.capnp
+++ b/crates/wire/schema/peer.capnp
@@ -109,8 +109,8 @@
     # The factor by which the server that answers takes longer than published (`Slowed` in the
     # code).
     paced @9 :Float32;
-    # A server named the requests a second that it takes from all entries together. The attempt has no
-    # meaning then.
+    # A server named the requests a second that it takes from all entries together; infinite if it names
+    # none any more. The attempt has no meaning then.
     limited :group {
       server @10 :UInt64;
       perS @11 :Float32;
