Bound the suspects and the proofs of the quarantine

The search for another suspect that explains one walks them all.

Change: at most 4,000 suspects; beyond that the eighth with the least evidence goes, what is refused last.

What crashed several servers stays refused through 290 crashes under unique parts.

--- a/crates/routing/src/quarantine.rs
+++ b/crates/routing/src/quarantine.rs
@@ -11,8 +11,10 @@
 use domain::Moment;
 use domain::digest;
 
+mod proofs;
 pub mod report;
 
+use self::proofs::Proofs;
 pub use self::report::Report;
 pub use self::report::Suspicion;
 
@@ -28,10 +30,10 @@
 const TEST_DELAY: Duration = Duration::from_secs(60);
 /// The time for which a part is no suspect after a request with it ran to its end.
 const PROOF_TIME: Duration = Duration::from_secs(10);
-/// The number of suspects at which those older than half of [`RETENTION`] are removed.
-const SUSPECT_LIMIT: usize = 10_000;
-/// The number of parts with a proof at which expired proofs are removed.
-const PROOF_LIMIT: usize = 10_000;
+/// The maximum number of suspects. Beyond it, those with the least evidence are removed.
+pub const SUSPECT_LIMIT: usize = 4_000;
+/// The maximum number of parts with a proof. Beyond it, the oldest proofs are removed early.
+pub const PROOF_LIMIT: usize = 10_000;
 /// The number of newest crashes that are kept of each suspect.
 const CRASH_LIMIT: usize = 64;
 /// The number of suspects in a summary, the heaviest ones.
@@ -97,8 +99,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Quarantine {
     suspects: HashMap<u64, Suspect>,
-    /// The parts of requests that ran to their end, with the time of the latest one.
-    proofs: HashMap<u64, Moment>,
+    /// The parts of requests that ran to their end.
+    proofs: Proofs,
 }
 
 #[derive(Clone, Debug)]
@@ -167,11 +169,9 @@
     /// Records that a request ran to its end, and returns the report for the other entries; `None` if
     /// it clears nothing.
     pub fn record_success(&mut self, now: Moment, fingerprint: &Fingerprint) -> Option<Report> {
-        if self.proofs.len() >= PROOF_LIMIT {
-            self.proofs.retain(|_, it| now.since(*it) < PROOF_TIME);
+        for part in fingerprint.parts.iter().take(PART_LIMIT) {
+            self.proofs.insert(now, *part);
         }
-        let parts = fingerprint.parts.iter().take(PART_LIMIT);
-        self.proofs.extend(parts.map(|it| (*it, now)));
         let cleared = fingerprint
             .digests()
             .filter(|it| self.suspects.remove(it).is_some());
@@ -296,14 +296,18 @@
         self.suspects.len()
     }
 
+    /// Returns the number of parts of prompts that are kept as proven.
+    pub fn proof_count(&self) -> usize {
+        self.proofs.len()
+    }
+
     /// Returns whether nothing is under suspicion.
     pub fn is_empty(&self) -> bool {
         self.suspects.is_empty()
     }
 
     fn is_proven(&self, now: Moment, digest: u64) -> bool {
-        let proven = self.proofs.get(&digest);
-        proven.is_some_and(|it| now.since(*it) < PROOF_TIME)
+        self.proofs.contains(now, digest)
     }
 
     /// Returns the other suspects that may be the cause of a suspect's crashes instead of it.
@@ -316,9 +320,8 @@
 
     /// Adds the crashes of a suspect. Returns whether any is new.
     fn add(&mut self, now: Moment, suspicion: &Suspicion) -> bool {
-        if self.suspects.len() >= SUSPECT_LIMIT {
-            self.suspects
-                .retain(|_, it| now.since(it.last_crash) < RETENTION / 2);
+        if self.suspects.len() >= SUSPECT_LIMIT && !self.suspects.contains_key(&suspicion.digest) {
+            self.remove_lightest(now);
         }
         let suspect = self.suspects.entry(suspicion.digest);
         let suspect = suspect.or_insert_with(|| Suspect {
@@ -336,4 +339,18 @@
         }
         is_new
     }
+
+    /// Removes an eighth of the suspects, those with the least evidence and the oldest among equals.
+    fn remove_lightest(&mut self, now: Moment) {
+        let evidence = |it: &Suspect| (it.is_refused(now), it.weight(), it.last_crash);
+        let mut ranked: Vec<_> = self
+            .suspects
+            .iter()
+            .map(|(digest, it)| (evidence(it), *digest))
+            .collect();
+        ranked.sort_unstable();
+        for (_, digest) in ranked.into_iter().take(SUSPECT_LIMIT / 8) {
+            self.suspects.remove(&digest);
+        }
+    }
 }
--- a/crates/routing/tests/quarantine.rs
+++ b/crates/routing/tests/quarantine.rs
@@ -6,9 +6,11 @@
 use routing::Quarantine;
 use routing::quarantine::Decision;
 use routing::quarantine::Fingerprint;
+use routing::quarantine::PROOF_LIMIT;
 use routing::quarantine::Progress;
 use routing::quarantine::RETENTION;
 use routing::quarantine::Report;
+use routing::quarantine::SUSPECT_LIMIT;
 
 const NOW: Moment = Moment::from_millis(1_000_000);
 const SECOND: Duration = Duration::from_secs(1);
@@ -241,3 +243,47 @@
     crash(&mut quarantine, later, &bad, "d");
     assert!(quarantine.is_refused(later, &bad));
 }
+
+/// Returns the parts of a prompt that no other request has.
+fn unique_parts(id: u64) -> Vec<u64> {
+    (0..64).map(|it| 1_000_000 + id * 64 + it).collect()
+}
+
+#[test]
+fn suspects_are_bounded_while_servers_crash_under_unique_parts() {
+    let mut quarantine = with_bad_part();
+    for id in 10..300 {
+        let server = format!("server-{id}");
+        let unique = request(id, &unique_parts(id));
+        crash(&mut quarantine, NOW, &unique, &server);
+        assert!(quarantine.len() <= SUSPECT_LIMIT, "{}", quarantine.len());
+    }
+    // What crashed several servers stays refused.
+    check(&mut quarantine, NOW, &[(request(8, &[FIRST, BAD]), false)]);
+}
+
+#[test]
+fn refused_suspects_are_bounded_too() {
+    let mut quarantine = Quarantine::default();
+    for id in 10..300 {
+        for server in ["a", "b"] {
+            let server = format!("{server}-{id}");
+            let unique = request(id, &unique_parts(id));
+            crash(&mut quarantine, NOW, &unique, &server);
+        }
+        assert!(quarantine.len() <= SUSPECT_LIMIT, "{}", quarantine.len());
+    }
+}
+
+#[test]
+fn proofs_of_unique_parts_are_bounded() {
+    let mut quarantine = Quarantine::default();
+    for id in 0..2_000 {
+        quarantine.record_success(NOW, &request(id, &unique_parts(id)));
+        assert!(quarantine.proof_count() <= PROOF_LIMIT);
+    }
+    // The latest proofs still count.
+    let latest = request(9_999, &unique_parts(1_999));
+    crash(&mut quarantine, NOW, &latest, "a");
+    assert_eq!(quarantine.len(), 1);
+}
