Permit retries in fleets of more than 65 instances

Cause: an instance's bucket of retries held its part of half of the fixed budget.

Change: the bucket holds at least one if all instances together may use as many, and refills by the rest of the fixed part, so that both together stay within it as before.

Before: spend_in_a_large_fleet fails. After: it passes, and spend_stays_within_any_window holds up to 69 instances instead of 9.

--- a/crates/placement/src/budget.rs
+++ b/crates/placement/src/budget.rs
@@ -57,13 +57,27 @@
         let capacity = capacity(policy, entries);
         let elapsed = now.since(self.filled).as_secs_f64();
         self.filled = now;
-        // The bucket holds half of the fixed part and refills by the other half in each window, so
-        // that a burst and the refill after it stay within the fixed part.
-        self.tokens = (self.tokens + capacity * elapsed / policy.window_s).min(capacity);
+        // What the bucket holds and its refill in a window add up to the fixed part, so that a burst and
+        // the refill after it stay within it.
+        let refilled = refill(policy, entries) * elapsed / policy.window_s;
+        self.tokens = (self.tokens + refilled).min(capacity);
         self.tokens >= 1.0
     }
 }
 
+/// Returns this entry's part of the fixed part of the budget in each window.
+fn fixed_part(policy: &Policy, entries: usize) -> f64 {
+    policy.extra * USED_SHARE / entries.max(1) as f64
+}
+
+/// Returns the retries that the bucket holds: half of the fixed part, but at least one if the fixed part
+/// allows it, since a bucket that holds less never permits a retry.
 fn capacity(policy: &Policy, entries: usize) -> f64 {
-    policy.extra * USED_SHARE / 2.0 / entries.max(1) as f64
+    let part = fixed_part(policy, entries);
+    (part / 2.0).max(part.min(1.0))
+}
+
+/// Returns the retries by which the bucket refills in each window: the rest of the fixed part.
+fn refill(policy: &Policy, entries: usize) -> f64 {
+    fixed_part(policy, entries) - capacity(policy, entries)
 }
--- a/crates/placement/tests/budget.rs
+++ b/crates/placement/tests/budget.rs
@@ -35,7 +35,7 @@
     #![proptest_config(ProptestConfig::with_cases(24))]
 
     #[test]
-    fn spend_stays_within_any_window(entries in 1_usize..10, requests in 0_usize..8) {
+    fn spend_stays_within_any_window(entries in 1_usize..70, requests in 0_usize..8) {
         let sent = spend_all(entries, 300, requests);
         for start in 0..200 {
             let in_window = sent.iter().filter(|it| (start..start + 100).contains(*it)).count();
@@ -49,3 +49,15 @@
 fn spend_without_any_request() {
     assert!(!spend_all(6, 1, 0).is_empty());
 }
+
+#[test]
+fn spend_in_a_large_fleet() {
+    assert_eq!(spend_all(50, 1, 0).len(), 50);
+    let large = Policy {
+        extra: 460.0,
+        ..POLICY
+    };
+    let mut budget = Budget::new(Moment::default(), &large, 195);
+    assert!(budget.spend(Moment::default(), &large, 195));
+    assert!(!budget.spend(Moment::default(), &large, 195));
+}
