--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -83,6 +83,15 @@
     pub list: &'static str,
 }
 
+impl Direction {
+    fn name(self) -> &'static str {
+        match self {
+            Self::Sent => "sent",
+            Self::Received => "received",
+        }
+    }
+}
+
 type DurationHistograms = Family<RouteLabels, Histogram, fn() -> Histogram>;
 
 /// All metrics of a gateway.
@@ -195,16 +204,30 @@
 
     /// Counts a datagram between this entry and another one.
     pub fn record_datagram(&self, direction: Direction, kind: &'static str, bytes: usize) {
-        let direction = match direction {
-            Direction::Sent => "sent",
-            Direction::Received => "received",
+        let labels = DatagramLabels {
+            direction: direction.name(),
+            kind,
         };
-        let labels = DatagramLabels { direction, kind };
         self.datagrams.get_or_create(&labels).inc();
         let total = self.datagram_bytes.get_or_create(&labels);
         total.inc_by(bytes as u64);
     }
 
+    /// Returns the datagrams so far by kind, as `KIND:COUNT/BYTES` separated by spaces.
+    pub fn datagram_totals(&self, direction: Direction) -> String {
+        let kinds = wire::frame::KINDS.iter().filter_map(|kind| {
+            let labels = DatagramLabels {
+                direction: direction.name(),
+                kind,
+            };
+            let count = self.datagrams.get(&labels)?.get();
+            let bytes = self.datagram_bytes.get(&labels)?.get();
+            Some(format!("{kind}:{count}/{bytes}"))
+        });
+        let kinds: Vec<String> = kinds.collect();
+        kinds.join(" ")
+    }
+
     fn register(&mut self) {
         let registry = &mut self.registry;
         registry.register("requests", "Requests that ended", self.requests.clone());
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -24,6 +24,8 @@
 const SWEEP_INTERVAL: Duration = Duration::from_secs(2);
 /// The interval between two snapshots of this entry's requests, which repair lost updates.
 const SNAPSHOT_INTERVAL: Duration = Duration::from_millis(1_000);
+/// The interval between two log lines with the totals of datagrams.
+const TOTALS_INTERVAL: Duration = Duration::from_secs(10);
 /// The size limit of a datagram, in bytes.
 const DATAGRAM_LIMIT: usize = 64 * 1024;
 
@@ -33,6 +35,7 @@
     let mut next_tick = clock::now();
     let mut next_sweep = clock::now();
     let mut next_snapshot = clock::now();
+    let mut next_totals = clock::now() + TOTALS_INTERVAL;
     loop {
         let received = async { Some(node.datagrams.recv_from(&mut buffer).await) };
         let due = async {
@@ -57,6 +60,10 @@
                     datagrams::tell_snapshot(&node, now);
                     crash::send_summary(&node);
                 }
+                if now >= next_totals {
+                    next_totals = now + TOTALS_INTERVAL;
+                    log_totals(&node);
+                }
                 datagrams::refresh_audience(&node, now);
                 node.state.borrow_mut().members.tick(now, &mut rand::rng())
             }
@@ -70,6 +77,13 @@
     node.connections.borrow_mut().expire(now);
 }
 
+/// Logs the totals of datagrams, for those who have no metrics of the time in question.
+fn log_totals(node: &Node) {
+    let sent = node.metrics.datagram_totals(Direction::Sent);
+    let received = node.metrics.datagram_totals(Direction::Received);
+    log::info!(target: "peers", sent = sent.as_str(), received = received.as_str(); "datagrams so far by kind, as count/bytes");
+}
+
 fn receive(node: &Node, from: SocketAddr, bytes: &[u8]) -> Output {
     let now = clock::now();
     let decoded = Frame::decode(bytes);
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -31,6 +31,19 @@
 /// The initial capacity of the buffer for an encoded frame, in bytes.
 const PACKED_CAPACITY: usize = 256;
 
+/// The names of all kinds of frames, as in [`Frame::kind`].
+pub const KINDS: [&str; 9] = [
+    "probe",
+    "ack",
+    "probe_for",
+    "gossip",
+    "loads",
+    "updates",
+    "snapshot",
+    "quarantine",
+    "delta",
+];
+
 /// One datagram between entries.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Frame {
