Rank instances that are starting, the strongest first

Cause: the rank by which one instance reads the list of servers for all counted only instances that are ready. Until the first configuration nobody is, so all had rank 0, read at once and broadcast to all.

Test: entries_that_are_starting_have_ranks_of_their_own.

--- a/crates/membership/src/members/subset.rs
+++ b/crates/membership/src/members/subset.rs
@@ -14,6 +14,7 @@
 
 use super::Members;
 use crate::member::Member;
+use crate::member::Phase;
 
 /// The least share of the fleet's processor capacity in the subset.
 const CAPACITY_SHARE: f64 = 0.2;
@@ -29,7 +30,7 @@
 impl Members {
     /// Returns the members that callers are directed to.
     pub fn subset(&self) -> Vec<&Member> {
-        let mut ranked = self.ranked();
+        let mut ranked = in_order(self.responsive());
         let required = CAPACITY_SHARE * ranked.iter().map(|it| capacity(it)).sum::<f64>();
         let strongest = ranked.first().map_or(0.0, |it| capacity(it));
         let mut sum = 0.0;
@@ -75,25 +76,34 @@
         (self.subset().len().max(1) * self.expected()).div_ceil(alive)
     }
 
-    /// Returns the responsive members, those with the most capacity first. Among equal ones the data
-    /// centres take turns.
-    fn ranked(&self) -> Vec<&Member> {
-        let mut ranked: Vec<&Member> = self.responsive().collect();
-        ranked.sort_by_cached_key(|it| (Reverse(it.capacity), weight(SUBJECT, it)));
-        let mut turns: BTreeMap<(u32, &str), usize> = BTreeMap::new();
-        let mut in_turn: Vec<(usize, &Member)> = Vec::with_capacity(ranked.len());
-        for member in ranked {
-            let turn = turns.entry((member.capacity, member.data_centre.as_str()));
-            let turn = turn.or_default();
-            *turn += 1;
-            in_turn.push((*turn, member));
-        }
-        // The sort is stable.
-        in_turn.sort_by_key(|(turn, member)| (Reverse(member.capacity), *turn));
-        in_turn.into_iter().map(|it| it.1).collect()
+    /// Returns the rank of this entry among those that can do a duty for all, from 0: those with the most
+    /// capacity come first. Entries that are starting count, so that the ranks differ from the start.
+    pub fn rank(&self) -> usize {
+        let staying = self.unsuspected().filter(|it| it.phase != Phase::Leaving);
+        let ordered = in_order(staying);
+        let own = self.local.incarnation;
+        let position = ordered.iter().position(|it| it.incarnation == own);
+        position.unwrap_or(ordered.len())
     }
 }
 
+/// Sorts members, those with the most capacity first. Among equal ones the data centres take turns.
+fn in_order<'a>(members: impl Iterator<Item = &'a Member>) -> Vec<&'a Member> {
+    let mut ordered: Vec<&Member> = members.collect();
+    ordered.sort_by_cached_key(|it| (Reverse(it.capacity), weight(SUBJECT, it)));
+    let mut turns: BTreeMap<(u32, &str), usize> = BTreeMap::new();
+    let mut in_turn: Vec<(usize, &Member)> = Vec::with_capacity(ordered.len());
+    for member in ordered {
+        let turn = turns.entry((member.capacity, member.data_centre.as_str()));
+        let turn = turn.or_default();
+        *turn += 1;
+        in_turn.push((*turn, member));
+    }
+    // The sort is stable.
+    in_turn.sort_by_key(|(turn, member)| (Reverse(member.capacity), *turn));
+    in_turn.into_iter().map(|it| it.1).collect()
+}
+
 /// Returns the capacity of a member in thousandths of a core. Members that do not know theirs count as
 /// equal.
 fn capacity(member: &Member) -> f64 {
--- a/crates/membership/src/members/views.rs
+++ b/crates/membership/src/members/views.rs
@@ -32,10 +32,14 @@
     /// Returns the members that are ready for callers and not suspect, this entry first if it is
     /// ready.
     pub fn responsive(&self) -> impl Iterator<Item = &Member> {
+        self.unsuspected().filter(|it| it.phase == Phase::Ready)
+    }
+
+    /// Returns the members that are neither dead nor suspect, this entry first.
+    pub(super) fn unsuspected(&self) -> impl Iterator<Item = &Member> {
         let is_alive = |it: &&Peer| it.state == State::Alive;
         let others = self.peers.values().filter(is_alive).map(|it| &it.member);
-        let all = std::iter::once(&self.local).chain(others);
-        all.filter(|it| it.phase == Phase::Ready)
+        std::iter::once(&self.local).chain(others)
     }
 
     /// Returns up to `count` random other members that have started and are not dead.
@@ -58,11 +62,4 @@
         let own = weight(&self.local);
         self.alive().all(|it| weight(it) <= own)
     }
-
-    /// Returns the rank of this entry among the responsive ones by incarnation, from 0.
-    pub fn rank(&self) -> usize {
-        let own = self.local.incarnation;
-        let others = self.responsive().filter(|it| it.incarnation < own);
-        others.count()
-    }
 }
--- a/crates/membership/tests/subset.rs
+++ b/crates/membership/tests/subset.rs
@@ -14,6 +14,7 @@
 
 use membership::Audience;
 use membership::Member;
+use membership::member::Phase;
 use network::Network;
 use network::address;
 use network::member;
@@ -232,3 +233,24 @@
     assert!(audience.is_participant(now + Duration::from_secs(4)));
     assert!(!audience.is_participant(now + Duration::from_secs(6)));
 }
+
+#[test]
+fn entries_that_are_starting_have_ranks_of_their_own() {
+    let starting = (0..COUNT).map(|it| Member {
+        phase: Phase::Starting,
+        ..large(it)
+    });
+    let mut network = Network::of(starting);
+    network.run(START_TIME);
+    let ranks: BTreeSet<usize> = network.members.iter().map(|it| it.rank()).collect();
+    assert_eq!(ranks, (0..COUNT).collect());
+    // The duty falls to a strong entry, and to another one when it leaves.
+    let first = (0..COUNT).find(|it| network.members[*it].rank() == 0);
+    let first = first.expect("a first entry");
+    assert!(first < STRONG_COUNT);
+    network.members[first].set_phase(Phase::Leaving);
+    network.run(RECOVERY_LIMIT);
+    assert!(network.members[first].rank() > 0);
+    let ranked_first = network.members.iter().filter(|it| it.rank() == 0);
+    assert_eq!(ranked_first.count(), 1);
+}
