Let only entries whose read delays differ broadcast the list of servers

Cause: entries of rank 10 and above share the longest delay. If they miss two broadcasts, as at the start before they are known, 185 of them read at the same moment, and each broadcast 11 KB to all others. Links filled, broadcasts and probes were lost, so more entries read for themselves and sound ones became suspect.

Change: an entry of such a rank reads for itself only.

Test: is_broadcaster_only_if_no_other_entry_reads_at_the_same_moment.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -27,6 +27,7 @@
 use crate::port::Record;
 use crate::port::Snapshot;
 use crate::position;
+use crate::records;
 
 /// The wait time of a long poll for a change of the configuration. A connection that stalls
 /// meanwhile does no harm, since entries whose connections work announce the change.
@@ -128,9 +129,10 @@
 pub async fn servers<P: Platform>(node: Rc<Node>, platform: Rc<P>) {
     let mut backoff = Backoff::default();
     loop {
-        let due = {
+        let (due, rank) = {
             let state = node.state.borrow();
-            state.records.next_read(state.members.rank())
+            let rank = state.members.rank();
+            (state.records.next_read(rank), rank)
         };
         if clock::now() < due {
             // Deltas from peers may postpone the next read meanwhile, or require it at once.
@@ -151,7 +153,7 @@
                 backoff.succeeded("servers");
                 let from = next.filter(|_| scope == Scope::Changed);
                 apply_servers(&node, Source::Platform, scope, from, &changes);
-                if !is_behind {
+                if !is_behind && records::is_broadcaster(rank) {
                     datagrams::broadcast_delta(&node);
                 }
             }
--- a/crates/gateway/src/records.rs
+++ b/crates/gateway/src/records.rs
@@ -31,6 +31,17 @@
 /// otherwise be repeated until others displace it.
 const REPEAT_TIME: Duration = Duration::from_secs(2);
 
+/// Returns whether an entry of this rank broadcasts what it reads. Those of higher ranks share the longest
+/// delay, so that many of them may read at the same moment.
+pub fn is_broadcaster(rank: usize) -> bool {
+    read_delay(rank) < MAX_DELAY
+}
+
+fn read_delay(rank: usize) -> Duration {
+    let rank = u32::try_from(rank).unwrap_or(u32::MAX);
+    RANK_DELAY.saturating_mul(rank).min(MAX_DELAY)
+}
+
 /// The records of the platform's lists, undecoded.
 #[derive(Debug, Default)]
 pub struct Cache {
@@ -85,9 +96,9 @@
         if self.is_behind {
             return Moment::default();
         }
-        let delay = (RANK_DELAY * rank as u32).min(MAX_DELAY);
-        self.updated
-            .map_or(Moment::default(), |it| it + READ_INTERVAL + delay)
+        self.updated.map_or(Moment::default(), |it| {
+            it + READ_INTERVAL + read_delay(rank)
+        })
     }
 
     /// Stores the records that were new to this entry in the positions `from` to `next`, which have
--- a/crates/gateway/tests/records.rs
+++ b/crates/gateway/tests/records.rs
@@ -7,6 +7,7 @@
 use domain::Moment;
 use gateway::port::List;
 use gateway::position;
+use gateway::records;
 use gateway::records::Cache;
 use gateway::records::READ_INTERVAL;
 use proptest::collection::vec;
@@ -48,6 +49,17 @@
     assert!(cache.next_read(300) < START + Duration::from_secs(2));
 }
 
+#[test]
+fn is_broadcaster_only_if_no_other_entry_reads_at_the_same_moment() {
+    let mut cache = Cache::default();
+    cache.store_servers(START, 0, 0, vec![]);
+    for rank in 0..400 {
+        let is_alone = cache.next_read(rank) < cache.next_read(rank + 1);
+        assert_eq!(records::is_broadcaster(rank), is_alone, "{rank}");
+    }
+    assert!((0..9).all(records::is_broadcaster));
+}
+
 #[test]
 fn listing_contains_last_three_reads() {
     let mut cache = Cache::default();
