--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -19,6 +19,7 @@
 use crate::calls;
 use crate::datagrams;
 use crate::metrics::CallLabels;
+use crate::metrics::CallOutcome;
 use crate::metrics::DeltaLabels;
 use crate::port::Changes;
 use crate::port::Error;
@@ -354,13 +355,13 @@
 
 fn count_call<T>(node: &Node, list: List, result: &Result<T, Error>) {
     let outcome = match result {
-        Ok(_) | Err(Error::Gone) => "done",
-        Err(Error::Refused(_)) => "refused",
-        Err(Error::Unanswered(_) | Error::Malformed(_)) => "unanswered",
+        Ok(_) | Err(Error::Gone) => CallOutcome::Done,
+        Err(Error::Refused(_)) => CallOutcome::Refused,
+        Err(Error::Unanswered(_) | Error::Malformed(_)) => CallOutcome::Unanswered,
     };
     let call = CallLabels {
         list: list.name(),
-        outcome,
+        outcome: outcome.name(),
     };
     node.metrics.platform_calls.get_or_create(&call).inc();
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -12,6 +12,8 @@
 use prometheus_client::metrics::histogram::exponential_buckets;
 use prometheus_client::registry::Registry;
 
+use crate::port::List;
+
 /// The upper bound of the first bucket of a duration histogram, in seconds.
 const FIRST_BUCKET_SECONDS: f64 = 0.004;
 /// The number of buckets of a duration histogram. Each bound is twice the one before.
@@ -92,6 +94,30 @@
     }
 }
 
+/// How a call to the platform ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallOutcome {
+    /// It was answered.
+    Done,
+    /// The platform refused it.
+    Refused,
+    /// No usable answer came.
+    Unanswered,
+}
+
+impl CallOutcome {
+    const ALL: [Self; 3] = [Self::Done, Self::Refused, Self::Unanswered];
+
+    /// Returns the name used in metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Done => "done",
+            Self::Refused => "refused",
+            Self::Unanswered => "unanswered",
+        }
+    }
+}
+
 type DurationHistograms = Family<RouteLabels, Histogram, fn() -> Histogram>;
 
 /// All metrics of a gateway.
@@ -228,6 +254,22 @@
         kinds.join(" ")
     }
 
+    /// Returns the calls to the platform so far by list, as `LIST:COUNT` separated by spaces.
+    pub fn call_totals(&self) -> String {
+        let lists = List::ALL.iter().map(|list| {
+            let calls = CallOutcome::ALL.iter().filter_map(|outcome| {
+                let labels = CallLabels {
+                    list: list.name(),
+                    outcome: outcome.name(),
+                };
+                Some(self.platform_calls.get(&labels)?.get())
+            });
+            format!("{}:{}", list.name(), calls.sum::<u64>())
+        });
+        let lists: Vec<String> = lists.collect();
+        lists.join(" ")
+    }
+
     fn register(&mut self) {
         let registry = &mut self.registry;
         registry.register("requests", "Requests that ended", self.requests.clone());
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -81,7 +81,8 @@
 fn log_totals(node: &Node) {
     let sent = node.metrics.datagram_totals(Direction::Sent);
     let received = node.metrics.datagram_totals(Direction::Received);
-    log::info!(target: "peers", sent = sent.as_str(), received = received.as_str(); "datagrams so far by kind, as count/bytes");
+    let calls = node.metrics.call_totals();
+    log::info!(target: "peers", sent = sent.as_str(), received = received.as_str(), calls = calls.as_str(); "datagrams so far by kind, as count/bytes, and calls to the platform by list");
 }
 
 fn receive(node: &Node, from: SocketAddr, bytes: &[u8]) -> Output {
--- a/crates/gateway/src/port.rs
+++ b/crates/gateway/src/port.rs
@@ -57,6 +57,9 @@
 }
 
 impl List {
+    /// All lists.
+    pub const ALL: [Self; 3] = [Self::Routes, Self::Servers, Self::Entries];
+
     /// Returns the name of the list in logs and metrics.
     pub fn name(self) -> &'static str {
         match self {
