Let twelve entries read the configuration for all

Cause: each entry followed the configuration by a long poll of its own, 1.5 s long until another one is ready, and read the list of entries every 20 s. So calls grow with the fleet, and each configuration and outage costs a call or more of each entry.

Change: the 12 entries of the lowest ranks follow the configuration. Who puts one in force announces it to three random entries, in its data centre if that is large, and they fetch it and do the same. The others read themselves every 30 s, or at once if a fetch fails; the list of entries every 60 s. Fleets of up to 12 entries have only readers. Probes prefer the own data centre if it has 12 other members, since rumours between data centres cost most; while members are suspect, probes go to all and to the subset, up to 12 at a time.

All tests of the adapter pass.

--- a/crates/gateway/src/datagrams.rs
+++ b/crates/gateway/src/datagrams.rs
@@ -14,6 +14,9 @@
 use crate::metrics::Direction;
 use crate::node::State;
 
+/// The number of entries to which a new configuration is announced at once.
+const ANNOUNCEMENT_COUNT: usize = 3;
+
 /// Adds the peer addresses of entries to the membership and contacts those that are new.
 pub fn join(node: &Node, peers: &[SocketAddr]) {
     let messages = {
@@ -110,6 +113,18 @@
     send_all(node, messages);
 }
 
+/// Announces the configuration in force to some random entries, which fetch it and announce it in turn.
+/// Probes announce it to those that this does not reach.
+pub fn announce_configuration(node: &Node) {
+    let messages = {
+        let mut state = node.state.borrow_mut();
+        state
+            .members
+            .announcements(ANNOUNCEMENT_COUNT, &mut rand::rng())
+    };
+    send_all(node, messages);
+}
+
 /// Sends membership messages.
 pub fn send_all(node: &Node, messages: Vec<Datagram>) {
     for it in messages {
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -18,6 +18,7 @@
 use crate::backoff::Backoff;
 use crate::calls;
 use crate::datagrams;
+use crate::duty;
 use crate::metrics::CallLabels;
 use crate::metrics::CallOutcome;
 use crate::metrics::DeltaLabels;
@@ -36,8 +37,13 @@
 /// The same for an entry without peers that could announce a change. It is below the time within
 /// which a configuration must be in force, 2 s to 3 s.
 const ROUTES_WAIT_ALONE: Duration = Duration::from_millis(1_500);
+/// The interval between two reads of the configuration by other entries, which repair what announcements
+/// missed.
+const ROUTES_REPAIR_INTERVAL: Duration = Duration::from_secs(30);
 /// The interval between two reads of the list of entries, which only repair what gossip missed.
 const ENTRIES_INTERVAL: Duration = Duration::from_secs(20);
+/// The same for entries that are not readers.
+const ENTRIES_REPAIR_INTERVAL: Duration = Duration::from_secs(60);
 /// The time to wait for the platform's own answer after a peer has announced a change.
 const HINT_DELAY: Duration = Duration::from_millis(200);
 /// The number of peers from which a list is requested.
@@ -48,13 +54,23 @@
     let mut backoff = Backoff::default();
     let mut next = None;
     let mut wait = Duration::ZERO;
+    let mut read_due = clock::now();
     loop {
-        let read = async { Ok(read_list(&node, &*platform, List::Routes, next, wait).await) };
-        let hint = async { Err(later_configuration(&node, HINT_DELAY).await) };
+        let read = async {
+            duty::wait(&node, read_due).await;
+            Ok(read_list(&node, &*platform, List::Routes, next, wait).await)
+        };
+        let delay = if duty::is_reader(&node) {
+            HINT_DELAY
+        } else {
+            Duration::ZERO
+        };
+        let hint = async { Err(later_configuration(&node, delay).await) };
         match future::or(read, hint).await {
             Ok(Ok((_, changes))) => {
                 backoff.succeeded("routes");
                 next = Some(changes.next);
+                read_due = clock::now() + ROUTES_REPAIR_INTERVAL;
                 apply_routes(&node, &changes);
                 wait = routes_wait_time(&node);
             }
@@ -72,6 +88,7 @@
                 if config_version(&node) == before {
                     // The peer did not deliver it. Read from the platform at once.
                     wait = Duration::ZERO;
+                    read_due = clock::now();
                 }
             }
         }
@@ -119,7 +136,7 @@
 }
 
 fn routes_wait_time(node: &Node) -> Duration {
-    if node.state.borrow().members.responsive().count() > 1 {
+    if node.state.borrow().members.alive().count() > 1 {
         ROUTES_WAIT
     } else {
         ROUTES_WAIT_ALONE
@@ -261,7 +278,12 @@
                 datagrams::join(&node, &peers);
                 let name = &node.settings().name;
                 let is_listed = snapshot.records.iter().any(|it| it.key == *name);
-                if store_returned_within(&node, ENTRIES_INTERVAL).await || !is_listed {
+                let interval = if duty::is_reader(&node) {
+                    ENTRIES_INTERVAL
+                } else {
+                    ENTRIES_REPAIR_INTERVAL
+                };
+                if store_returned_within(&node, interval).await || !is_listed {
                     announce(&node, &*platform, &mut backoff).await;
                 }
             }
@@ -393,6 +415,8 @@
     state.members.set_config_next(version);
     let phase = state.phase();
     state.members.set_phase(phase);
+    drop(state);
+    datagrams::announce_configuration(node);
 }
 
 /// Applies records of servers: the whole list, or the changes from position `from` on.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod crash;
 pub mod datagrams;
 pub mod dial;
+pub mod duty;
 pub mod endpoints;
 pub mod events;
 pub mod exchange;
--- a/crates/membership/src/members.rs
+++ b/crates/membership/src/members.rs
@@ -9,8 +9,8 @@
 use domain::Moment;
 use domain::key::Incarnation;
 use rand::Rng;
-use rand::seq::SliceRandom;
 
+use self::probing::Order;
 use crate::gossip::Queue;
 use crate::member::Member;
 use crate::member::Phase;
@@ -23,6 +23,8 @@
 
 mod homes;
 mod listed;
+mod outbound;
+mod probing;
 mod subset;
 mod views;
 
@@ -34,12 +36,6 @@
 const SUSPECT_TIMEOUT: Duration = Duration::from_millis(900);
 /// The time for which dead members are kept, so that old gossip does not make them alive again.
 const DEAD_TTL: Duration = Duration::from_secs(60);
-/// The number of members that are asked to probe another one indirectly.
-const HELPER_COUNT: usize = 2;
-
-/// The number of probes at a time while many members are suspect.
-const MAX_PROBE_COUNT: usize = 8;
-
 /// A pause between two ticks above which this process itself is assumed to have been stopped.
 const PAUSE_LIMIT: Duration = Duration::from_millis(1_000);
 
@@ -58,7 +54,7 @@
     probes: BTreeMap<u64, Probe>,
     /// Probes on behalf of others, by the sequence number used here.
     relays: BTreeMap<u64, Relay>,
-    probe_order: Vec<Incarnation>,
+    probe_order: Order,
     gossip_queue: Queue,
     sequence: u64,
     last_probe: Moment,
@@ -115,7 +111,7 @@
             silent: VecDeque::new(),
             probes: BTreeMap::new(),
             relays: BTreeMap::new(),
-            probe_order: Vec::new(),
+            probe_order: Order::default(),
             gossip_queue: Queue::default(),
             sequence: 0,
             last_probe: Moment::default(),
@@ -150,24 +146,6 @@
         self.gossip_queue.push(rumour);
     }
 
-    /// Returns datagrams that send an urgent rumour to all members immediately.
-    pub fn broadcast(&mut self, rumour: Rumour) -> Vec<Datagram> {
-        let targets: Vec<SocketAddr> = self.alive().skip(1).map(|it| it.peer_address).collect();
-        let message = Message {
-            from: self.local.clone(),
-            config_next: self.config_next,
-            kind: Kind::Gossip,
-            rumours: vec![rumour],
-        };
-        targets
-            .into_iter()
-            .map(|to| Datagram {
-                to,
-                message: message.clone(),
-            })
-            .collect()
-    }
-
     /// Does all due work. The caller must call this several times per probe interval.
     pub fn tick(&mut self, now: Moment, random: &mut impl Rng) -> Output {
         let mut output = Output::default();
@@ -190,9 +168,7 @@
         if now.since(self.last_probe) >= PROBE_INTERVAL {
             self.last_probe = now;
             output.datagrams.extend(self.probe_next_silent());
-            for _ in 0..self.probe_count() {
-                self.probe_next(now, random, &mut output);
-            }
+            self.probe(now, random, &mut output);
         }
         output
     }
@@ -261,48 +237,6 @@
         output
     }
 
-    fn check_probes(&mut self, now: Moment, random: &mut impl Rng, output: &mut Output) {
-        let overdue = self
-            .probes
-            .iter()
-            .filter(|(_, it)| now.since(it.sent) >= ACK_TIMEOUT);
-        let overdue: Vec<u64> = overdue.map(|(sequence, _)| *sequence).collect();
-        for sequence in overdue {
-            let Some(probe) = self.probes.remove(&sequence) else {
-                continue;
-            };
-            let Some(peer) = self.peers.get(&probe.target) else {
-                continue;
-            };
-            let target = peer.member.peer_address;
-            if probe.is_indirect {
-                self.suspect(now, probe.target, output);
-                continue;
-            }
-            let helpers = self.peers.values().filter(|it| it.state == State::Alive);
-            let helpers = helpers.filter(|it| it.member.incarnation != probe.target);
-            let mut helpers: Vec<SocketAddr> = helpers.map(|it| it.member.peer_address).collect();
-            helpers.shuffle(random);
-            for to in helpers.into_iter().take(HELPER_COUNT) {
-                let message = self.message(Kind::ProbeFor { sequence, target });
-                output.datagrams.push(Datagram { to, message });
-            }
-            let message = self.message(Kind::Probe { sequence });
-            output.datagrams.push(Datagram {
-                to: target,
-                message,
-            });
-            self.probes.insert(
-                sequence,
-                Probe {
-                    sent: now,
-                    is_indirect: true,
-                    ..probe
-                },
-            );
-        }
-    }
-
     fn check_suspects(&mut self, now: Moment, output: &mut Output) {
         let mut dead = Vec::new();
         for peer in self.peers.values_mut() {
@@ -326,52 +260,6 @@
             .retain(|_, it| it.state != State::Dead || now.since(it.since) < DEAD_TTL);
     }
 
-    /// Returns the number of members to probe now. If members are suspect, others may have failed with
-    /// them, which is found sooner by more probes.
-    fn probe_count(&self) -> usize {
-        let suspects = self
-            .peers
-            .values()
-            .filter(|it| it.state == State::Suspect)
-            .count();
-        (1 + suspects).min(MAX_PROBE_COUNT)
-    }
-
-    fn probe_next(&mut self, now: Moment, random: &mut impl Rng, output: &mut Output) {
-        let target = loop {
-            let Some(target) = self.probe_order.pop() else {
-                let alive = self.peers.iter().filter(|(_, it)| it.state != State::Dead);
-                self.probe_order = alive.map(|(incarnation, _)| *incarnation).collect();
-                self.probe_order.shuffle(random);
-                let Some(target) = self.probe_order.pop() else {
-                    return;
-                };
-                break target;
-            };
-            if self
-                .peers
-                .get(&target)
-                .is_some_and(|it| it.state != State::Dead)
-            {
-                break target;
-            }
-        };
-        let Some(to) = self.peers.get(&target).map(|it| it.member.peer_address) else {
-            return;
-        };
-        let sequence = self.next_sequence();
-        self.probes.insert(
-            sequence,
-            Probe {
-                target,
-                sent: now,
-                is_indirect: false,
-            },
-        );
-        let message = self.message(Kind::Probe { sequence });
-        output.datagrams.push(Datagram { to, message });
-    }
-
     fn suspect(&mut self, now: Moment, target: Incarnation, output: &mut Output) {
         let Some(peer) = self.peers.get_mut(&target) else {
             return;
