Forecast first tokens by the passes of engines

Forecasts were 58 ms too long on an idle engine (the first token of an idle engine needs no whole pass) and 45 to 110 ms too short on others: whoever arrives waits for the end of the pass, which is more than half of one as more arrive in long ones, and is then read in a pass in which all who were read before generate too. So busy engines were preferred to idle ones. And an engine whose prefill took longer than forecast counted as free: with three or more waiting and nobody writing, 43 of 100 were late.

Change: the wait is 0.8 of a pass, the backlog, the pass of all that answer there, and half of the time by which prefill is overdue beyond a pass.

Test: placement/tests/load.rs plays waves of short and long prompts on 24 engines that work as published.

--- a/crates/placement/src/plan.rs
+++ b/crates/placement/src/plan.rs
@@ -60,7 +60,16 @@
 const MEMORY_LOSS: f64 = 5.0;
 /// Passes until a slot of a full engine becomes free: the 32 events of a usual answer over its 16
 /// slots.
-const PASSES_PER_FREE_SLOT: f64 = 2.0;
+const PASSES_PER_FREE_SLOT: f64 = 5.0;
+/// The time that a request takes to an engine and its first token back, in milliseconds.
+const TRANSIT_MS: f64 = 15.0;
+/// The share of a pass that a request which arrives during it waits for its end. It is more than half,
+/// since more requests arrive during long passes.
+const RESIDUAL_SHARE: f64 = 0.8;
+/// Prefill that takes longer than forecast by up to this many passes is not unusual.
+const OVERDUE_PASSES: f64 = 1.0;
+/// The time that late prefill still takes, as a share of the time that it is late.
+const OVERDUE_SHARE: f64 = 0.5;
 /// The share of an engine's memory that plans use. The rest is for answers that are longer than
 /// expected.
 const USABLE_MEMORY_SHARE: f64 = 0.92;
@@ -244,7 +253,7 @@
         times.fold(0.0, f64::max)
     };
     let pass_ms = first.decoding_pass_ms(engine, need);
-    let work_ms = part_ms * max_of(|it| it.slowdown) + pass_ms;
+    let work_ms = part_ms * max_of(|it| it.slowdown) + TRANSIT_MS;
     let forecast = need.forecast(
         max_of(|it| it.wait_ms) + work_ms,
         max_of(|it| it.late_wait_ms) + work_ms,
@@ -392,11 +401,17 @@
         let tasks = queue.map(Queue::tasks).unwrap_or_default();
         let backlog_ms =
             |timeliness| queue.map_or(0.0, |it| it.backlog_ms(now, timeliness)) * slowdown;
+        let joining_ms = queue.map_or(0.0, |it| it.joining_pass_ms(engine)) * slowdown;
+        let overdue_ms = queue.map_or(0.0, |it| it.overdue_ms(now)) - joining_ms * OVERDUE_PASSES;
+        let overdue_ms = overdue_ms.max(0.0) * OVERDUE_SHARE;
         let wait_ms = |timeliness| {
             let ahead = queue.map_or(0, |it| it.ahead_of(timeliness).count());
             let excess = (ahead + 1).saturating_sub(engine.slots);
-            // A request that arrives during a pass waits for its end, on average half a pass.
-            pass_ms / 2.0 + backlog_ms(timeliness) + pass_ms * PASSES_PER_FREE_SLOT * excess as f64
+            pass_ms * RESIDUAL_SHARE
+                + backlog_ms(timeliness)
+                + overdue_ms
+                + joining_ms
+                + pass_ms * PASSES_PER_FREE_SLOT * excess as f64
         };
         Self {
             key,
@@ -443,7 +458,7 @@
             (engine.prefill_chunk * u64::from(engine.steps_per_pass)) as f64 / part_tokens.max(1.0);
         let before = self.pass_ms + self.backlog_ms;
         let after = before + part_ms * pass_share.min(1.0);
-        let wait = self.wait_ms + self.pass_ms;
+        let wait = self.wait_ms;
         let tasks = self.queue.map(Queue::tasks).unwrap_or_default();
         let losses = tasks.iter().map(|task| {
             let added = match task.pause_ms {
@@ -472,7 +487,7 @@
     /// Returns the loss of the request itself on this engine.
     fn own_loss(&self, engine: &Engine, part_ms: f64, need: &Need, is_split: bool) -> f64 {
         let pass_ms = self.decoding_pass_ms(engine, need);
-        let work_ms = part_ms * self.slowdown + pass_ms;
+        let work_ms = part_ms * self.slowdown + TRANSIT_MS;
         let forecast = need.forecast(self.wait_ms + work_ms, self.late_wait_ms + work_ms);
         let loss = need.first_token_loss(forecast.first_token_ms) + need.pause_loss(pass_ms);
         if is_split {
--- a/crates/placement/src/workload.rs
+++ b/crates/placement/src/workload.rs
@@ -350,6 +350,16 @@
         (total - done).max(0.0)
     }
 
+    /// Returns the milliseconds by which the pending prefill takes longer than forecast so far.
+    pub fn overdue_ms(&self, now: Moment) -> f64 {
+        let total = pending_prefill_ms(self.tasks.iter());
+        if total == 0.0 {
+            return 0.0;
+        }
+        let done = now.since(self.prefill_started).as_secs_f64() * 1e3;
+        (done - total).max(0.0)
+    }
+
     /// Returns the tasks that are scheduled ahead of a request of this timeliness.
     pub fn ahead_of(&self, timeliness: Timeliness) -> impl Iterator<Item = &Task> {
         self.tasks.iter().filter(move |it| {
@@ -385,6 +395,18 @@
         self.pass_ms(engine) + pending_prefill_ms(self.tasks.iter())
     }
 
+    /// Returns the milliseconds of a pass without prefill once all tasks decode.
+    pub fn joining_pass_ms(&self, engine: &Engine) -> f64 {
+        let answering = self.tasks.iter().filter(|it| !it.is_helper);
+        let (count, tokens) = answering.fold((0, 0), |(count, tokens), it| {
+            (count + 1, tokens + it.tokens)
+        });
+        if count == 0 {
+            return 0.0;
+        }
+        engine.pass_ms(count, tokens)
+    }
+
     /// Returns the milliseconds of a pass without prefill.
     pub fn pass_ms(&self, engine: &Engine) -> f64 {
         let (decoding, tokens) = self.decoding();
