--- a/crates/placement/src/plan.rs
+++ b/crates/placement/src/plan.rs
@@ -60,7 +60,7 @@
 const MEMORY_LOSS: f64 = 5.0;
 /// Passes until a slot of a full engine becomes free: the 32 events of a usual answer over its 16
 /// slots.
-const PASSES_PER_FREE_SLOT: f64 = 5.0;
+const PASSES_PER_FREE_SLOT: f64 = 2.0;
 /// The time that a request takes to an engine and its first token back, in milliseconds.
 const TRANSIT_MS: f64 = 15.0;
 /// The share of a pass that a request which arrives during it waits for its end. It is more than half,
