--- a/crates/placement/src/plan.rs
+++ b/crates/placement/src/plan.rs
@@ -21,16 +21,14 @@
 use crate::workload::Task;
 use crate::workload::Timeliness;
 
-/// The share of a request's value that is lost if it is late, as the users specify.
-const LATE_LOSS: f64 = 0.75;
-/// The relative error of first-token forecasts, as a share of the target. A request whose forecast
-/// equals its target is late half of the time.
-const FIRST_TOKEN_SPREAD: f64 = 0.15;
-/// A request counts as on time while its forecast is below this multiple of its target. Beyond it,
-/// nine of ten requests are late.
-const ON_TIME_MARGIN: f64 = 1.3;
-/// The relative error of pause forecasts, as a share of the limit.
-const PAUSE_SPREAD: f64 = 0.1;
+mod need;
+
+use self::need::FIRST_TOKEN_SPREAD;
+use self::need::LATE_LOSS;
+pub use self::need::Need;
+use self::need::PAUSE_SPREAD;
+use self::need::late_probability;
+
 /// Pause limits up to this length are tight: prefilling a prompt of usual length on the same engine
 /// makes such a request late.
 const TIGHT_PAUSE: Duration = Duration::from_millis(400);
@@ -52,9 +50,6 @@
 const RESERVATION_COST: f64 = 0.1;
 /// The smallest reservation, in tokens.
 const MIN_RESERVATION: f64 = 4_096.0;
-/// The loss of waiting for the length of the full target, in the value of a short request. It
-/// breaks ties in favour of the earlier answer.
-const WAIT_COST: f64 = 0.05;
 /// The loss of a prompt that doesn't fit into the engine's free memory, in the value of a short
 /// request: the engine evicts its newest request and prefills it again.
 const MEMORY_LOSS: f64 = 5.0;
@@ -79,23 +74,6 @@
 /// of an idle engine.
 const MIN_SPLIT_MS: f64 = 60.0;
 
-/// The size, the time limits and the value of a request.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Need {
-    /// Tokens of its prompt.
-    pub prompt_tokens: u64,
-    /// The expected number of tokens in its answer.
-    pub expected_answer_tokens: u64,
-    /// The time left until the deadline of its first token.
-    pub target: Duration,
-    /// The time that it had for its first token on arrival.
-    pub initial_target: Duration,
-    /// The longest pause between two events that is still on time; `None` without a limit.
-    pub pause: Option<Duration>,
-    /// Its value to the caller; a short request has the value 1.
-    pub value: f64,
-}
-
 /// The engines for a request, and the forecast for it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Plan {
@@ -343,45 +321,6 @@
     Allocation { tokens, is_enough }
 }
 
-/// The forecast for the first token.
-struct Forecast {
-    first_token_ms: f64,
-    timeliness: Timeliness,
-}
-
-impl Need {
-    /// Returns the forecast for the first token, given the time that it takes if the request is
-    /// scheduled as on time, ahead of late ones, and if it is scheduled as late.
-    fn forecast(&self, on_time_ms: f64, late_ms: f64) -> Forecast {
-        let target_ms = self.target.as_secs_f64() * 1e3;
-        if on_time_ms <= target_ms * ON_TIME_MARGIN {
-            return Forecast {
-                first_token_ms: on_time_ms,
-                timeliness: Timeliness::OnTime,
-            };
-        }
-        Forecast {
-            first_token_ms: late_ms,
-            timeliness: Timeliness::Late,
-        }
-    }
-
-    /// Returns the loss of this request by its pauses on an engine whose passes last `pass_ms`.
-    fn pause_loss(&self, pass_ms: f64) -> f64 {
-        let late = self.pause.map_or(0.0, |limit| {
-            late_probability(pass_ms, limit.as_secs_f64() * 1e3, PAUSE_SPREAD)
-        });
-        LATE_LOSS * self.value * late
-    }
-
-    /// Returns the loss of this request if its first token comes after `first_token_ms`.
-    fn first_token_loss(&self, first_token_ms: f64) -> f64 {
-        let target_ms = self.target.as_secs_f64() * 1e3;
-        LATE_LOSS * self.value * late_probability(first_token_ms, target_ms, FIRST_TOKEN_SPREAD)
-            + WAIT_COST * first_token_ms / (self.initial_target.as_secs_f64() * 1e3).max(1.0)
-    }
-}
-
 impl<'a> Candidate<'a> {
     fn new(
         now: Moment,
@@ -504,11 +443,3 @@
         }
     }
 }
-
-/// Returns the probability that a time with the forecast `ms` exceeds `limit_ms`, if the error of
-/// forecasts is the share `spread` of the limit.
-fn late_probability(ms: f64, limit_ms: f64, spread: f64) -> f64 {
-    let limit_ms = limit_ms.max(1.0);
-    let distance = (ms - limit_ms) / (spread * limit_ms);
-    1.0 / (1.0 + (-distance).exp())
-}
