Tell what is placed to members only

Change: addresses of no member are ignored.

Test: address_of_no_member_is_told_nothing (the function has a new argument, so the test doesn't compile before). The simulated network of the tests finds a member by its address instead of searching all.

--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -17,6 +17,7 @@
 use crate::datagrams;
 use crate::follow;
 use crate::metrics::Direction;
+use crate::node::State;
 
 /// The interval between two ticks of the membership.
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
@@ -128,7 +129,10 @@
 fn record_heard(node: &Node, now: Moment, peer: SocketAddr) {
     let is_new = {
         let mut state = node.state.borrow_mut();
-        state.audience.record_heard(now, peer) && state.audience.is_participant(now)
+        let State {
+            audience, members, ..
+        } = &mut *state;
+        audience.record_heard(now, peer, members) && audience.is_participant(now)
     };
     if is_new {
         datagrams::introduce(node, now, peer);
--- a/crates/membership/src/audience.rs
+++ b/crates/membership/src/audience.rs
@@ -44,8 +44,12 @@
         added
     }
 
-    /// Records that an entry told this one of its work. Returns whether it is new in the audience.
-    pub fn record_heard(&mut self, now: Moment, peer: SocketAddr) -> bool {
+    /// Records that an entry told this one of its work. Returns whether it is new in the audience. An
+    /// address that belongs to no member is ignored, since nothing else may make this entry send to it.
+    pub fn record_heard(&mut self, now: Moment, peer: SocketAddr, members: &Members) -> bool {
+        if !self.heard.contains_key(&peer) && !members.alive().any(|it| it.peer_address == peer) {
+            return false;
+        }
         let is_known = self.heard.insert(peer, now).is_some();
         !is_known && !self.subset.contains(&peer)
     }
--- a/crates/membership/tests/network/network.rs
+++ b/crates/membership/tests/network/network.rs
@@ -1,6 +1,7 @@
 //! Entries on a simulated network with simulated time.
 
 use std::collections::BTreeSet;
+use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -31,6 +32,15 @@
     SocketAddr::from(([10, 0, (index / 250) as u8, (index % 250) as u8], port))
 }
 
+/// Returns the index of the member with this address.
+fn index_of(address: SocketAddr) -> usize {
+    let IpAddr::V4(ip) = address.ip() else {
+        return usize::MAX;
+    };
+    let [_, _, high, low] = ip.octets();
+    usize::from(high) * 250 + usize::from(low)
+}
+
 pub fn member(index: usize) -> Member {
     Member {
         incarnation: Incarnation(index as u64 + 1),
@@ -76,8 +86,10 @@
         let mut queue: Vec<(usize, Datagram)> =
             datagrams.into_iter().map(|it| (from, it)).collect();
         while let Some((from, datagram)) = queue.pop() {
-            let to = (0..self.members.len()).find(|index| address(*index, 2) == datagram.to);
-            let Some(to) = to else { continue };
+            let to = index_of(datagram.to);
+            if to >= self.members.len() {
+                continue;
+            }
             let is_partitioned = self.isolated.contains(&from) != self.isolated.contains(&to);
             let is_sender_isolated = self.isolated.contains(&from) && from != to;
             if is_partitioned || is_sender_isolated || self.random.random::<f64>() < self.loss {
--- a/crates/membership/tests/subset.rs
+++ b/crates/membership/tests/subset.rs
@@ -215,8 +215,8 @@
     let stray = peer(100);
     let mut audience = Audience::default();
     audience.refresh(now, &network.members[0]);
-    assert!(audience.record_heard(now, stray));
-    assert!(!audience.record_heard(now, stray));
+    assert!(audience.record_heard(now, stray, &network.members[0]));
+    assert!(!audience.record_heard(now, stray, &network.members[0]));
     assert!(audience.addresses().any(|it| it == stray));
     audience.refresh(now + Duration::from_secs(6), &network.members[0]);
     assert!(!audience.addresses().any(|it| it == stray));
@@ -254,3 +254,12 @@
     let ranked_first = network.members.iter().filter(|it| it.rank() == 0);
     assert_eq!(ranked_first.count(), 1);
 }
+
+#[test]
+fn address_of_no_member_is_told_nothing() {
+    let network = fleet((0..6).map(|it| sized(it, 250)));
+    let mut audience = Audience::default();
+    audience.refresh(network.now, &network.members[0]);
+    assert!(!audience.record_heard(network.now, peer(COUNT), &network.members[0]));
+    assert_eq!(audience.addresses().count(), 5);
+}
