Encode a frame once for all who get it

Sending to all and sending to those who place work were two copies of one loop.

Change: one function sends a frame to some addresses and encodes it once; the three callers use it. No other change of behaviour.

--- a/crates/gateway/src/crash.rs
+++ b/crates/gateway/src/crash.rs
@@ -186,10 +186,9 @@
     let Some(summary) = state.quarantine.summary(clock::now()) else {
         return;
     };
-    let frame = Frame::Quarantine(summary);
-    for member in state.members.sample(SUMMARY_PEERS, &mut rand::rng()) {
-        datagrams::send_frame(node, member.peer_address, &frame);
-    }
+    let peers = state.members.sample(SUMMARY_PEERS, &mut rand::rng());
+    let addresses = peers.iter().map(|it| it.peer_address);
+    datagrams::send_each(node, addresses, &Frame::Quarantine(summary));
 }
 
 fn broadcast(node: &Node, report: Option<Report>) {
--- a/crates/gateway/src/datagrams.rs
+++ b/crates/gateway/src/datagrams.rs
@@ -132,27 +132,30 @@
     }
 }
 
-/// Sends a frame to all other entries. It is encoded once.
+/// Sends a frame to all other entries.
 pub fn broadcast(node: &Node, frame: &Frame) {
-    let bytes = frame.encode();
     let state = node.state.borrow();
-    for member in state.members.alive().skip(1) {
-        send(node, member.peer_address, frame.kind(), &bytes);
-    }
+    let others = state.members.alive().skip(1);
+    send_each(node, others.map(|it| it.peer_address), frame);
 }
 
-/// Sends a frame to the entries that place work. It is encoded once.
+/// Sends a frame to the entries that place work.
 fn tell(node: &Node, frame: &Frame) {
-    let bytes = frame.encode();
     let state = node.state.borrow();
-    for peer in state.audience.addresses() {
-        send(node, peer, frame.kind(), &bytes);
-    }
+    send_each(node, state.audience.addresses(), frame);
 }
 
 /// Sends a frame to one entry. Later ones make up for a lost one.
 pub fn send_frame(node: &Node, to: SocketAddr, frame: &Frame) {
-    send(node, to, frame.kind(), &frame.encode());
+    send_each(node, std::iter::once(to), frame);
+}
+
+/// Sends a frame to some entries. It is encoded once.
+pub fn send_each(node: &Node, to: impl Iterator<Item = SocketAddr>, frame: &Frame) {
+    let bytes = frame.encode();
+    for address in to {
+        send(node, address, frame.kind(), &bytes);
+    }
 }
 
 fn send(node: &Node, to: SocketAddr, kind: &'static str, bytes: &[u8]) {
