Evacuate data centres: decision, spreading and application

Cause: operators evacuate data centres, and their servers must get no request then.

Change: each instance acts on its own copy of the evacuated data centres, which it reads from the operator's list or learns from any message of the membership protocol. The later position wins. Servers in evacuated data centres are excluded when servers are chosen and immediately before a request or a new reservation is sent. Enabled by the settings only.

--- a/crates/ctl/src/story.rs
+++ b/crates/ctl/src/story.rs
@@ -13,7 +13,7 @@
 /// milliseconds. The system must detect a change within this time.
 const MARGIN_MS: u64 = 3_000;
 /// Log targets whose lines are about a whole process.
-const PROCESS_TARGETS: [&str; 5] = ["run", "config", "platform", "peers", "front"];
+const PROCESS_TARGETS: [&str; 6] = ["run", "config", "platform", "peers", "front", "evacuation"];
 /// Log targets whose lines are about a backend server.
 const SERVER_TARGETS: [&str; 3] = ["server", "reserve", "quarantine"];
 
--- a/crates/domain/src/lib.rs
+++ b/crates/domain/src/lib.rs
@@ -6,11 +6,13 @@
 
 pub mod contract;
 pub mod digest;
+pub mod evacuation;
 pub mod failure;
 pub mod fleet;
 pub mod key;
 pub mod length;
 pub mod moment;
+pub mod position;
 pub mod rendezvous;
 
 pub use contract::Contract;
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -142,6 +142,9 @@
             Event::Changed(incarnation) => record_member_change(node, incarnation),
             Event::Rumour(rumour) => apply_rumour(node, rumour),
             Event::ConfigAhead { peer, next } => follow::fetch_from_peer(node, peer, next),
+            Event::Evacuations { .. } => {
+                // Only the gateway follows evacuations.
+            }
         }
     }
 }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -17,6 +17,7 @@
 use crate::crash;
 use crate::dial;
 use crate::dial::Reuse;
+use crate::evacuation;
 use crate::events::Splitter;
 use crate::exchange::Ending;
 use crate::exchange::Exchange;
@@ -47,8 +48,8 @@
     CallerLeft,
     /// The server could not be connected to; nothing was sent.
     Unreached,
-    /// The server asked for a pause or left, or the request came under quarantine, while the attempt
-    /// was prepared; nothing was sent.
+    /// The server asked for a pause or left, its data centre or that of a helper was evacuated, or the
+    /// request came under quarantine, while the attempt was prepared; nothing was sent.
     Withdrawn,
     /// Memory could not be reserved at a helper; nothing was sent.
     NoRoom,
@@ -88,8 +89,9 @@
     let registration = Registration::new(node, now, exchange, target);
     let _lease = if target.parts.iter().skip(1).any(|it| it.tokens > 0) {
         match reserve::acquire(node, registration.job, target).await {
-            Some(lease) => Some(lease),
-            None => return Outcome::NoRoom,
+            Ok(lease) => Some(lease),
+            Err(reserve::Failure::NoRoom) => return Outcome::NoRoom,
+            Err(reserve::Failure::Withdrawn) => return Outcome::Withdrawn,
         }
     } else {
         None
@@ -195,6 +197,10 @@
     if state.quarantine.is_refused(now, &exchange.fingerprint) {
         return false;
     }
+    if !evacuation::permits(&state, target) {
+        node.metrics.evacuation_withdrawals.inc();
+        return false;
+    }
     let Some(server_state) = state.servers.get_mut(target.server.key()) else {
         return true;
     };
--- a/crates/gateway/src/datagrams.rs
+++ b/crates/gateway/src/datagrams.rs
@@ -113,6 +113,24 @@
     send_all(node, messages);
 }
 
+/// Tells all entries of the evacuated data centres at once.
+pub fn tell_evacuations(node: &Node) {
+    let messages = node.state.borrow().members.evacuation_news(None);
+    send_all(node, messages);
+}
+
+/// Tells some random entries of the evacuated data centres that another entry told of, in case it has died
+/// before it told all.
+pub fn forward_evacuations(node: &Node) {
+    let messages = {
+        let state = node.state.borrow();
+        let members = state.members.sample(ANNOUNCEMENT_COUNT, &mut rand::rng());
+        let addresses = members.iter().map(|it| it.peer_address).collect();
+        state.members.evacuation_news(Some(addresses))
+    };
+    send_all(node, messages);
+}
+
 /// Announces the configuration in force to some random entries, which fetch it and announce it in turn.
 /// Probes announce it to those that this does not reach.
 pub fn announce_configuration(node: &Node) {
--- a/crates/gateway/src/endpoints.rs
+++ b/crates/gateway/src/endpoints.rs
@@ -13,6 +13,7 @@
 use web::stream::within;
 
 use crate::Node;
+use crate::evacuation;
 use crate::logs;
 
 /// The time after which a connection fails if the client acknowledges nothing.
@@ -103,6 +104,7 @@
 /// Answers with the metrics.
 pub fn metrics(node: &Node, _: &Request) -> Reply {
     node.metrics.running.set(node.running_requests.get() as i64);
+    evacuation::record_running(node);
     let dropped = logs::dropped();
     let counted = node.metrics.log_lines_dropped.get();
     let dropped_since = dropped.saturating_sub(counted);
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -19,6 +19,7 @@
 use crate::calls;
 use crate::datagrams;
 use crate::duty;
+use crate::evacuation;
 use crate::metrics::CallLabels;
 use crate::metrics::CallOutcome;
 use crate::metrics::DeltaLabels;
@@ -67,9 +68,11 @@
         };
         let hint = async { Err(later_configuration(&node, delay).await) };
         match future::or(read, hint).await {
-            Ok(Ok((_, changes))) => {
+            Ok(Ok((scope, changes))) => {
                 backoff.succeeded("routes");
-                next = Some(changes.next);
+                let from = next.filter(|_| scope == Scope::Changed);
+                let is_complete = evacuation::apply_read(&node, from, &changes);
+                next = is_complete.then_some(changes.next);
                 read_due = clock::now() + ROUTES_REPAIR_INTERVAL;
                 apply_routes(&node, &changes);
                 wait = routes_wait_time(&node);
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -69,6 +69,13 @@
     pub kind: &'static str,
 }
 
+/// The labels of metrics about an evacuated data centre.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct DataCentreLabels {
+    /// The data centre.
+    pub data_centre: String,
+}
+
 /// The direction of a datagram as seen by this entry.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Direction {
@@ -142,6 +149,12 @@
     pub config_version: Gauge,
     /// Backend servers that accept work.
     pub servers: Gauge,
+    /// When this entry learned of each evacuation that it acts on, in seconds since the Unix epoch.
+    pub evacuated_since: Family<DataCentreLabels, Gauge>,
+    /// This entry's requests that still run at servers of evacuated data centres.
+    pub evacuated_running: Family<DataCentreLabels, Gauge>,
+    /// Attempts that were not sent, since a data centre was evacuated while they were prepared.
+    pub evacuation_withdrawals: Counter,
     /// Calls to the platform.
     pub platform_calls: Family<CallLabels, Counter>,
     /// Returns of the platform's store from an older copy.
@@ -173,6 +186,9 @@
             running: Gauge::default(),
             config_version: Gauge::default(),
             servers: Gauge::default(),
+            evacuated_since: Family::default(),
+            evacuated_running: Family::default(),
+            evacuation_withdrawals: Counter::default(),
             platform_calls: Family::default(),
             store_returns: Counter::default(),
             deltas: Family::default(),
@@ -228,6 +244,25 @@
         self.streams.get_or_create(&labels).inc();
     }
 
+    /// Records that this entry acts on the evacuation of a data centre.
+    pub fn record_evacuation_start(&self, data_centre: &str) {
+        let labels = DataCentreLabels {
+            data_centre: data_centre.to_owned(),
+        };
+        let since = self.evacuated_since.get_or_create(&labels);
+        since.set(clock::since_epoch().as_secs() as i64);
+        self.evacuated_running.get_or_create(&labels).set(0);
+    }
+
+    /// Records that the evacuation of a data centre ended.
+    pub fn record_evacuation_end(&self, data_centre: &str) {
+        let labels = DataCentreLabels {
+            data_centre: data_centre.to_owned(),
+        };
+        self.evacuated_since.remove(&labels);
+        self.evacuated_running.remove(&labels);
+    }
+
     /// Counts a datagram between this entry and another one.
     pub fn record_datagram(&self, direction: Direction, kind: &'static str, bytes: usize) {
         let labels = DatagramLabels {
@@ -305,6 +340,21 @@
             "Backend servers that accept work",
             self.servers.clone(),
         );
+        registry.register(
+            "evacuated_since_seconds",
+            "Unix time since when this entry acts on an evacuation",
+            self.evacuated_since.clone(),
+        );
+        registry.register(
+            "evacuated_running",
+            "Requests in progress at servers of evacuated data centres",
+            self.evacuated_running.clone(),
+        );
+        registry.register(
+            "evacuation_withdrawals",
+            "Attempts not sent because of an evacuation meanwhile",
+            self.evacuation_withdrawals.clone(),
+        );
         registry.register(
             "platform_calls",
             "Calls to the platform",
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -18,6 +18,7 @@
 use membership::member::Member;
 use membership::member::Phase;
 use placement::Budget;
+use placement::Evacuations;
 use placement::JobId;
 use placement::Servers;
 use placement::Workload;
@@ -80,6 +81,8 @@
     pub table: Option<Rc<Table>>,
     /// The backend servers.
     pub servers: Servers,
+    /// The evacuated data centres, as this entry knows them.
+    pub evacuations: Evacuations,
     /// The cached records of the platform's lists.
     pub records: Cache,
     /// The requests that all entries have placed.
@@ -126,6 +129,7 @@
             state: RefCell::new(State {
                 table: None,
                 servers: Servers::default(),
+                evacuations: Evacuations::default(),
                 records: Cache::default(),
                 workload: Workload::default(),
                 members: Members::new(member),
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -15,6 +15,7 @@
 use crate::Node;
 use crate::crash;
 use crate::datagrams;
+use crate::evacuation;
 use crate::follow;
 use crate::metrics::Direction;
 use crate::node::State;
@@ -65,6 +66,7 @@
                     next_totals = now + TOTALS_INTERVAL;
                     log_totals(&node);
                 }
+                evacuation::expire(&node, now);
                 datagrams::refresh_audience(&node, now);
                 node.state.borrow_mut().members.tick(now, &mut rand::rng())
             }
@@ -149,6 +151,7 @@
                 // The channel holds one hint. If one is already there, this one is not needed.
                 let _ = node.config_hints.0.try_send((peer, next));
             }
+            Event::Evacuations { peer, set } => evacuation::apply_news(node, peer, &set),
         }
     }
 }
--- a/crates/gateway/src/port.rs
+++ b/crates/gateway/src/port.rs
@@ -41,10 +41,23 @@
     /// Decodes a record of the list of backend servers.
     fn server(&self, record: &Record) -> Result<Server, DecodeError>;
 
+    /// Decodes a record that starts or ends the evacuation of a data centre. Returns `None` if the record
+    /// holds something else.
+    fn evacuation<'a>(&self, record: &'a Record) -> Option<Evacuation<'a>>;
+
     /// Decodes a record of the list of entries, and returns the entry's peer address.
     fn entry(&self, record: &Record) -> Result<SocketAddr, DecodeError>;
 }
 
+/// The start or the end of the evacuation of a data centre.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Evacuation<'a> {
+    /// The data centre.
+    pub data_centre: &'a str,
+    /// Whether the record starts the evacuation. Otherwise it ends it.
+    pub is_start: bool,
+}
+
 /// A list in the platform's store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum List {
--- a/crates/gateway/src/reserve.rs
+++ b/crates/gateway/src/reserve.rs
@@ -19,6 +19,7 @@
 use crate::Node;
 use crate::dial;
 use crate::dial::Reuse;
+use crate::evacuation;
 use crate::notice;
 use crate::port::Command;
 use crate::port::Reservation;
@@ -44,6 +45,15 @@
     _renewal: Option<Task<()>>,
 }
 
+/// Why no memory was reserved.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Failure {
+    /// A server has no memory left, or did not answer.
+    NoRoom,
+    /// The data centre of a server was evacuated after it was chosen.
+    Withdrawn,
+}
+
 /// A reservation at one helper.
 #[derive(Clone)]
 struct HelperReservation {
@@ -73,8 +83,8 @@
 }
 
 /// Reserves memory at the helpers of `target` that hold tokens, and stores the reservation ids in
-/// `target`. Returns `None` if one of them has no room; the other reservations are then released.
-pub async fn acquire(node: &Rc<Node>, job: JobId, target: &mut Target) -> Option<Lease> {
+/// `target`. If one of them fails, the other reservations are released.
+pub async fn acquire(node: &Rc<Node>, job: JobId, target: &mut Target) -> Result<Lease, Failure> {
     let mut lease = Lease {
         node: node.clone(),
         reservations: Vec::new(),
@@ -85,6 +95,10 @@
         if tokens == 0 {
             continue;
         }
+        if !evacuation::permits(&node.state.borrow(), target) {
+            node.metrics.evacuation_withdrawals.inc();
+            return Err(Failure::Withdrawn);
+        }
         let reservation = HelperReservation {
             id: format!("{}-{}-{index}", job.entry, job.number),
             server: target.helpers[index].server.clone(),
@@ -97,17 +111,17 @@
             Ok(DONE) => {}
             Ok(status) => {
                 log::info!(target: "reserve", ticket = reservation.id.as_str(), server = reservation.server.id.as_str(), tokens, status; "the server has no memory for the reservation");
-                return None;
+                return Err(Failure::NoRoom);
             }
             Err(error) => {
                 log::info!(target: "reserve", ticket = reservation.id.as_str(), server = reservation.server.id.as_str(), error:% = error; "the server did not answer the reservation");
-                return None;
+                return Err(Failure::NoRoom);
             }
         }
     }
     let renewal = renew(node.clone(), lease.reservations.clone());
     lease._renewal = Some(node.executor.spawn(renewal));
-    Some(lease)
+    Ok(lease)
 }
 
 async fn renew(node: Rc<Node>, reservations: Vec<HelperReservation>) {
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -28,6 +28,9 @@
     pub address_lifetime: Duration,
     /// The time between the signal to stop and the end of the process.
     pub grace_period: Duration,
+    /// The time within which requests must stay away from an evacuated data centre; absent if evacuations
+    /// are not followed.
+    pub evacuation_bound: Option<Duration>,
     /// The retry budget of all entries together.
     pub retry_budget: Policy,
     /// The processor time that the process may use, in thousandths of a core.
--- a/crates/membership/src/members.rs
+++ b/crates/membership/src/members.rs
@@ -4,9 +4,11 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::VecDeque;
+use std::rc::Rc;
 use std::time::Duration;
 
 use domain::Moment;
+use domain::evacuation;
 use domain::key::Incarnation;
 use rand::Rng;
 
@@ -44,6 +46,7 @@
 pub struct Members {
     local: Member,
     config_next: u64,
+    evacuations: Option<Rc<evacuation::Set>>,
     peers: BTreeMap<Incarnation, Peer>,
     /// Incarnations whose address another process now uses, with the time when that was detected.
     replaced: BTreeMap<Incarnation, Moment>,
@@ -105,6 +108,7 @@
         Self {
             local,
             config_next: 0,
+            evacuations: None,
             peers: BTreeMap::new(),
             replaced: BTreeMap::new(),
             listed: BTreeSet::new(),
@@ -141,6 +145,11 @@
         self.config_next = next;
     }
 
+    /// Sets the evacuated data centres as this entry knows them, as in [`Message::evacuations`].
+    pub fn set_evacuations(&mut self, set: Option<Rc<evacuation::Set>>) {
+        self.evacuations = set;
+    }
+
     /// Sends a rumour to the others along with the next datagrams.
     pub fn gossip(&mut self, rumour: Rumour) {
         self.gossip_queue.push(rumour);
@@ -179,6 +188,12 @@
         if message.from.incarnation == self.local.incarnation {
             return output;
         }
+        if let Some(set) = message.evacuations
+            && self.evacuations.as_ref() != Some(&set)
+        {
+            let peer = message.from.peer_address;
+            output.events.push(Event::Evacuations { peer, set });
+        }
         if message.config_next > self.config_next {
             let peer = message.from.peer_address;
             output.events.push(Event::ConfigAhead {
@@ -369,6 +384,7 @@
             config_next: self.config_next,
             kind,
             rumours,
+            evacuations: self.evacuations.clone(),
         }
     }
 
--- a/crates/membership/src/members/outbound.rs
+++ b/crates/membership/src/members/outbound.rs
@@ -21,14 +21,24 @@
             config_next: self.config_next,
             kind: Kind::Gossip,
             rumours: vec![rumour],
+            evacuations: self.evacuations.clone(),
         };
-        targets
-            .into_iter()
-            .map(|to| Datagram {
-                to,
-                message: message.clone(),
-            })
-            .collect()
+        to_each(targets, &message)
+    }
+
+    /// Returns datagrams that tell some members, or all if none are given, of the evacuated data centres
+    /// immediately.
+    pub fn evacuation_news(&self, targets: Option<Vec<SocketAddr>>) -> Vec<Datagram> {
+        let all = || self.alive().skip(1).map(|it| it.peer_address).collect();
+        let targets = targets.unwrap_or_else(all);
+        let message = Message {
+            from: self.local.clone(),
+            config_next: self.config_next,
+            kind: Kind::Gossip,
+            rumours: Vec::new(),
+            evacuations: self.evacuations.clone(),
+        };
+        to_each(targets, &message)
     }
 
     /// Returns datagrams that announce this entry's position in the configuration to random members, in its
@@ -49,3 +59,12 @@
         targets.into_iter().map(announce).collect()
     }
 }
+
+fn to_each(targets: Vec<SocketAddr>, message: &Message) -> Vec<Datagram> {
+    let targets = targets.into_iter();
+    let datagram = |to| Datagram {
+        to,
+        message: message.clone(),
+    };
+    targets.map(datagram).collect()
+}
--- a/crates/membership/src/message.rs
+++ b/crates/membership/src/message.rs
@@ -1,7 +1,9 @@
 //! The messages that members exchange.
 
 use core::net::SocketAddr;
+use std::rc::Rc;
 
+use domain::evacuation;
 use domain::key::Incarnation;
 
 use crate::member::Member;
@@ -19,6 +21,8 @@
     pub kind: Kind,
     /// Gossip that is sent along with the message.
     pub rumours: Vec<Rumour>,
+    /// The evacuated data centres as the sender knows them; absent if it does not follow evacuations.
+    pub evacuations: Option<Rc<evacuation::Set>>,
 }
 
 /// The purpose of a message.
@@ -85,4 +89,11 @@
         /// The peer's position, as in [`Message::config_next`].
         next: u64,
     },
+    /// A peer knows other evacuated data centres, or knows them as of another position.
+    Evacuations {
+        /// The peer's address.
+        peer: SocketAddr,
+        /// What the peer knows.
+        set: Rc<evacuation::Set>,
+    },
 }
--- a/crates/membership/tests/network/network.rs
+++ b/crates/membership/tests/network/network.rs
@@ -3,9 +3,11 @@
 use std::collections::BTreeSet;
 use std::net::IpAddr;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use domain::Moment;
+use domain::evacuation::Set;
 use domain::key::Incarnation;
 use membership::Member;
 use membership::Members;
@@ -26,6 +28,10 @@
     pub now: Moment,
     pub random: StdRng,
     pub events: Vec<(usize, Event)>,
+    /// The evacuated data centres as each entry knows them.
+    pub evacuations: Vec<Option<Rc<Set>>>,
+    /// The number of entries to which an entry forwards evacuations that are new to it.
+    pub forwards: usize,
 }
 
 pub fn address(index: usize, port: u16) -> SocketAddr {
@@ -61,8 +67,11 @@
     }
 
     pub fn of(members: impl Iterator<Item = Member>) -> Self {
+        let members: Vec<Members> = members.map(Members::new).collect();
         let mut network = Self {
-            members: members.map(Members::new).collect(),
+            evacuations: vec![None; members.len()],
+            forwards: 3,
+            members,
             isolated: BTreeSet::new(),
             loss: 0.0,
             now: Moment::from_millis(1_000),
@@ -96,13 +105,45 @@
             if is_partitioned || is_sender_isolated || self.random.random::<f64>() < self.loss {
                 continue;
             }
-            let output = self.members[to].receive(self.now, address(from, 2), datagram.message);
+            let mut output = self.members[to].receive(self.now, address(from, 2), datagram.message);
+            for event in &output.events {
+                if let Event::Evacuations { set, .. } = event
+                    && self.know(to, set)
+                {
+                    let news = self.forward(to);
+                    output.datagrams.extend(news);
+                }
+            }
             self.events
                 .extend(output.events.into_iter().map(|it| (to, it)));
             queue.extend(output.datagrams.into_iter().map(|it| (to, it)));
         }
     }
 
+    /// Lets an entry know of evacuations. Returns whether they are later than what it knew.
+    pub fn know(&mut self, index: usize, set: &Rc<Set>) -> bool {
+        let known = self.evacuations[index].as_ref();
+        if known.is_some_and(|it| it.position >= set.position) {
+            return false;
+        }
+        self.evacuations[index] = Some(set.clone());
+        self.members[index].set_evacuations(Some(set.clone()));
+        true
+    }
+
+    fn forward(&mut self, index: usize) -> Vec<Datagram> {
+        let members = &self.members[index];
+        let targets = members.sample(self.forwards, &mut self.random);
+        let targets = targets.iter().map(|it| it.peer_address).collect();
+        members.evacuation_news(Some(targets))
+    }
+
+    /// Returns the number of entries that know of evacuations as of this position.
+    pub fn informed(&self, position: u64) -> usize {
+        let known = self.evacuations.iter().flatten();
+        known.filter(|it| it.position == position).count()
+    }
+
     pub fn run(&mut self, time: Duration) {
         let end = self.now + time;
         while self.now < end {
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -7,6 +7,7 @@
 //! Architecture invariant: this crate does no I/O and never reads a clock.
 
 pub mod budget;
+pub mod evacuation;
 pub mod plain;
 pub mod plan;
 pub mod rates;
@@ -15,6 +16,7 @@
 pub mod workload;
 
 pub use budget::Budget;
+pub use evacuation::Evacuations;
 pub use plan::Plan;
 pub use rates::Rates;
 pub use servers::Server;
--- a/crates/placement/src/servers.rs
+++ b/crates/placement/src/servers.rs
@@ -2,6 +2,7 @@
 
 use core::net::SocketAddr;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -66,6 +67,8 @@
     states: BTreeMap<String, State>,
     /// Servers that were removed from the list, so that an older report doesn't add them again.
     removed: BTreeMap<String, Removed>,
+    /// The evacuated data centres, whose servers get no new work.
+    evacuated: BTreeSet<String>,
     last_read: Option<Moment>,
     outage_end: Option<Moment>,
 }
@@ -244,20 +247,37 @@
 
     /// Returns the servers of a service that take new work.
     pub fn usable<'a>(&'a self, now: Moment, service: &'a str) -> impl Iterator<Item = &'a State> {
-        let servers = self.states.values();
-        servers.filter(move |it| it.server.service == service && it.is_usable(now))
+        let servers = self.in_service(service);
+        servers.filter(move |it| it.is_usable(now))
     }
 
     /// Returns the time until the first server of a service has ended its pause and takes another request
     /// by its limit. Returns `None` if any server takes work now, or if none will.
     pub fn pause_of_all(&self, now: Moment, service: &str, rates: &Rates) -> Option<Duration> {
-        let servers = self.states.values();
-        let staying = servers.filter(|it| it.server.service == service && it.is_staying(now));
+        let staying = self.in_service(service).filter(|it| it.is_staying(now));
         let left = staying.map(|it| it.pause.left(now).max(rates.left(now, it.key)));
         let first = left.min();
         first.filter(|it| !it.is_zero())
     }
 
+    /// Returns the servers of a service outside evacuated data centres.
+    fn in_service<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a State> {
+        let servers = self.states.values();
+        servers.filter(move |it| {
+            it.server.service == service && !self.is_evacuated(&it.server.data_centre)
+        })
+    }
+
+    /// Sets the evacuated data centres, whose servers get no new work.
+    pub fn set_evacuated(&mut self, data_centres: BTreeSet<String>) {
+        self.evacuated = data_centres;
+    }
+
+    /// Returns whether the servers of a data centre get no new work because it is evacuated.
+    pub fn is_evacuated(&self, data_centre: &str) -> bool {
+        self.evacuated.contains(data_centre)
+    }
+
     /// Returns all servers.
     pub fn all(&self) -> impl Iterator<Item = &State> {
         self.states.values()
--- a/crates/placement/src/workload.rs
+++ b/crates/placement/src/workload.rs
@@ -182,6 +182,19 @@
         }
     }
 
+    /// Returns, for each request of an entry, the keys of the servers that work on it.
+    pub fn servers_of(&self, entry: Incarnation) -> Vec<Vec<u64>> {
+        let own = self.jobs.iter().filter(|it| it.0.entry == entry);
+        let servers = own.map(|it| {
+            it.1.placement
+                .parts
+                .iter()
+                .map(|part| part.server)
+                .collect()
+        });
+        servers.collect()
+    }
+
     /// Reconciles the workload with a snapshot, which repairs the effects of lost updates.
     pub fn reconcile(&mut self, now: Moment, snapshot: &Snapshot) {
         let is_ended = |it: &&JobId| {
--- a/crates/placement/tests/servers.rs
+++ b/crates/placement/tests/servers.rs
@@ -227,3 +227,35 @@
     list.read(4);
     list.check(&["b"]);
 }
+
+#[test]
+fn evacuated_data_centre_has_no_usable_servers() {
+    let mut list = List::new();
+    list.add(Server {
+        data_centre: "other".to_owned(),
+        ..server("b", 1, 1)
+    });
+    let usable = |list: &List| -> Vec<String> {
+        let usable = list.servers.usable(list.now, "app");
+        usable.map(|it| it.server.id.clone()).collect()
+    };
+    list.servers.set_evacuated(["dc".to_owned()].into());
+    assert_eq!(usable(&list), ["b"]);
+    // A server that is listed meanwhile is excluded as well.
+    list.add(server("c", 1, 1));
+    assert_eq!(usable(&list), ["b"]);
+    list.servers.set_evacuated(["missing".to_owned()].into());
+    assert_eq!(usable(&list), ["a", "b", "c"]);
+}
+
+/// Guards against callers that are told to come back for servers that stay evacuated.
+#[test]
+fn evacuated_servers_have_no_pause_to_wait_for() {
+    let mut list = List::new();
+    list.pause(Duration::from_secs(2));
+    let rates = placement::Rates::default();
+    let pause = |list: &List| list.servers.pause_of_all(list.now, "app", &rates);
+    assert!(pause(&list).is_some());
+    list.servers.set_evacuated(["dc".to_owned()].into());
+    assert_eq!(pause(&list), None);
+}
--- a/crates/wire/schema/peer.capnp
+++ b/crates/wire/schema/peer.capnp
@@ -45,6 +45,8 @@
 struct Evacuations {
   # The data centres whose backend servers get no work, as of a position in the operator's list.
   position @0 :UInt64;
+  # Those on the list. After an empty text follow those that are not on the list, since the store came back
+  # from an older copy, and that are held until the operator has had time to write them again.
   dataCentres @1 :List(Text);
 }
 
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -1,5 +1,6 @@
 //! Encoding and decoding of the datagrams between entries.
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use capnp::message::Builder;
@@ -20,6 +21,7 @@
 use crate::Delta;
 use crate::Error;
 use crate::address;
+use crate::evacuations;
 use crate::listing;
 use crate::peer_capnp::datagram;
 use crate::peer_capnp::load;
@@ -160,6 +162,10 @@
             config_next: datagram.get_config_next(),
             kind,
             rumours,
+            evacuations: match datagram.has_evacuations() {
+                true => Some(Rc::new(evacuations::read(datagram.get_evacuations()?)?)),
+                false => None,
+            },
         }))
     }
 }
@@ -173,6 +179,9 @@
     for (index, rumour) in message.rumours.iter().enumerate() {
         write_rumour(rumour, rumours.reborrow().get(index as u32));
     }
+    if let Some(set) = &message.evacuations {
+        evacuations::write(set, datagram.reborrow().init_evacuations());
+    }
     match message.kind {
         Kind::Probe { sequence } => datagram.set_probe(sequence),
         Kind::Ack { sequence } => datagram.set_ack(sequence),
--- a/crates/wire/tests/frames.rs
+++ b/crates/wire/tests/frames.rs
@@ -1,6 +1,14 @@
 //! Frames decode to the value that was encoded.
 
+use std::collections::BTreeSet;
+use std::rc::Rc;
+
+use domain::evacuation::Set;
 use domain::key::Incarnation;
+use membership::Member;
+use membership::Message;
+use membership::member::Phase;
+use membership::message::Kind;
 use placement::JobId;
 use placement::Snapshot;
 use placement::Update;
@@ -14,6 +22,9 @@
 use wire::Frame;
 use wire::Record;
 
+/// The encoded size of `message(None)` before messages could carry evacuations, in bytes.
+const MESSAGE_SIZE: usize = 77;
+
 fn update(number: u64, change: Change) -> Update {
     let entry = Incarnation(9);
     Update {
@@ -86,6 +97,52 @@
     }));
 }
 
+/// Returns a message of the membership protocol.
+fn message(evacuations: Option<Set>) -> Frame {
+    let from = Member {
+        incarnation: Incarnation(9),
+        name: "entry-1".to_owned(),
+        data_centre: "dc-1".to_owned(),
+        caller_address: ([10, 0, 0, 1], 1).into(),
+        peer_address: ([10, 0, 0, 1], 2).into(),
+        phase: Phase::Ready,
+        version: 3,
+        capacity: 120,
+        relay_address: None,
+    };
+    Frame::Message(Message {
+        from,
+        config_next: 7,
+        kind: Kind::Gossip,
+        rumours: Vec::new(),
+        evacuations: evacuations.map(Rc::new),
+    })
+}
+
+fn names(names: &[&str]) -> BTreeSet<String> {
+    names.iter().map(|it| (*it).to_owned()).collect()
+}
+
+#[test]
+fn message_evacuations_round_trip() {
+    let set = |listed: &[&str], held: &[&str]| Set {
+        position: 1 << 40 | 12,
+        listed: names(listed),
+        held: names(held),
+    };
+    check_round_trip(message(None));
+    check_round_trip(message(Some(set(&[], &[]))));
+    check_round_trip(message(Some(set(&["dc-1", "dc-2"], &[]))));
+    check_round_trip(message(Some(set(&["dc-1"], &["dc-2", "dc-3"]))));
+    check_round_trip(message(Some(set(&[], &["dc-2"]))));
+}
+
+/// Guards against larger messages in deployments that don't follow evacuations.
+#[test]
+fn message_without_evacuations_has_its_previous_size() {
+    assert_eq!(message(None).encode().len(), MESSAGE_SIZE);
+}
+
 #[test]
 fn decode_malformed_bytes_is_an_error() {
     for bytes in [&b""[..], b"x", &[0xff; 64]] {
