--- a/crates/ctl/src/cmd.rs
+++ b/crates/ctl/src/cmd.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::time::Duration;
+use std::time::SystemTime;
 
 use anyhow::Context;
 use anyhow::Result;
@@ -13,6 +14,7 @@
 use web::Client;
 use web::client::Call;
 
+use crate::REFUSED;
 use crate::state;
 
 /// The timeout of a call to an entry instance.
@@ -80,3 +82,31 @@
     println!("draining");
     Ok(ExitCode::SUCCESS)
 }
+
+/// Prints the evacuations of data centres according to the metrics of several instances.
+pub async fn evacuations(addresses: &[SocketAddr]) -> Result<ExitCode> {
+    let client = Client::default();
+    let mut pages = Vec::new();
+    for address in addresses {
+        match page(&client, *address).await {
+            Ok(page) => pages.push((address.to_string(), page)),
+            Err(error) => eprintln!("{error:#}"),
+        }
+    }
+    let now = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH)?;
+    print!("{}", ctl::evacuations::table(&pages, now.as_secs()));
+    if pages.len() < addresses.len() {
+        return Ok(ExitCode::from(REFUSED));
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+/// Returns the text of an instance's metrics.
+async fn page(client: &Client, address: SocketAddr) -> Result<String> {
+    let call = Call::get(address, "/metrics");
+    let answer = client.send(&call, TIMEOUT).await;
+    let mut answer =
+        answer.context("an instance does not answer: check the address of its metrics")?;
+    let bytes = answer.bytes().await?;
+    Ok(String::from_utf8_lossy(&bytes).into_owned())
+}
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -80,6 +80,13 @@
         /// The log files; standard input by default.
         logs: Vec<PathBuf>,
     },
+    /// Print which data centres are evacuated, since when, which instances act on it and how many requests
+    /// still run there. Exits 2 if an instance does not answer.
+    Evacuations {
+        /// The addresses of the instances' metrics.
+        #[arg(long, required = true, num_args = 1..)]
+        metrics: Vec<SocketAddr>,
+    },
     /// Start the graceful shutdown of an entry instance, which completes all running requests.
     Drain {
         /// The operators' address of the entry instance.
@@ -138,6 +145,7 @@
         Command::Watch { platform } => async_io::block_on(cmd::watch(platform)),
         Command::Explain { request, entry } => async_io::block_on(cmd::explain(entry, &request)),
         Command::Story { request, logs } => story(&request, &logs),
+        Command::Evacuations { metrics } => async_io::block_on(cmd::evacuations(&metrics)),
         Command::Drain { entry } => async_io::block_on(cmd::drain(entry)),
     }
 }
