--- a/crates/placement/tests/evacuation.rs
+++ b/crates/placement/tests/evacuation.rs
@@ -117,6 +117,15 @@
     copy.check(&["a"]);
 }
 
+/// Guards against a late read that starts an evacuation again whose end the log's history lacks.
+#[test]
+fn changes_before_the_known_position_are_skipped() {
+    let mut copy = Copy::of(5, &[]);
+    copy.receive(8, &[], &[]);
+    copy.changes(5, 9, &[start("a", 6), start("b", 9)]);
+    copy.check(&["b"]);
+}
+
 /// Guards against a late read that starts an evacuation again whose end a peer told of.
 #[test]
 fn changes_known_already_are_not_applied_again() {
