Bound the requests to cold servers

Cause: servers that have just started take only a few requests a second, and entries sent them as many as to others.

Change: placement::cold keeps until when servers are cold and counts the requests that all entries place in a sliding second. Plans leave out servers that have reached their bound, and it is checked again before sending. A record that names no server to use is reported once. A server that starts again loses the limits and reservations of its earlier process.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -11,9 +11,11 @@
 use h1::Stream;
 use h1::body::Decoder;
 use membership::message::Rumour;
+use placement::JobId;
 use placement::Server;
 
 use crate::Node;
+use crate::cold;
 use crate::crash;
 use crate::dial;
 use crate::dial::Reuse;
@@ -47,8 +49,8 @@
     CallerLeft,
     /// The server could not be connected to; nothing was sent.
     Unreached,
-    /// The server asked for a pause or left, or the request came under quarantine, while the attempt
-    /// was prepared; nothing was sent.
+    /// The server asked for a pause, left, started again or reached its bound while cold, or the request
+    /// came under quarantine, while the attempt was prepared; nothing was sent.
     Withdrawn,
     /// Memory could not be reserved at a helper; nothing was sent.
     NoRoom,
@@ -103,7 +105,7 @@
         }
     };
     let sent_at = clock::now();
-    if !dispatch(node, exchange, target, sent_at) {
+    if !dispatch(node, exchange, target, registration.job, sent_at) {
         return Outcome::Withdrawn;
     }
     exchange.attempts += 1;
@@ -190,19 +192,27 @@
 }
 
 /// Records that a request is about to be sent to a server. Returns false if that is no longer allowed.
-fn dispatch(node: &Node, exchange: &Exchange, target: &Target, now: Moment) -> bool {
+fn dispatch(node: &Node, exchange: &Exchange, target: &Target, job: JobId, now: Moment) -> bool {
     let mut state = node.state.borrow_mut();
     if state.quarantine.is_refused(now, &exchange.fingerprint) {
         return false;
     }
-    let Some(server_state) = state.servers.get_mut(target.server.key()) else {
-        return true;
-    };
-    if server_state.is_usable(now) {
+    let helpers = target.helpers.iter().map(|it| &it.server);
+    let mut servers = std::iter::once(&target.server).chain(helpers);
+    if servers.any(|it| state.servers.is_replaced(it)) {
+        return false;
+    }
+    let server_state = state.servers.get(target.server.key());
+    if server_state.is_some_and(|it| !it.is_usable(now)) {
+        return false;
+    }
+    if !cold::permit(node, &mut state, target, job, now) {
+        return false;
+    }
+    if let Some(server_state) = state.servers.get_mut(target.server.key()) {
         server_state.health.on_dispatch(now);
-        return true;
     }
-    false
+    true
 }
 
 /// Sends the request and reads the response.
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -19,6 +19,7 @@
 use routing::quarantine::Fingerprint;
 
 use crate::Node;
+use crate::cold;
 use crate::node::State;
 use crate::port::Metadata;
 use crate::refusal::Refusal;
@@ -203,6 +204,8 @@
         if decision == Decision::Refuse {
             return Err(Refusal::Quarantined);
         }
+        cold::refresh_share(state);
+        cold::count_held(node, state, now, &self.service.name);
         let mut random = rand::rng();
         let servers = state.servers.usable(now, &self.service.name);
         let (Some(engine), Some(prompt)) = (&self.service.engine, self.metadata.prompt) else {
@@ -241,11 +244,13 @@
         Target::planned(plan, part_servers.unwrap_or_default()).ok_or(Refusal::NoServer)
     }
 
-    /// Returns the refusal if every server of the service asked for a pause or has reached its limit,
-    /// otherwise `refusal`.
+    /// Returns the refusal if every server of the service asked for a pause or has reached its limit
+    /// or its bound while cold, otherwise `refusal`.
     pub fn refusal_in_pause(&self, now: Moment, state: &State, refusal: Refusal) -> Refusal {
-        let rates = state.workload.rates();
-        let left = state.servers.pause_of_all(now, &self.service.name, rates);
+        let workload = &state.workload;
+        let left = state
+            .servers
+            .pause_of_all(now, &self.service.name, workload);
         left.map_or(refusal, Refusal::Paused)
     }
 
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -17,6 +17,7 @@
 use crate::Node;
 use crate::backoff::Backoff;
 use crate::calls;
+use crate::cold;
 use crate::datagrams;
 use crate::duty;
 use crate::metrics::CallLabels;
@@ -412,6 +413,7 @@
     node.metrics.config_version.set(version as i64);
     state.records.store_routes(record, next);
     state.table = Some(Rc::new(table));
+    cold::adopt(&mut state, clock::now());
     state.members.set_config_next(version);
     let phase = state.phase();
     state.members.set_phase(phase);
@@ -440,6 +442,8 @@
             continue;
         }
         let decoded = record.value.is_some().then(|| node.decoder.server(record));
+        let table = state.table.as_deref();
+        let has_new_fault = state.faults.check(table, &record.key, decoded.as_ref());
         let is_changed = match decoded {
             Some(Ok(server)) if scope == Scope::All => {
                 all_servers.push(server);
@@ -453,10 +457,9 @@
                 }
                 is_changed
             }
-            Some(Err(error)) => {
-                log::warn!(target: "server", server = record.key.as_str(), error:% = error; "can't decode a server's record; the server is removed");
-                state.servers.remove(now, &record.key);
-                true
+            Some(Err(_)) => {
+                let is_removed = state.servers.remove(now, &record.key);
+                is_removed || has_new_fault || scope == Scope::All
             }
             None => {
                 if state.servers.remove(now, &record.key) {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod attempt;
 pub mod backoff;
 pub mod calls;
+pub mod cold;
 pub mod connections;
 pub mod crash;
 pub mod datagrams;
@@ -18,6 +19,7 @@
 pub mod endpoints;
 pub mod events;
 pub mod exchange;
+pub mod faults;
 pub mod follow;
 pub mod held;
 pub mod listener;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -44,6 +44,13 @@
     pub end: &'static str,
 }
 
+/// The labels of placements that the bounds of cold servers held back.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct HoldLabels {
+    /// `placing` if a cold server was left out of a choice, `sending` if an attempt was withdrawn.
+    pub stage: &'static str,
+}
+
 /// The labels of calls to the platform.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct CallLabels {
@@ -142,6 +149,10 @@
     pub config_version: Gauge,
     /// Backend servers that accept work.
     pub servers: Gauge,
+    /// Backend servers that are cold.
+    pub cold_servers: Gauge,
+    /// Placements that the bounds of cold servers held back.
+    pub cold_holds: Family<HoldLabels, Counter>,
     /// Calls to the platform.
     pub platform_calls: Family<CallLabels, Counter>,
     /// Returns of the platform's store from an older copy.
@@ -173,6 +184,8 @@
             running: Gauge::default(),
             config_version: Gauge::default(),
             servers: Gauge::default(),
+            cold_servers: Gauge::default(),
+            cold_holds: Family::default(),
             platform_calls: Family::default(),
             store_returns: Counter::default(),
             deltas: Family::default(),
@@ -305,6 +318,16 @@
             "Backend servers that accept work",
             self.servers.clone(),
         );
+        registry.register(
+            "cold_servers",
+            "Backend servers that are cold",
+            self.cold_servers.clone(),
+        );
+        registry.register(
+            "cold_holds",
+            "Placements that the bounds of cold servers held back",
+            self.cold_holds.clone(),
+        );
         registry.register(
             "platform_calls",
             "Calls to the platform",
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -25,6 +25,7 @@
 use routing::Quarantine;
 
 use crate::connections::Pool;
+use crate::faults::Faults;
 use crate::held;
 use crate::metrics::Metrics;
 use crate::port::Decoder;
@@ -82,6 +83,8 @@
     pub servers: Servers,
     /// The cached records of the platform's lists.
     pub records: Cache,
+    /// Servers' records that name no server to use.
+    pub faults: Faults,
     /// The requests that all entries have placed.
     pub workload: Workload,
     /// The entries.
@@ -127,6 +130,7 @@
                 table: None,
                 servers: Servers::default(),
                 records: Cache::default(),
+                faults: Faults::default(),
                 workload: Workload::default(),
                 members: Members::new(member),
                 audience: Audience::default(),
--- a/crates/gateway/src/notice.rs
+++ b/crates/gateway/src/notice.rs
@@ -27,6 +27,12 @@
     if let Some(statement) = statement.filter(|_| is_own) {
         record_limit(node, server, statement);
     }
+    if let Some(left) = notice.cold_left.filter(|_| is_own) {
+        let mut state = node.state.borrow_mut();
+        if let Some(server_state) = state.servers.get_mut(server.key()) {
+            server_state.cold.record_response(clock::now(), left);
+        }
+    }
     let Some(pause) = notice.pause else {
         return;
     };
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -13,6 +13,7 @@
 use wire::Frame;
 
 use crate::Node;
+use crate::cold;
 use crate::crash;
 use crate::datagrams;
 use crate::follow;
@@ -66,6 +67,7 @@
                     log_totals(&node);
                 }
                 datagrams::refresh_audience(&node, now);
+                cold::observe(&node, now);
                 node.state.borrow_mut().members.tick(now, &mut rand::rng())
             }
         };
@@ -74,7 +76,14 @@
 }
 
 fn expire(node: &Node, now: Moment) {
-    node.state.borrow_mut().workload.expire(now);
+    {
+        let State {
+            servers, workload, ..
+        } = &mut *node.state.borrow_mut();
+        workload.expire(now);
+        let keys = servers.known_keys(now);
+        workload.rates_mut().retain_servers(|it| keys.contains(&it));
+    }
     node.connections.borrow_mut().expire(now);
 }
 
--- a/crates/gateway/src/port.rs
+++ b/crates/gateway/src/port.rs
@@ -232,6 +232,8 @@
     pub limit_per_s: Option<f64>,
     /// Whether the server leaves and takes no more work from any entry.
     pub is_leaving: bool,
+    /// The time for which the server remains cold; zero if it is not cold, `None` if it does not say.
+    pub cold_left: Option<Duration>,
 }
 
 /// Whether the request ran, according to a server's response.
--- a/crates/gateway/src/reserve.rs
+++ b/crates/gateway/src/reserve.rs
@@ -114,6 +114,9 @@
     loop {
         Timer::after(RENEWAL_INTERVAL).await;
         for reservation in &reservations {
+            if is_lost(&node, reservation) {
+                continue;
+            }
             match reserve(&node, reservation).await {
                 Ok(DONE) => {}
                 Ok(status) => {
@@ -127,6 +130,13 @@
     }
 }
 
+/// Returns whether the server has started again, and so has lost the reservation. The process that runs
+/// there now must not reserve memory for it.
+fn is_lost(node: &Node, reservation: &HelperReservation) -> bool {
+    let state = node.state.borrow();
+    state.servers.is_replaced(&reservation.server)
+}
+
 async fn reserve(node: &Node, reservation: &HelperReservation) -> Result<u16, Error> {
     let command = node.protocol.reserve(&Reservation {
         id: &reservation.id,
--- a/crates/membership/src/members/views.rs
+++ b/crates/membership/src/members/views.rs
@@ -18,6 +18,12 @@
         self.listed.len().max(self.alive().count())
     }
 
+    /// Returns the number of entries that are neither dead nor suspect, this one included. An entry that is
+    /// cut off has fewer of them sooner than if suspects counted.
+    pub fn responding(&self) -> usize {
+        self.unsuspected().count()
+    }
+
     /// Returns all members that are not dead, including suspects, this entry first.
     pub fn alive(&self) -> impl Iterator<Item = &Member> {
         let others = self.peers.values().filter(|it| it.state != State::Dead);
--- a/crates/placement/src/plain.rs
+++ b/crates/placement/src/plain.rs
@@ -27,7 +27,7 @@
     tried: &[u64],
     random: &mut impl Rng,
 ) -> Option<&'a State> {
-    let is_open = |it: &&State| it.health.is_usable(now) && workload.rates().is_open(now, it.key());
+    let is_open = |it: &&State| it.health.is_usable(now) && it.hold(now, workload).is_zero();
     let usable: Vec<&State> = servers.filter(is_open).collect();
     let recent = |it: &&State| it.recent_latency(now, LATENCY_LIFETIME);
     // A server without a recent latency is assumed to be as fast as the fastest.
@@ -41,9 +41,15 @@
             .unwrap_or(ASSUMED_LATENCY)
             .as_secs_f64();
         let noise = 1.0 + LATENCY_NOISE * random.random::<f64>();
+        // A warm server goes before a cold one that would answer as fast.
+        let cold_factor = if it.is_cold(now) {
+            1.0 + LATENCY_NOISE
+        } else {
+            1.0
+        };
         let is_full = running >= it.server.slots;
         let rank = (tried.contains(&key), is_full);
-        (rank, rounds * latency * noise, *it)
+        (rank, rounds * latency * noise * cold_factor, *it)
     });
     let best = ranked.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
     best.map(|it| it.2)
--- a/crates/placement/src/plan.rs
+++ b/crates/placement/src/plan.rs
@@ -74,6 +74,10 @@
 /// of an idle engine.
 const MIN_SPLIT_MS: f64 = 60.0;
 
+/// The loss in using a cold engine, in the value of a short request: more than what breaks ties, so that
+/// an equal engine which is warm goes first.
+const COLD_COST: f64 = 2e-3;
+
 /// The engines for a request, and the forecast for it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Plan {
@@ -122,7 +126,7 @@
     /// Whether a request with a tight pause limit decodes, or will decode, on it.
     has_tight_decoding: bool,
     free_tokens: f64,
-    /// Breaks ties between equal engines.
+    /// Breaks ties between equal engines; greater for those that are cold.
     jitter: f64,
 }
 
@@ -147,7 +151,7 @@
     tried: &[u64],
     random: &mut impl Rng,
 ) -> Option<Plan> {
-    let is_open = |it: &&State| it.health.is_usable(now) && workload.rates().is_open(now, it.key());
+    let is_open = |it: &&State| it.health.is_usable(now) && it.hold(now, workload).is_zero();
     let usable: Vec<&State> = servers.filter(is_open).collect();
     let is_untried = |it: &&&State| !tried.contains(&it.key());
     let untried: Vec<&State> = usable.iter().filter(is_untried).copied().collect();
@@ -352,6 +356,7 @@
                 + joining_ms
                 + pass_ms * PASSES_PER_FREE_SLOT * excess as f64
         };
+        let cold_cost = if state.is_cold(now) { COLD_COST } else { 0.0 };
         Self {
             key,
             queue,
@@ -363,7 +368,7 @@
             decoding,
             has_tight_decoding: tasks.iter().any(is_tight),
             free_tokens: memory - queue.map_or(0, Queue::tokens) as f64,
-            jitter: random.random::<f64>() * 1e-3,
+            jitter: random.random::<f64>() * 1e-3 + cold_cost,
         }
     }
 
--- a/crates/placement/src/rates.rs
+++ b/crates/placement/src/rates.rs
@@ -232,9 +232,10 @@
         self.limits.retain(|_, it| !it.is_expired(now));
     }
 
-    /// Removes the limit of a server that no longer exists.
-    pub fn remove(&mut self, server: u64) {
-        self.limits.remove(&server);
+    /// Removes the limits that servers named which no longer exist.
+    pub fn retain_servers(&mut self, is_known: impl Fn(u64) -> bool) {
+        self.limits
+            .retain(|server, it| it.named_at.is_none() || is_known(*server));
     }
 }
 
--- a/crates/placement/src/servers.rs
+++ b/crates/placement/src/servers.rs
@@ -2,15 +2,19 @@
 
 use core::net::SocketAddr;
 use std::collections::BTreeMap;
+use std::collections::HashSet;
 use std::rc::Rc;
 use std::time::Duration;
 
 use domain::Moment;
 use domain::digest;
+use route::ColdStart;
 use routing::Pause;
 use routing::health::Health;
 
-use crate::Rates;
+use crate::Workload;
+use crate::cold::Period;
+use crate::cold::Source;
 
 /// The grace period after an outage of the list, in which a server that lapsed during the outage
 /// may reappear: the period that the platform documents and its report lag.
@@ -46,6 +50,9 @@
     pub slots: usize,
     /// Whether it is leaving and takes no new work.
     pub is_leaving: bool,
+    /// The time for which it remains cold, counted from when the report arrives; `None` if it does not
+    /// say.
+    pub cold_left: Option<Duration>,
 }
 
 impl Server {
@@ -68,6 +75,10 @@
     removed: BTreeMap<String, Removed>,
     last_read: Option<Moment>,
     outage_end: Option<Moment>,
+    /// Whether a whole list was read, so that servers which are new have just started.
+    is_loaded: bool,
+    /// The cold starts of the services that have one.
+    cold_starts: BTreeMap<String, ColdStart>,
 }
 
 /// The last report of a server that was removed from the list.
@@ -78,6 +89,7 @@
     at: Moment,
     pause: Pause,
     is_leaving: bool,
+    cold: Period,
 }
 
 impl Removed {
@@ -110,6 +122,10 @@
     excluded_at: Option<Moment>,
     /// The pause that it asked this entry for.
     pub pause: Pause,
+    /// The period in which it is cold.
+    pub cold: Period,
+    /// The cold start of its service; `None` if its servers are never cold.
+    cold_start: Option<ColdStart>,
 }
 
 impl Servers {
@@ -128,6 +144,15 @@
         for id in missing {
             self.remove(now, &id);
         }
+        self.is_loaded = true;
+    }
+
+    /// Sets the cold starts of services, by the configuration in force.
+    pub fn set_cold_starts(&mut self, cold_starts: BTreeMap<String, ColdStart>) {
+        for state in self.states.values_mut() {
+            state.cold_start = cold_starts.get(&state.server.service).copied();
+        }
+        self.cold_starts = cold_starts;
     }
 
     /// Records that the list was read, whether or not it had changed.
@@ -153,6 +178,8 @@
     /// Adds or updates one server of the list. Returns whether anything changed.
     pub fn add(&mut self, now: Moment, server: Server) -> bool {
         let report = (server.started_ms, server.sequence);
+        let cold_start = self.cold_starts.get(&server.service).copied();
+        let is_loaded = self.is_loaded;
         let removed = self.removed.get(&server.id);
         let is_outdated =
             |it: &Removed| !it.is_expired(now) && report <= (it.started_ms, it.sequence);
@@ -162,13 +189,19 @@
         let Some(state) = self.states.get_mut(&server.id) else {
             let same_process = removed.filter(|it| it.started_ms == server.started_ms);
             let is_leaving = server.is_leaving || same_process.is_some_and(|it| it.is_leaving);
-            let state = State {
-                pause: same_process.map(|it| it.pause).unwrap_or_default(),
-                ..State::new(Server {
-                    is_leaving,
-                    ..server
-                })
+            let pause = same_process.map(|it| it.pause).unwrap_or_default();
+            let known_period = same_process.map(|it| it.cold);
+            let server = Server {
+                is_leaving,
+                ..server
             };
+            let mut state = State::new(server, cold_start);
+            state.pause = pause;
+            match known_period {
+                Some(period) => state.cold = period,
+                None => state.begin_cold_start(now, is_loaded),
+            }
+            state.record_cold(now);
             self.states.insert(state.server.id.clone(), state);
             return true;
         };
@@ -177,12 +210,14 @@
             return false;
         }
         if previous.0 != server.started_ms || state.server.address != server.address {
-            *state = State::new(server);
+            *state = State::new(server, cold_start);
+            state.begin_cold_start(now, is_loaded);
+            state.record_cold(now);
             return true;
         }
         // A server that is leaving never becomes available again.
         let is_leaving = state.server.is_leaving || server.is_leaving;
-        let is_changed = state.is_lapsed
+        let mut is_changed = state.is_lapsed
             || state.server.is_leaving != is_leaving
             || state.server.service != server.service;
         state.is_lapsed = false;
@@ -190,6 +225,10 @@
             is_leaving,
             ..server
         });
+        state.cold_start = cold_start;
+        if report > previous {
+            is_changed |= state.record_cold(now);
+        }
         is_changed
     }
 
@@ -208,6 +247,7 @@
             at: now,
             pause: state.pause,
             is_leaving: state.server.is_leaving,
+            cold: state.cold,
         };
         self.states.remove(id);
         self.removed.retain(|_, it| !it.is_expired(now));
@@ -237,6 +277,50 @@
         is_changed
     }
 
+    /// Marks the servers of a data centre as cold for `duration`, or for the cold start of their service
+    /// if it is `None`, until they state something else. Called when its evacuation ends. Returns the
+    /// number of servers that are cold for it.
+    pub fn mark_cold(
+        &mut self,
+        now: Moment,
+        data_centre: &str,
+        duration: Option<Duration>,
+    ) -> usize {
+        let states = self.states.values_mut();
+        let mut count = 0;
+        for state in states.filter(|it| it.server.data_centre == data_centre) {
+            let Some(cold_start) = state.cold_start else {
+                continue;
+            };
+            let duration = duration.unwrap_or(cold_start.duration);
+            state.cold.extend(now, duration, Source::Evacuation);
+            count += 1;
+        }
+        count
+    }
+
+    /// Returns whether a later process is listed under the id of a server.
+    pub fn is_replaced(&self, server: &Server) -> bool {
+        let listed = self.states.get(&server.id);
+        listed.is_some_and(|it| it.key != server.key())
+    }
+
+    /// Returns the keys of the servers that are listed or were removed lately.
+    pub fn known_keys(&self, now: Moment) -> HashSet<u64> {
+        let removed = self.removed.iter().filter(|it| !it.1.is_expired(now));
+        let removed = removed.map(|(id, it)| digest::seeded(id.as_bytes(), it.started_ms));
+        self.states
+            .values()
+            .map(State::key)
+            .chain(removed)
+            .collect()
+    }
+
+    /// Returns a server by its key.
+    pub fn get(&self, key: u64) -> Option<&State> {
+        self.states.values().find(|it| it.key == key)
+    }
+
     /// Returns a server by its key.
     pub fn get_mut(&mut self, key: u64) -> Option<&mut State> {
         self.states.values_mut().find(|it| it.key == key)
@@ -249,11 +333,17 @@
     }
 
     /// Returns the time until the first server of a service has ended its pause and takes another request
-    /// by its limit. Returns `None` if any server takes work now, or if none will.
-    pub fn pause_of_all(&self, now: Moment, service: &str, rates: &Rates) -> Option<Duration> {
+    /// by its limit, and by its bound if it is cold. Returns `None` if any server takes work now, or if
+    /// none will.
+    pub fn pause_of_all(
+        &self,
+        now: Moment,
+        service: &str,
+        workload: &Workload,
+    ) -> Option<Duration> {
         let servers = self.states.values();
         let staying = servers.filter(|it| it.server.service == service && it.is_staying(now));
-        let left = staying.map(|it| it.pause.left(now).max(rates.left(now, it.key)));
+        let left = staying.map(|it| it.pause.left(now).max(it.hold(now, workload)));
         let first = left.min();
         first.filter(|it| !it.is_zero())
     }
@@ -263,6 +353,11 @@
         self.states.values()
     }
 
+    /// Returns all servers, to change their state.
+    pub fn all_mut(&mut self) -> impl Iterator<Item = &mut State> {
+        self.states.values_mut()
+    }
+
     fn is_grace_period(&self, now: Moment) -> bool {
         let is_outage = self
             .last_read
@@ -275,7 +370,7 @@
 }
 
 impl State {
-    fn new(server: Server) -> Self {
+    fn new(server: Server, cold_start: Option<ColdStart>) -> Self {
         Self {
             key: server.key(),
             server: Rc::new(server),
@@ -285,9 +380,62 @@
             is_lapsed: false,
             excluded_at: None,
             pause: Pause::default(),
+            cold: Period::default(),
+            cold_start,
+        }
+    }
+
+    /// Begins the cold start of a server that is listed for the first time while the list is in use, if
+    /// its record says nothing.
+    fn begin_cold_start(&mut self, now: Moment, is_loaded: bool) {
+        if let Some(cold_start) = self.cold_start
+            && is_loaded
+            && self.server.cold_left.is_none()
+        {
+            let duration = cold_start.duration;
+            self.cold.extend(now, duration, Source::FirstListed);
         }
     }
 
+    /// Records what the server's report says of the time for which it is cold. Returns whether other
+    /// entries have to know.
+    fn record_cold(&mut self, now: Moment) -> bool {
+        let left = self.server.cold_left.filter(|_| self.cold_start.is_some());
+        left.is_some_and(|it| self.cold.record_listed(now, it))
+    }
+
+    /// Returns whether the server is cold, and from where that is known, if this has changed since the last
+    /// call.
+    pub fn observe_cold(&mut self, now: Moment) -> Option<(bool, Source)> {
+        self.cold_start.and_then(|_| self.cold.observe(now))
+    }
+
+    /// Returns whether the server is cold.
+    pub fn is_cold(&self, now: Moment) -> bool {
+        self.cold_start.is_some() && !self.cold.left(now).is_zero()
+    }
+
+    /// Returns the requests a second that the server can take if it is cold.
+    pub fn cold_rate(&self, now: Moment) -> Option<f64> {
+        let cold_start = self.cold_start.filter(|_| self.is_cold(now));
+        cold_start.map(|it| it.per_s)
+    }
+
+    /// Returns the time until the server gets another request by its bound if it is cold. The bound ends
+    /// with the period.
+    pub fn cold_hold(&self, now: Moment, workload: &Workload) -> Duration {
+        let per_s = self.cold_rate(now);
+        let hold = per_s.map(|it| workload.window().left(now, self.key, it));
+        hold.unwrap_or_default().min(self.cold.left(now))
+    }
+
+    /// Returns the time until the server takes another request by the limit that it named, and by its
+    /// bound if it is cold.
+    pub fn hold(&self, now: Moment, workload: &Workload) -> Duration {
+        let limited = workload.rates().left(now, self.key);
+        limited.max(self.cold_hold(now, workload))
+    }
+
     /// Returns the key of this process of the server in the workload.
     pub fn key(&self) -> u64 {
         self.key
--- a/crates/placement/src/workload.rs
+++ b/crates/placement/src/workload.rs
@@ -7,6 +7,7 @@
 use domain::key::Incarnation;
 use route::Engine;
 
+use crate::cold::Window;
 use crate::rates::Rates;
 use crate::slowdown::Slowdowns;
 
@@ -110,6 +111,7 @@
     jobs: HashMap<JobId, Job>,
     slowdowns: Slowdowns,
     rates: Rates,
+    window: Window,
 }
 
 #[derive(Clone, Debug)]
@@ -225,6 +227,16 @@
         &mut self.rates
     }
 
+    /// Returns the requests that were lately placed, which count against the bounds of cold servers.
+    pub fn window(&self) -> &Window {
+        &self.window
+    }
+
+    /// Returns the requests that were lately placed, to record what becomes of those of this entry.
+    pub fn window_mut(&mut self) -> &mut Window {
+        &mut self.window
+    }
+
     /// Removes the work of an entry that left or died: its connections have ended.
     pub fn remove_entry(&mut self, now: Moment, entry: Incarnation) {
         let jobs = self.jobs.keys().filter(|it| it.entry == entry);
@@ -249,6 +261,7 @@
         self.queues.retain(|_, it| !it.tasks.is_empty());
         self.slowdowns.expire(now);
         self.rates.expire(now);
+        self.window.expire(now);
     }
 
     fn place(&mut self, now: Moment, job: JobId, placement: &Placement) {
@@ -257,6 +270,8 @@
         }
         for (index, part) in placement.parts.iter().enumerate() {
             self.rates.record_placed(now, part.server);
+            let attempt = (job.entry, job.number);
+            self.window.record_placed(now, part.server, attempt);
             let queue = self.queues.entry(part.server).or_default();
             if !queue.tasks.iter().any(Task::is_prefilling) {
                 queue.prefill_started = now;
--- a/crates/placement/tests/load.rs
+++ b/crates/placement/tests/load.rs
@@ -90,6 +90,7 @@
                 sequence: 1,
                 slots: SLOTS,
                 is_leaving: false,
+                cold_left: None,
             };
             running.insert(server.key(), Running::default());
             servers.add(at(0), server);
--- a/crates/placement/tests/plain.rs
+++ b/crates/placement/tests/plain.rs
@@ -31,6 +31,7 @@
             sequence: 1,
             slots: 2,
             is_leaving: false,
+            cold_left: None,
         };
         servers.add(NOW, server);
     }
--- a/crates/placement/tests/plan.rs
+++ b/crates/placement/tests/plan.rs
@@ -49,6 +49,7 @@
                 sequence: 1,
                 slots: 16,
                 is_leaving: false,
+                cold_left: None,
             };
             servers.add(now, server);
         }
--- a/crates/placement/tests/servers.rs
+++ b/crates/placement/tests/servers.rs
@@ -18,6 +18,7 @@
         sequence,
         slots: 6,
         is_leaving: false,
+        cold_left: None,
     }
 }
 
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod service;
 pub mod table;
 
+pub use service::ColdStart;
 pub use service::Engine;
 pub use service::Service;
 pub use table::Limits;
--- a/crates/route/src/service.rs
+++ b/crates/route/src/service.rs
@@ -1,5 +1,7 @@
 //! Services, and the performance figures of the engines that some of them run on.
 
+use std::time::Duration;
+
 /// A service: a set of instances of one program that handle the same requests.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Service {
@@ -9,6 +11,18 @@
     pub connections: usize,
     /// The engine that the instances run, if the service generates text.
     pub engine: Option<Engine>,
+    /// How long an instance is cold after it starts, and what it can take then; `None` if instances
+    /// are never cold.
+    pub cold_start: Option<ColdStart>,
+}
+
+/// The time after its start in which a server takes only a few requests.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ColdStart {
+    /// How long a server is cold unless it states otherwise.
+    pub duration: Duration,
+    /// The requests a second that it can take meanwhile; more than zero.
+    pub per_s: f64,
 }
 
 /// The published performance figures of a model engine.
