--- a/crates/placement/src/cold.rs
+++ b/crates/placement/src/cold.rs
@@ -24,6 +24,13 @@
 /// A record that arrives within this time after a response may be older than the response, since the
 /// list is read every 650 ms and passed on by other entries.
 const RECORD_DELAY: Duration = Duration::from_secs(1);
+/// Requests that were placed within this time of each other may have been placed without knowledge of each
+/// other.
+const CONCURRENCE: Duration = Duration::from_millis(100);
+/// The requests for each request of the rate that all entries may send together, if those that this entry
+/// does not reach are each alone and send one. It leaves room below the platform's bound, 1.5 times the rate
+/// and 5, for requests that are placed at the same moment.
+const EXCESS: f64 = 1.5;
 /// The requests that are remembered for each server; more than any cold server takes in a second.
 const MAX_REQUESTS: usize = 1_024;
 /// The servers for which requests are remembered; more than any deployment has.
@@ -146,6 +153,8 @@
     counted_since: Option<Moment>,
     /// The part of each bound that this entry and those that it reaches use.
     share: f64,
+    /// The number of entries that this one does not reach.
+    missing: usize,
     servers: HashMap<u64, VecDeque<Request>>,
 }
 
@@ -180,6 +189,7 @@
     /// Sets the number of live entries among those expected.
     pub fn set_share(&mut self, live: usize, expected: usize) {
         self.share = live as f64 / expected.max(live).max(1) as f64;
+        self.missing = expected.saturating_sub(live);
     }
 
     /// Records that this entry or another one placed a request on a server.
@@ -209,15 +219,23 @@
         last.map_or(Duration::ZERO, |it| now.until(it.placed_at + WINDOW))
     }
 
-    /// Returns whether an attempt that was placed on a cold server may still be sent to it. Attempts go
-    /// in the order in which they were placed, so that not all withdraw if there are too many.
+    /// Returns whether an attempt that was placed on a cold server may still be sent to it. If entries that
+    /// did not know of each other's placements placed too many together, the same of them go on all
+    /// entries, so that not all withdraw.
     pub fn is_allowed(&self, now: Moment, server: u64, per_s: f64, attempt: Attempt) -> bool {
         let mut recent = self.recent(now, server);
-        let earlier = recent
+        let mut ahead = 0;
+        let own = recent
             .by_ref()
-            .take_while(|it| it.attempt != attempt)
-            .count();
-        earlier < self.bound(now, per_s)
+            .inspect(|_| ahead += 1)
+            .find(|it| it.attempt == attempt);
+        if let Some(own) = own {
+            let is_concurrent = |it: &&Request| it.placed_at.since(own.placed_at) < CONCURRENCE;
+            let concurrent = recent.take_while(is_concurrent);
+            ahead += concurrent.filter(|it| it.attempt < attempt).count();
+            ahead -= 1;
+        }
+        ahead < self.bound(now, per_s)
     }
 
     /// Records that an attempt of this entry is sent to a server now, which may be some time after it was
@@ -266,6 +284,7 @@
         if !is_complete {
             return 1;
         }
-        ((per_s * self.share) as usize).clamp(1, MAX_REQUESTS)
+        let remaining = per_s * EXCESS - self.missing as f64;
+        ((per_s * self.share).min(remaining) as usize).clamp(1, MAX_REQUESTS)
     }
 }
