Count requests on cold servers anew after a process was stopped

Cause: an instance that was stopped, or that others do not tell of their work, does not know what they placed in the last second, and would use a bound that others have used.

Change: such an instance sends a cold server one request until it has listened for a second.

--- a/crates/gateway/src/cold.rs
+++ b/crates/gateway/src/cold.rs
@@ -26,13 +26,19 @@
 
 /// Sets the share of the bounds that this entry and those that it reaches use. Must be called before
 /// a server is chosen.
-pub fn refresh_share(state: &mut State) {
+pub fn refresh_share(state: &mut State, now: Moment) {
     let State {
-        members, workload, ..
+        members,
+        workload,
+        audience,
+        ..
     } = state;
     if workload.window().is_enabled() {
         let (live, expected) = (members.responding(), members.expected());
-        workload.window_mut().set_share(live, expected);
+        let window = workload.window_mut();
+        window.set_share(live, expected);
+        // Others tell an entry outside the subset of their work only while it places work too.
+        window.tick(now, audience.is_participant(now));
     }
 }
 
@@ -55,7 +61,7 @@
     if !state.workload.window().is_enabled() {
         return true;
     }
-    refresh_share(state);
+    refresh_share(state, now);
     let attempt = (job.entry, job.number);
     let full = target.parts.iter().find(|part| {
         let server = state.servers.get(part.server);
@@ -88,6 +94,7 @@
         node.metrics.cold_servers.set(0);
         return;
     }
+    refresh_share(&mut state, now);
     let mut count = 0;
     for server in state.servers.all_mut() {
         let left_ms = server.cold.left(now).as_millis() as u64;
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -204,7 +204,7 @@
         if decision == Decision::Refuse {
             return Err(Refusal::Quarantined);
         }
-        cold::refresh_share(state);
+        cold::refresh_share(state, now);
         cold::count_held(node, state, now, &self.service.name);
         let mut random = rand::rng();
         let servers = state.servers.usable(now, &self.service.name);
--- a/crates/placement/src/cold.rs
+++ b/crates/placement/src/cold.rs
@@ -24,6 +24,8 @@
 /// A record that arrives within this time after a response may be older than the response, since the
 /// list is read every 650 ms and passed on by other entries.
 const RECORD_DELAY: Duration = Duration::from_secs(1);
+/// The time between two ticks, of which ten are due each second, from which on the process was stopped.
+const STOPPED_TIME: Duration = Duration::from_millis(500);
 /// Requests that were placed within this time of each other may have been placed without knowledge of each
 /// other.
 const CONCURRENCE: Duration = Duration::from_millis(100);
@@ -151,6 +153,8 @@
 pub struct Window {
     /// Since when requests are counted; `None` while no service has a cold start.
     counted_since: Option<Moment>,
+    /// When this process was last known to run.
+    last_tick: Moment,
     /// The part of each bound that this entry and those that it reaches use.
     share: f64,
     /// The number of entries that this one does not reach.
@@ -174,6 +178,17 @@
     /// Begins to count requests, unless that has begun before.
     pub fn enable(&mut self, now: Moment) {
         self.counted_since.get_or_insert(now);
+        self.last_tick = now;
+    }
+
+    /// Records that this process runs, and whether it hears of the requests that others place. If it was
+    /// stopped or does not hear of them, it counts from now on. Must be called several times a second.
+    pub fn tick(&mut self, now: Moment, is_listening: bool) {
+        let was_stopped = now.since(self.last_tick) > STOPPED_TIME;
+        self.last_tick = now;
+        if was_stopped || !is_listening {
+            self.counted_since = self.counted_since.map(|_| now);
+        }
     }
 
     /// Stops counting requests, since no service has a cold start.
--- a/crates/placement/tests/cold.rs
+++ b/crates/placement/tests/cold.rs
@@ -171,6 +171,27 @@
     assert_eq!(fill(&mut window, after(1_060)), 18);
 }
 
+/// An entry that was stopped, or that others did not tell of their work, does not know what they placed.
+#[test]
+fn bound_is_one_in_the_first_second_in_which_others_are_heard() {
+    for is_listening in [true, false] {
+        let mut window = window(12, 12);
+        let tick_every_100_ms = |window: &mut Window, from: u64, to: u64, is_listening| {
+            (from..to).for_each(|it| window.tick(after(it * 100), is_listening));
+        };
+        window.tick(after(0), true);
+        if is_listening {
+            window.tick(after(3_000), true);
+        } else {
+            tick_every_100_ms(&mut window, 1, 31, false);
+        }
+        assert_eq!(fill(&mut window, after(3_010)), 1);
+        tick_every_100_ms(&mut window, 31, 41, true);
+        assert_eq!(fill(&mut window, after(4_040)), 0);
+        assert_eq!(fill(&mut window, after(4_070)), 18);
+    }
+}
+
 #[test]
 fn window_keeps_nothing_without_a_cold_start() {
     let mut window = Window::default();
--- a/crates/placement/tests/servers.rs
+++ b/crates/placement/tests/servers.rs
@@ -3,8 +3,10 @@
 use std::time::Duration;
 
 use domain::Moment;
+use placement::Rates;
 use placement::Server;
 use placement::Servers;
+use placement::rates::Statement;
 
 const READ_INTERVAL: Duration = Duration::from_millis(600);
 
@@ -228,3 +230,45 @@
     list.read(4);
     list.check(&["b"]);
 }
+
+/// Guards against limits and latencies of an earlier process that count for the one which replaced it.
+#[test]
+fn restarted_server_has_no_state_of_its_earlier_process() {
+    let mut list = List::new();
+    let before = server("a", 1, 1).key();
+    let state = list.servers.get_mut(before).expect("a server");
+    state.record_latency(list.now, Duration::from_secs(9));
+    state.health.on_unreachable(list.now);
+    let mut rates = Rates::default();
+    rates.record(list.now, before, Statement::Limited(0.2));
+    assert!(!list.servers.is_replaced(&server("a", 1, 1)));
+    list.add(server("a", 2, 1));
+    assert!(list.servers.is_replaced(&server("a", 1, 1)));
+    assert!(!list.servers.is_replaced(&server("b", 1, 1)));
+    assert!(list.servers.get(before).is_none());
+    let key = server("a", 2, 1).key();
+    let state = list.servers.get(key).expect("a server");
+    assert_eq!(state.recent_latency(list.now, Duration::MAX), None);
+    assert!(state.health.is_usable(list.now) && rates.is_open(list.now, key));
+    let known = list.servers.known_keys(list.now);
+    rates.retain_servers(|it| known.contains(&it));
+    assert_eq!(rates.in_force(list.now).count(), 0);
+}
+
+/// The work, slowdown and limit of an earlier process are kept under its own key, and end with its requests.
+#[test]
+fn restarted_server_has_another_key() {
+    assert_ne!(server("a", 1, 1).key(), server("a", 2, 1).key());
+    assert_eq!(server("a", 1, 1).key(), server("a", 1, 9).key());
+}
+
+#[test]
+fn known_keys_has_servers_that_were_removed_lately() {
+    let mut list = List::new();
+    list.read(1);
+    list.remove("a");
+    let key = server("a", 1, 1).key();
+    assert!(list.servers.known_keys(list.now).contains(&key));
+    list.now = list.now + Duration::from_secs(31);
+    assert!(!list.servers.known_keys(list.now).contains(&key));
+}
