Record cold periods before the configuration is read

Cause: an instance that reads the list of servers before the configuration lost the periods of cold servers, and is told only of changes.

Change: periods are recorded always and count once the service has a cold start.

--- a/crates/placement/src/servers.rs
+++ b/crates/placement/src/servers.rs
@@ -400,8 +400,10 @@
     /// Records what the server's report says of the time for which it is cold. Returns whether other
     /// entries have to know.
     fn record_cold(&mut self, now: Moment) -> bool {
-        let left = self.server.cold_left.filter(|_| self.cold_start.is_some());
-        left.is_some_and(|it| self.cold.record_listed(now, it))
+        let left = self.server.cold_left;
+        let is_news = left.is_some_and(|it| self.cold.record_listed(now, it));
+        // The list may be read before the configuration that has the cold start.
+        is_news && self.cold_start.is_some()
     }
 
     /// Returns whether the server is cold, and from where that is known, if this has changed since the last
--- a/crates/placement/tests/cold.rs
+++ b/crates/placement/tests/cold.rs
@@ -1,5 +1,6 @@
 //! Servers are cold for as long as they say, and get no more than their bound meanwhile.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use domain::Moment;
@@ -65,14 +66,18 @@
     }
 }
 
-/// Returns servers of a service that has a cold start, among them a warm `a`.
-fn servers() -> Servers {
-    let mut servers = Servers::default();
+fn cold_starts(per_s: f64) -> BTreeMap<String, ColdStart> {
     let cold_start = ColdStart {
         duration: COLD_S,
-        per_s: PER_S,
+        per_s,
     };
-    servers.set_cold_starts([("app".to_owned(), cold_start)].into());
+    [("app".to_owned(), cold_start)].into()
+}
+
+/// Returns servers of a service that has a cold start, among them a warm `a`.
+fn servers() -> Servers {
+    let mut servers = Servers::default();
+    servers.set_cold_starts(cold_starts(PER_S));
     servers.replace(after(0), vec![server("a", 1, 1, Some(0))]);
     servers
 }
@@ -301,6 +306,18 @@
     assert!(!state(&servers, "a").is_cold(after(0)));
 }
 
+/// Guards against an instance that reads the list before the configuration, and is told of changes only.
+#[test]
+fn record_counts_if_the_configuration_is_read_later() {
+    let mut servers = Servers::default();
+    servers.replace(after(0), vec![server("a", 1, 1, Some(3_000))]);
+    assert!(!state(&servers, "a").is_cold(after(100)));
+    servers.set_cold_starts(cold_starts(PER_S));
+    assert!(state(&servers, "a").is_cold(after(100)));
+    servers.set_cold_starts(BTreeMap::new());
+    assert!(!state(&servers, "a").is_cold(after(100)));
+}
+
 /// Guards against records that are broadcast every 1,200 ms, and against transitions that are not.
 #[test]
 fn add_returns_true_for_transitions_only() {
@@ -335,11 +352,7 @@
 #[test]
 fn first_listed_while_in_use_is_cold_unless_it_says_otherwise() {
     let mut servers = Servers::default();
-    let cold_start = ColdStart {
-        duration: COLD_S,
-        per_s: PER_S,
-    };
-    servers.set_cold_starts([("app".to_owned(), cold_start)].into());
+    servers.set_cold_starts(cold_starts(PER_S));
     servers.replace(after(0), vec![server("a", 1, 1, None)]);
     check(&servers, "a", 0, 0);
     servers.add(after(100), server("b", 1, 1, None));
@@ -428,11 +441,7 @@
 #[test]
 fn choose_no_cold_server_that_has_reached_its_bound() {
     let mut servers = Servers::default();
-    let cold_start = ColdStart {
-        duration: COLD_S,
-        per_s: 1.0,
-    };
-    servers.set_cold_starts([("app".to_owned(), cold_start)].into());
+    servers.set_cold_starts(cold_starts(1.0));
     servers.add(after(0), server("a", 1, 1, Some(3_000)));
     let mut workload = Workload::default();
     workload.window_mut().enable(Moment::from_millis(1));
--- a/crates/placement/tests/plan.rs
+++ b/crates/placement/tests/plan.rs
@@ -17,6 +17,7 @@
 use placement::workload::Timeliness;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
+use route::ColdStart;
 use route::Engine;
 
 const ENGINES: usize = 8;
@@ -331,3 +332,52 @@
     }
     assert!(late * 20 < count, "{late} of {count}");
 }
+
+/// Makes the engines of these indices cold, and returns their keys.
+fn make_cold(fleet: &mut Fleet, indices: std::ops::Range<usize>) -> Vec<u64> {
+    let cold_start = ColdStart {
+        duration: Duration::from_secs(3),
+        per_s: 1.0,
+    };
+    let cold_starts = [("llm".to_owned(), cold_start)];
+    fleet.servers.set_cold_starts(cold_starts.into());
+    let keys: Vec<u64> = fleet.servers.all().map(|it| it.key()).collect();
+    let cold = keys[indices].to_vec();
+    for key in &cold {
+        let state = fleet.servers.get_mut(*key).expect("an engine");
+        let left = Duration::from_secs(3);
+        state.cold.record_response(fleet.now, left);
+    }
+    fleet.workload.window_mut().enable(Moment::from_millis(1));
+    fleet.workload.window_mut().set_share(1, 1);
+    fleet.now = fleet.now + Duration::from_millis(1_500);
+    cold
+}
+
+#[test]
+fn choose_warm_engine_before_an_equal_cold_one() {
+    let mut fleet = Fleet::new();
+    let cold = make_cold(&mut fleet, 0..ENGINES - 1);
+    for _ in 0..20 {
+        let plan = fleet.choose(&short(), &[]);
+        assert!(!cold.contains(&plan.parts[0].server));
+    }
+}
+
+/// Guards against parts of prompts that do not count, and against engines beyond their bounds as helpers.
+#[test]
+fn choose_cold_engines_within_their_bounds_only() {
+    let mut fleet = Fleet::new();
+    let cold = make_cold(&mut fleet, 0..ENGINES - 2);
+    let first = fleet.choose(&long(150_000), &[]);
+    fleet.place(&long(150_000), &first);
+    let used = |plan: &Plan| -> Vec<u64> {
+        let servers = plan.parts.iter().map(|it| it.server);
+        servers.filter(|it| cold.contains(it)).collect()
+    };
+    assert!(!used(&first).is_empty());
+    for _ in 0..20 {
+        let plan = fleet.choose(&long(150_000), &[]);
+        assert!(used(&plan).iter().all(|it| !used(&first).contains(it)));
+    }
+}
