--- a/crates/gateway/src/evacuation.rs
+++ b/crates/gateway/src/evacuation.rs
@@ -156,7 +156,9 @@
         node.metrics.record_evacuation_start(data_centre);
     }
     for data_centre in &change.ended {
-        log::warn!(target: "evacuation", data_centre = data_centre.as_str(), source:% = source, era, offset, delay_ms; "the evacuation of a data centre ended; its servers get work again");
+        // Its servers may be cold, and say so only in their next records.
+        let cold = servers.mark_cold(clock::now(), data_centre, None);
+        log::warn!(target: "evacuation", data_centre = data_centre.as_str(), source:% = source, era, offset, delay_ms, cold; "the evacuation of a data centre ended; its servers get work again");
         node.metrics.record_evacuation_end(data_centre);
     }
     true
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod attempt;
 pub mod backoff;
 pub mod calls;
+pub mod cold;
 pub mod connections;
 pub mod crash;
 pub mod datagrams;
@@ -19,6 +20,7 @@
 pub mod evacuation;
 pub mod events;
 pub mod exchange;
+pub mod faults;
 pub mod follow;
 pub mod held;
 pub mod listener;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -44,6 +44,13 @@
     pub end: &'static str,
 }
 
+/// The labels of placements that the bounds of cold servers held back.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct HoldLabels {
+    /// `placing` if a cold server was left out of a choice, `sending` if an attempt was withdrawn.
+    pub stage: &'static str,
+}
+
 /// The labels of calls to the platform.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct CallLabels {
@@ -155,6 +162,10 @@
     pub evacuated_running: Family<DataCentreLabels, Gauge>,
     /// Attempts that were not sent, since a data centre was evacuated while they were prepared.
     pub evacuation_withdrawals: Counter,
+    /// Backend servers that are cold.
+    pub cold_servers: Gauge,
+    /// Placements that the bounds of cold servers held back.
+    pub cold_holds: Family<HoldLabels, Counter>,
     /// Calls to the platform.
     pub platform_calls: Family<CallLabels, Counter>,
     /// Returns of the platform's store from an older copy.
@@ -189,6 +200,8 @@
             evacuated_since: Family::default(),
             evacuated_running: Family::default(),
             evacuation_withdrawals: Counter::default(),
+            cold_servers: Gauge::default(),
+            cold_holds: Family::default(),
             platform_calls: Family::default(),
             store_returns: Counter::default(),
             deltas: Family::default(),
@@ -355,6 +368,16 @@
             "Attempts not sent because of an evacuation meanwhile",
             self.evacuation_withdrawals.clone(),
         );
+        registry.register(
+            "cold_servers",
+            "Backend servers that are cold",
+            self.cold_servers.clone(),
+        );
+        registry.register(
+            "cold_holds",
+            "Placements that the bounds of cold servers held back",
+            self.cold_holds.clone(),
+        );
         registry.register(
             "platform_calls",
             "Calls to the platform",
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -26,6 +26,7 @@
 use routing::Quarantine;
 
 use crate::connections::Pool;
+use crate::faults::Faults;
 use crate::held;
 use crate::metrics::Metrics;
 use crate::port::Decoder;
@@ -85,6 +86,8 @@
     pub evacuations: Evacuations,
     /// The cached records of the platform's lists.
     pub records: Cache,
+    /// Servers' records that name no server to use.
+    pub faults: Faults,
     /// The requests that all entries have placed.
     pub workload: Workload,
     /// The entries.
@@ -131,6 +134,7 @@
                 servers: Servers::default(),
                 evacuations: Evacuations::default(),
                 records: Cache::default(),
+                faults: Faults::default(),
                 workload: Workload::default(),
                 members: Members::new(member),
                 audience: Audience::default(),
