--- a/crates/ctl/tests/evacuations.rs
+++ b/crates/ctl/tests/evacuations.rs
@@ -24,6 +24,7 @@
     .into()
 }
 
+/// Guards against counts and times that leave out an instance.
 #[test]
 fn summarise_adds_up_instances() {
     let found = evacuations::summarise(&pages());
@@ -39,6 +40,7 @@
     assert_eq!(found["z2"].acting, ["a"]);
 }
 
+/// Guards against an instance that silently does not act.
 #[test]
 fn table_names_instances_that_do_not_act() {
     let table = evacuations::table(&pages(), 1_060);
--- a/crates/gateway/src/datagrams.rs
+++ b/crates/gateway/src/datagrams.rs
@@ -113,20 +113,20 @@
     send_all(node, messages);
 }
 
-/// Tells all entries of the evacuated data centres at once.
-pub fn tell_evacuations(node: &Node) {
-    let messages = node.state.borrow().members.evacuation_news(None);
+/// Sends the evacuated data centres to all entries at once.
+pub fn broadcast_evacuations(node: &Node) {
+    let messages = node.state.borrow().members.evacuation_updates(None);
     send_all(node, messages);
 }
 
-/// Tells some random entries of the evacuated data centres that another entry told of, in case it has died
-/// before it told all.
+/// Forwards the evacuated data centres to some random entries, in case the entry that sent them died before it
+/// reached all.
 pub fn forward_evacuations(node: &Node) {
     let messages = {
         let state = node.state.borrow();
         let members = state.members.sample(ANNOUNCEMENT_COUNT, &mut rand::rng());
         let addresses = members.iter().map(|it| it.peer_address).collect();
-        state.members.evacuation_news(Some(addresses))
+        state.members.evacuation_updates(Some(addresses))
     };
     send_all(node, messages);
 }
--- a/crates/gateway/src/evacuation.rs
+++ b/crates/gateway/src/evacuation.rs
@@ -1,4 +1,4 @@
-//! Applies evacuations of data centres, from the operator's list and from other entries, and tells of them.
+//! Applies evacuations of data centres, from the operator's list and from other entries, and sends them on.
 
 use std::collections::BTreeSet;
 use std::fmt::Display;
@@ -52,13 +52,13 @@
         return false;
     };
     if adopt(node, &change, &"platform") {
-        datagrams::tell_evacuations(node);
+        datagrams::broadcast_evacuations(node);
     }
     true
 }
 
-/// Applies what another entry knows, and tells some entries of it if it changed anything.
-pub fn apply_news(node: &Node, peer: SocketAddr, set: &Set) {
+/// Applies the set of another entry, and forwards it to some entries if it changed anything.
+pub fn apply_message(node: &Node, peer: SocketAddr, set: &Set) {
     if !is_enabled(node) {
         return;
     }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -151,7 +151,7 @@
                 // The channel holds one hint. If one is already there, this one is not needed.
                 let _ = node.config_hints.0.try_send((peer, next));
             }
-            Event::Evacuations { peer, set } => evacuation::apply_news(node, peer, &set),
+            Event::Evacuations { peer, set } => evacuation::apply_message(node, peer, &set),
         }
     }
 }
--- a/crates/membership/src/members/outbound.rs
+++ b/crates/membership/src/members/outbound.rs
@@ -26,9 +26,9 @@
         to_each(targets, &message)
     }
 
-    /// Returns datagrams that tell some members, or all if none are given, of the evacuated data centres
-    /// immediately.
-    pub fn evacuation_news(&self, targets: Option<Vec<SocketAddr>>) -> Vec<Datagram> {
+    /// Returns datagrams that send the evacuated data centres to `targets`, or to all members if there are
+    /// none, immediately.
+    pub fn evacuation_updates(&self, targets: Option<Vec<SocketAddr>>) -> Vec<Datagram> {
         let all = || self.alive().skip(1).map(|it| it.peer_address).collect();
         let targets = targets.unwrap_or_else(all);
         let message = Message {
--- a/crates/membership/tests/evacuations.rs
+++ b/crates/membership/tests/evacuations.rs
@@ -58,30 +58,31 @@
     network.now.since(start)
 }
 
+/// Guards against members that miss the datagrams of the entry that read of the evacuation.
 #[test]
 fn evacuation_reaches_all_members_in_time_despite_loss() {
     for seed in 0..20 {
         let mut network = network(seed);
         network.know(0, &set(7));
-        let news = network.members[0].evacuation_news(None);
-        network.deliver(0, news);
+        let updates = network.members[0].evacuation_updates(None);
+        network.deliver(0, updates);
         let time = time_until_informed(&mut network, COUNT, 7);
         assert!(time <= LIMIT, "{time:?} with seed {seed}");
     }
 }
 
-/// Guards against news that ends with those who read it: all readers die after one datagram of theirs.
+/// Guards against updates that are lost with the readers, which die after they sent one datagram.
 #[test]
 fn evacuation_reaches_all_others_in_time_if_readers_die_after_one_message() {
     for seed in 0..20 {
         let mut network = network(seed);
         network.know(0, &set(7));
-        let mut news = network.members[0].evacuation_news(None);
-        news.retain(|it| it.to == address(READERS + seed as usize, 2));
-        assert_eq!(news.len(), 1);
+        let mut updates = network.members[0].evacuation_updates(None);
+        updates.retain(|it| it.to == address(READERS + seed as usize, 2));
+        assert_eq!(updates.len(), 1);
         network.loss = 0.0;
         network.isolated.extend(1..READERS);
-        network.deliver(0, news);
+        network.deliver(0, updates);
         network.isolated.insert(0);
         network.loss = LOSS;
         assert!(network.informed(7) >= 2);
@@ -90,7 +91,7 @@
     }
 }
 
-/// Guards against news that depends on being forwarded at once: probes alone carry it to all.
+/// Guards against updates that depend on being forwarded at once: probes alone carry them to all.
 #[test]
 fn evacuation_reaches_all_members_by_probes_alone() {
     for seed in 0..20 {
@@ -102,12 +103,13 @@
     }
 }
 
+/// Guards against answers to probes without the evacuations.
 #[test]
 fn evacuation_is_known_to_restarted_member_after_first_answer() {
     let mut network = network(1);
     network.know(0, &set(7));
-    let news = network.members[0].evacuation_news(None);
-    network.deliver(0, news);
+    let updates = network.members[0].evacuation_updates(None);
+    network.deliver(0, updates);
     network.run(LIMIT);
     let restarted = Member {
         incarnation: Incarnation(1_000),
@@ -122,15 +124,16 @@
     assert_eq!(network.informed(7), COUNT);
 }
 
+/// Guards against updates that are only sent while they are new.
 #[test]
 fn evacuation_and_its_end_are_known_to_member_that_was_cut_off() {
     let mut network = network(2);
-    let tell = |network: &mut Network, set: Set| {
+    let update = |network: &mut Network, set: Set| {
         network.know(0, &Rc::new(set));
-        let news = network.members[0].evacuation_news(None);
-        network.deliver(0, news);
+        let updates = network.members[0].evacuation_updates(None);
+        network.deliver(0, updates);
     };
-    tell(&mut network, (*set(7)).clone());
+    update(&mut network, (*set(7)).clone());
     network.run(LIMIT);
     assert_eq!(network.informed(7), COUNT);
     network.isolated.insert(30);
@@ -138,7 +141,7 @@
         position: 8,
         ..Set::default()
     };
-    tell(&mut network, end);
+    update(&mut network, end);
     // Long enough that each side counts the other as dead.
     network.run(Duration::from_secs(20));
     assert_eq!(network.informed(8), COUNT - 1);
--- a/crates/membership/tests/network/network.rs
+++ b/crates/membership/tests/network/network.rs
@@ -110,8 +110,8 @@
                 if let Event::Evacuations { set, .. } = event
                     && self.know(to, set)
                 {
-                    let news = self.forward(to);
-                    output.datagrams.extend(news);
+                    let updates = self.forward(to);
+                    output.datagrams.extend(updates);
                 }
             }
             self.events
@@ -135,7 +135,7 @@
         let members = &self.members[index];
         let targets = members.sample(self.forwards, &mut self.random);
         let targets = targets.iter().map(|it| it.peer_address).collect();
-        members.evacuation_news(Some(targets))
+        members.evacuation_updates(Some(targets))
     }
 
     /// Returns the number of entries that know of evacuations as of this position.
--- a/crates/placement/src/evacuation.rs
+++ b/crates/placement/src/evacuation.rs
@@ -2,7 +2,7 @@
 //!
 //! Each entry acts on its own copy. A copy changes by what the entry reads of the operator's list and by
 //! the copies of other entries, and each of these comes with the position in the list as of which it is
-//! known. The later position wins, so stale, repeated and reordered news changes nothing.
+//! known. The later position wins, so stale, repeated and reordered updates change nothing.
 //!
 //! If the store comes back from an older copy, its list may lack evacuations that operators still count
 //! on. They are held for a while, in which the operator writes them again.
@@ -21,12 +21,12 @@
 /// One entry's copy of the evacuated data centres.
 #[derive(Clone, Debug, Default)]
 pub struct Evacuations {
-    /// What is known; absent until the list was read or another entry told of it.
+    /// What is known; absent until the list was read or another entry sent its copy.
     known: Option<Set>,
     /// Until when evacuations that only earlier eras have are held.
     hold_end: Moment,
-    /// Data centres whose evacuation ended in the present era, so that others' older news doesn't hold
-    /// them again.
+    /// Data centres whose evacuation ended in the present era, so that older copies of others don't
+    /// hold them again.
     removed: BTreeSet<String>,
     /// When this copy was last known to be up to date.
     updated: Option<Moment>,
@@ -63,7 +63,7 @@
 }
 
 impl Evacuations {
-    /// Returns what is known, to tell other entries.
+    /// Returns what is known, to send it to other entries.
     pub fn known(&self) -> Option<&Set> {
         self.known.as_ref()
     }
--- a/crates/placement/tests/evacuation.rs
+++ b/crates/placement/tests/evacuation.rs
@@ -1,4 +1,4 @@
-//! Which data centres count as evacuated, depending on what was read and what other entries told.
+//! Which data centres count as evacuated, depending on what was read and what other entries sent.
 
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -83,6 +83,7 @@
     }
 }
 
+/// Guards against an end that affects other data centres, and records applied out of order.
 #[test]
 fn changes_start_and_end_overlapping_evacuations() {
     let mut copy = Copy::of(5, &[]);
@@ -100,6 +101,7 @@
     copy.check(&["a"]);
 }
 
+/// Guards against a position that stays behind, so that later copies of others count as stale.
 #[test]
 fn changes_of_other_records_advance_the_position() {
     let mut copy = Copy::of(5, &["a"]);
@@ -108,6 +110,7 @@
     copy.check(&["a"]);
 }
 
+/// Guards against an end because of a read that is older than what is known.
 #[test]
 fn stale_read_ends_no_evacuation() {
     let mut copy = Copy::of(9, &["a"]);
@@ -126,7 +129,7 @@
     copy.check(&["b"]);
 }
 
-/// Guards against a late read that starts an evacuation again whose end a peer told of.
+/// Guards against a late read that starts an evacuation again whose end a peer knows.
 #[test]
 fn changes_known_already_are_not_applied_again() {
     let mut copy = Copy::of(5, &[]);
@@ -143,6 +146,7 @@
     copy.check(&[]);
 }
 
+/// Guards against a copy that takes changes after a gap for complete.
 #[test]
 fn changes_after_missing_history_require_the_whole_list() {
     assert_eq!(Copy::new().changes(5, 6, &[start("a", 6)]), None);
@@ -167,6 +171,7 @@
     other.check(&["a"]);
 }
 
+/// Guards against an evacuation that never ends because its removal was lost.
 #[test]
 fn lost_removal_is_made_up_by_a_later_list() {
     let mut copy = Copy::of(5, &["a", "b"]);
@@ -175,6 +180,7 @@
     copy.check(&["b"]);
 }
 
+/// Guards against an evacuation that starts again because of a repeated message.
 #[test]
 fn lost_removal_is_made_up_by_the_next_message() {
     let mut copy = Copy::of(5, &["a"]);
@@ -184,6 +190,7 @@
     copy.check(&[]);
 }
 
+/// Guards against an end because the store came back from an older copy.
 #[test]
 fn list_of_later_era_ends_no_evacuation_within_the_hold_time() {
     let mut copy = Copy::of(position::encode(0, 9), &["a", "b"]);
@@ -201,6 +208,7 @@
     copy.check(&["a", "c"]);
 }
 
+/// Guards against a held evacuation that ignores the operator, or comes back by others' copies.
 #[test]
 fn removal_in_later_era_ends_a_held_evacuation_for_good() {
     let mut copy = Copy::of(position::encode(0, 9), &["a"]);
@@ -233,6 +241,7 @@
     }
 }
 
+/// Guards against a hold that a second return of the store cuts short.
 #[test]
 fn second_return_holds_what_the_first_one_did() {
     let mut copy = Copy::of(position::encode(0, 9), &["a"]);
@@ -254,8 +263,8 @@
     Return(u64),
     /// The reader reads changes, or the whole list.
     Read(bool),
-    /// A copy tells another one, by their numbers. The message is lost, kept for later or delivered.
-    Tell(usize, usize, u8),
+    /// A copy is sent to another one, by their numbers. The message is lost, kept for later or delivered.
+    Send(usize, usize, u8),
     /// Delivers a message that was kept, once more or for the first time.
     Deliver(usize, usize),
     /// Time passes, in milliseconds.
@@ -269,7 +278,7 @@
         4 => (0..4_u8, any::<bool>()).prop_map(|(name, is_start)| Step::Write(name, is_start)),
         1 => (1..6_u64).prop_map(Step::Return),
         4 => any::<bool>().prop_map(Step::Read),
-        8 => (0..COPIES, 0..COPIES, 0..4_u8).prop_map(|(from, to, fate)| Step::Tell(from, to, fate)),
+        8 => (0..COPIES, 0..COPIES, 0..4_u8).prop_map(|(from, to, fate)| Step::Send(from, to, fate)),
         4 => (0..64_usize, 0..COPIES).prop_map(|(message, to)| Step::Deliver(message, to)),
         2 => (0..6_000_u64).prop_map(Step::Wait),
     ]
@@ -342,7 +351,7 @@
                     list.records.extend(missing.into_iter().map(|it| (it, true)));
                 }
                 Step::Read(is_whole) => read(&mut copies[0], now, &list, &mut next, is_whole),
-                Step::Tell(from, to, fate) => {
+                Step::Send(from, to, fate) => {
                     let Some(set) = copies[from].known().cloned() else {
                         continue;
                     };
--- a/crates/placement/tests/servers.rs
+++ b/crates/placement/tests/servers.rs
@@ -228,6 +228,7 @@
     list.check(&["b"]);
 }
 
+/// Guards against placement in an evacuated data centre, also on servers listed meanwhile.
 #[test]
 fn evacuated_data_centre_has_no_usable_servers() {
     let mut list = List::new();
--- a/crates/wire/tests/frames.rs
+++ b/crates/wire/tests/frames.rs
@@ -123,6 +123,7 @@
     names.iter().map(|it| (*it).to_owned()).collect()
 }
 
+/// Guards against sets that lose data centres, or mix listed with held ones, on the way.
 #[test]
 fn message_evacuations_round_trip() {
     let set = |listed: &[&str], held: &[&str]| Set {
