Test the bound of cold servers among full ones

Change: a burst on few cold servers with short responses, and a test of plans in which the cold engines are idle but have reached their bounds.

--- a/crates/placement/tests/cold_burst.rs
+++ b/crates/placement/tests/cold_burst.rs
@@ -23,6 +23,7 @@
     cold: 20,
     join_ms: None,
     loss: LOSS,
+    response_ms: 1_500,
     seed: 0,
 };
 
@@ -85,6 +86,21 @@
     );
 }
 
+/// The plans of all instances prefer the few servers that are idle.
+#[test]
+fn burst_on_few_cold_servers_among_full_ones_stays_within_the_bound() {
+    for cold in [1, 3] {
+        check(
+            "few",
+            Scenario {
+                cold,
+                response_ms: 200,
+                ..USUAL
+            },
+        );
+    }
+}
+
 /// All instances compete for the few servers that exist, all of which are cold.
 #[test]
 fn burst_on_cold_servers_alone_stays_within_the_bound() {
@@ -128,6 +144,7 @@
         cold_share in 0.2_f64..1.0,
         join_ms in proptest::option::of(1_u64..BURST_MS),
         loss in 0.0_f64..0.1,
+        response_ms in 100_u64..2_000,
         seed in 0_u64..1_000,
     ) {
         let mut fleet = Fleet::new(Scenario {
@@ -137,6 +154,7 @@
             cold: (servers as f64 * cold_share).ceil() as usize,
             join_ms,
             loss,
+            response_ms,
             seed,
         });
         fleet.play();
--- a/crates/placement/tests/fleet/fleet.rs
+++ b/crates/placement/tests/fleet/fleet.rs
@@ -35,7 +35,6 @@
 const TARGET_MS: u64 = 250;
 pub const BURST_MS: u64 = 2_000;
 const BURST_REQUESTS: u64 = 480;
-const RESPONSE_MS: u64 = 1_500;
 /// Servers to which one request is placed before it is given up.
 const ATTEMPTS: usize = 4;
 /// The connections that are open already, and the time that others take to open.
@@ -59,6 +58,8 @@
     /// When one more instance joins.
     pub join_ms: Option<u64>,
     pub loss: f64,
+    /// The time from the first token to the end of a response.
+    pub response_ms: u64,
     pub seed: u64,
 }
 
@@ -392,7 +393,10 @@
             self.in_time += 1;
         }
         self.later(millis + first_ms, Event::Started(instance, job));
-        self.later(millis + first_ms + RESPONSE_MS, Event::Ended(instance, job));
+        self.later(
+            millis + first_ms + self.scenario.response_ms,
+            Event::Ended(instance, job),
+        );
     }
 
     /// Returns the most requests that a cold server got in any second.
--- a/crates/placement/tests/plan.rs
+++ b/crates/placement/tests/plan.rs
@@ -370,14 +370,19 @@
     let mut fleet = Fleet::new();
     let cold = make_cold(&mut fleet, 0..ENGINES - 2);
     let first = fleet.choose(&long(150_000), &[]);
-    fleet.place(&long(150_000), &first);
-    let used = |plan: &Plan| -> Vec<u64> {
-        let servers = plan.parts.iter().map(|it| it.server);
-        servers.filter(|it| cold.contains(it)).collect()
-    };
-    assert!(!used(&first).is_empty());
-    for _ in 0..20 {
-        let plan = fleet.choose(&long(150_000), &[]);
-        assert!(used(&plan).iter().all(|it| !used(&first).contains(it)));
+    let used: Vec<u64> = first.parts.iter().map(|it| it.server).collect();
+    let has_used = |it: &u64| cold.contains(it) && used.contains(it);
+    assert!(cold.iter().any(has_used));
+    // The engines are idle again, but those that are cold have had their request of this second.
+    let job = fleet.place(&long(150_000), &first);
+    fleet.apply(job, Change::Ended);
+    for need in [short(), long(150_000)] {
+        for _ in 0..20 {
+            let plan = fleet.choose(&need, &[]);
+            assert!(!plan.parts.iter().any(|it| has_used(&it.server)));
+        }
     }
+    fleet.now = fleet.now + Duration::from_millis(1_050);
+    let plan = fleet.choose(&long(150_000), &[]);
+    assert!(plan.parts.iter().any(|it| has_used(&it.server)));
 }
