--- /dev/null
+++ b/crates/cost/src/estimator.rs
@@ -0,0 +1,160 @@
+//! Estimates what a request will cost from the requests that were served before.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+
+use domain::digest;
+
+use crate::group::Forecast;
+use crate::group::Group;
+use crate::observation::Observation;
+use crate::observation::Request;
+
+/// The maximum number of groups. They take less than 1 MB; the smallest instances have 160 MB.
+const GROUP_LIMIT: usize = 4_096;
+/// The number of observations of a service from which its requests are estimated.
+const MIN_OBSERVATIONS: f64 = 8.0;
+/// The number of observations from which a group's own distribution counts alone. With fewer ones, the
+/// wider group counts for the rest.
+const FULL_OBSERVATIONS: f64 = 20.0;
+/// The observations of an organisation count fully in the groups of its route and its service up to
+/// this number, and less beyond it, so that the busiest organisation does not decide for all.
+const FAIR_OBSERVATIONS: f64 = 16.0;
+/// The factor by which a route's mean cost has to change to be reported.
+const REPORTED_FACTOR: f64 = 1.5;
+
+/// What a request is expected to cost, in tokens or milliseconds.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Estimate {
+    /// The mean.
+    pub mean: f64,
+    /// The 0.9 quantile, at least the mean.
+    pub upper: f64,
+}
+
+/// A route's mean cost that changed.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Shift {
+    /// The mean cost that was reported before.
+    pub before: f64,
+    /// The mean cost now.
+    pub after: f64,
+}
+
+/// The costs of requests by service, route and organisation.
+#[derive(Clone, Debug, Default)]
+pub struct Estimator {
+    groups: HashMap<u64, Group>,
+    /// The groups by the number of their last use.
+    uses: BTreeMap<u64, u64>,
+    use_count: u64,
+}
+
+/// The keys of the groups that a request belongs to.
+#[derive(Clone, Copy, Debug)]
+struct Keys {
+    service: u64,
+    route: u64,
+    organisation: u64,
+}
+
+impl Keys {
+    fn of(request: &Request<'_>) -> Self {
+        let service = digest::fast(request.service.as_bytes());
+        let route = digest::seeded(request.route.as_bytes(), service);
+        let organisation = digest::seeded(request.organisation.as_bytes(), route);
+        Self {
+            service,
+            route,
+            organisation,
+        }
+    }
+}
+
+impl Estimator {
+    /// Adds an observation. Returns the change of the mean cost of its route, if that should be
+    /// reported.
+    pub fn observe(&mut self, observation: &Observation) -> Option<Shift> {
+        let cost = observation.log_cost()?;
+        let request = observation.request();
+        let hint = request.log_hint();
+        let keys = Keys::of(&request);
+        let organisation = self.group(keys.organisation);
+        organisation.observe(1.0, hint, cost);
+        let weight = (FAIR_OBSERVATIONS / organisation.weight()).min(1.0);
+        self.group(keys.service).observe_bounded(weight, hint, cost);
+        let route = self.group(keys.route);
+        route.observe_bounded(weight, hint, cost);
+        report(route)
+    }
+
+    /// Returns what a request is expected to cost; `None` while too little is known of its service.
+    pub fn estimate(&mut self, request: &Request<'_>) -> Option<Estimate> {
+        let hint = request.log_hint();
+        let keys = Keys::of(request);
+        let service = self.forecast(keys.service, hint);
+        let mut forecast = service.filter(|it| it.weight >= MIN_OBSERVATIONS)?;
+        for key in [keys.route, keys.organisation] {
+            if let Some(narrower) = self.forecast(key, hint) {
+                let share = (narrower.weight / FULL_OBSERVATIONS).min(1.0);
+                forecast = forecast.mixed(&narrower, share);
+            }
+        }
+        let mean = mean_cost(&forecast).min(request.limit);
+        let upper = forecast.upper().exp().min(request.limit).max(mean);
+        Some(Estimate { mean, upper })
+    }
+
+    /// Returns the number of groups.
+    pub fn len(&self) -> usize {
+        self.groups.len()
+    }
+
+    /// Returns whether nothing was observed.
+    pub fn is_empty(&self) -> bool {
+        self.groups.is_empty()
+    }
+
+    fn forecast(&mut self, key: u64, hint: Option<f64>) -> Option<Forecast> {
+        self.groups.contains_key(&key).then(|| {
+            let group = self.group(key);
+            group.forecast(hint)
+        })
+    }
+
+    /// Returns a group, as the most recently used one. A new one replaces the least recently used one
+    /// if there are too many.
+    fn group(&mut self, key: u64) -> &mut Group {
+        if self.groups.len() >= GROUP_LIMIT
+            && !self.groups.contains_key(&key)
+            && let Some((_, oldest)) = self.uses.pop_first()
+        {
+            self.groups.remove(&oldest);
+        }
+        self.use_count += 1;
+        let group = self.groups.entry(key).or_default();
+        self.uses.remove(&group.used);
+        group.used = self.use_count;
+        self.uses.insert(self.use_count, key);
+        group
+    }
+}
+
+fn report(route: &mut Group) -> Option<Shift> {
+    if route.weight() < FULL_OBSERVATIONS {
+        return None;
+    }
+    let after = mean_cost(&route.overall());
+    let before = *route.reported.get_or_insert(after);
+    let factor = (after / before).max(before / after);
+    if factor <= REPORTED_FACTOR {
+        return None;
+    }
+    route.reported = Some(after);
+    Some(Shift { before, after })
+}
+
+/// Returns the mean of a lognormal distribution.
+fn mean_cost(forecast: &Forecast) -> f64 {
+    (forecast.mean + forecast.variance / 2.0).exp()
+}
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -118,7 +118,7 @@
             crash::apply(node, from, &report);
             Output::default()
         }
-        Ok(Frame::Updates(_) | Frame::Snapshot(_) | Frame::Delta(_)) => {
+        Ok(Frame::Updates(_) | Frame::Snapshot(_) | Frame::Delta(_) | Frame::Costs(_)) => {
             log::debug!(target: "peers", "Datagram from {from}: routing updates are unused here.");
             Output::default()
         }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -22,6 +22,7 @@
 use crate::exchange::Exchange;
 use crate::held;
 use crate::notice;
+use crate::observe;
 use crate::port::Forwarding;
 use crate::port::Verdict;
 use crate::registration::Registration;
@@ -108,6 +109,7 @@
     }
     exchange.attempts += 1;
     exchange.sent_at = Some(sent_at);
+    let had_begun = exchange.last_event.is_some();
     exchange.ending = Ending::default();
     let head = node.protocol.forward(
         &exchange.request,
@@ -142,6 +144,7 @@
     match future::or(response, stalled).await {
         Ok(Completion { outcome, reuse }) => {
             record_health(node, exchange, target, sent_at, &outcome);
+            observe::record(node, exchange, target, sent_at, had_begun, &outcome);
             if has_run(exchange, &outcome) {
                 crash::record_end(node, exchange, &target.server);
             }
--- a/crates/gateway/src/datagrams.rs
+++ b/crates/gateway/src/datagrams.rs
@@ -49,6 +49,14 @@
     tell(node, &Frame::Snapshot(snapshot));
 }
 
+/// Tells the entries that place work what this entry's requests have cost since the last time.
+pub fn tell_costs(node: &Node) {
+    let batch = node.state.borrow_mut().costs.outbox.take_batch();
+    if let Some(batch) = batch {
+        tell(node, &Frame::Costs(batch));
+    }
+}
+
 /// Adopts the current subset of the entries that callers are directed to, and tells those that are new
 /// in it of this entry's work.
 pub fn refresh_audience(node: &Node, now: Moment) {
@@ -68,10 +76,10 @@
     }
 }
 
-/// Tells one entry what it needs to place work: the requests that this entry has placed and the limits
-/// that servers named.
+/// Tells one entry what it needs to place work: the requests that this entry has placed, the limits that
+/// servers named, and what the latest requests have cost.
 pub fn introduce(node: &Node, now: Moment, peer: SocketAddr) {
-    let (snapshot, limits) = {
+    let (snapshot, limits, costs) = {
         let state = node.state.borrow();
         let limits = state.workload.rates().in_force(now);
         let limits = limits.map(|(server, per_s)| Update {
@@ -82,12 +90,16 @@
             },
         });
         let limits: Vec<Update> = limits.collect();
-        (state.workload.snapshot(node.incarnation), limits)
+        let snapshot = state.workload.snapshot(node.incarnation);
+        (snapshot, limits, state.costs.outbox.recent())
     };
     send_frame(node, peer, &Frame::Snapshot(snapshot));
     if !limits.is_empty() {
         send_frame(node, peer, &Frame::Updates(limits));
     }
+    if let Some(costs) = costs {
+        send_frame(node, peer, &Frame::Costs(costs));
+    }
 }
 
 /// Broadcasts the recent changes of the list of servers.
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -7,6 +7,7 @@
 use domain::digest;
 use h1::Framing;
 use h1::Request;
+use placement::Expectation;
 use placement::plain;
 use placement::plan;
 use placement::plan::Need;
@@ -205,17 +206,24 @@
         }
         let mut random = rand::rng();
         let servers = state.servers.usable(now, &self.service.name);
+        let request = self.cost_request();
+        let estimate = request.and_then(|it| state.costs.estimator.estimate(&it));
         let (Some(engine), Some(prompt)) = (&self.service.engine, self.metadata.prompt) else {
-            let chosen = plain::choose(now, servers, &state.workload, &self.tried, &mut random);
+            let expected = estimate.map_or(Expectation::default(), |it| expectation(&it, 1.0));
+            let workload = &state.workload;
+            let chosen = plain::choose(now, servers, workload, expected, &self.tried, &mut random);
             let server_state =
                 chosen.ok_or_else(|| self.refusal_in_pause(now, state, Refusal::NoServer))?;
-            return Ok(Target::plain(server_state.server.clone()));
+            let mut target = Target::plain(server_state.server.clone());
+            target.load.placed = workload.queue(server_state.key()).map_or(0, |it| it.len());
+            target.estimate = estimate;
+            return Ok(target);
         };
         let need = self.need(
             now,
             prompt.tokens,
             prompt.max_answer_tokens,
-            prompt.expected_answer_tokens,
+            estimate.map_or(prompt.expected_answer_tokens, |it| Some(it.mean as u64)),
         );
         let plan = plan::choose(
             now,
@@ -238,7 +246,38 @@
             Some(server_state.server.clone())
         });
         let part_servers: Option<Vec<_>> = part_servers.collect();
-        Target::planned(plan, part_servers.unwrap_or_default()).ok_or(Refusal::NoServer)
+        let target = Target::planned(plan, part_servers.unwrap_or_default());
+        let mut target = target.ok_or(Refusal::NoServer)?;
+        target.estimate = estimate;
+        Ok(target)
+    }
+
+    /// Returns what decides on the cost of the request; `None` if that can't be told: a request without a
+    /// prompt on an engine.
+    pub fn cost_request(&self) -> Option<cost::Request<'_>> {
+        if self.service.engine.is_some() && self.metadata.prompt.is_none() {
+            return None;
+        }
+        let prompt = self
+            .metadata
+            .prompt
+            .filter(|_| self.service.engine.is_some());
+        let time_limit_ms = self.deadline().since(self.arrived).as_secs_f64() * 1e3;
+        Some(cost::Request {
+            service: &self.service.name,
+            route: &self.route.name,
+            organisation: self.organisation.as_ref().map_or("", |it| it.name.as_str()),
+            hint: prompt.and_then(|it| Some(it.expected_answer_tokens? as f64)),
+            limit: prompt.map_or(time_limit_ms, |it| it.max_answer_tokens as f64),
+        })
+    }
+
+    /// Returns the number of answer tokens to expect by what the request and the engine declare.
+    pub fn declared_answer_tokens(&self) -> Option<u64> {
+        let (engine, prompt) = (self.service.engine.as_ref()?, self.metadata.prompt?);
+        let expected = prompt.expected_answer_tokens;
+        let expected = expected.unwrap_or(engine.usual_answer_tokens);
+        Some(expected.min(prompt.max_answer_tokens))
     }
 
     /// Returns the refusal if every server of the service asked for a pause or has reached its limit,
@@ -305,6 +344,8 @@
             placed = target.load.placed,
             pass_ms = target.load.pass_ms,
             backlog_ms = target.load.backlog_ms,
+            expected_cost = target.estimate.map_or(0.0, |it| it.mean),
+            upper_cost = target.estimate.map_or(0.0, |it| it.upper),
             first_event_ms = self.timing.first.map_or(0, |it| it.since(self.arrived).as_millis() as u64),
             longest_pause_ms = self.timing.longest_pause.as_millis() as u64,
             elapsed_ms = clock::now().since(self.arrived).as_millis() as u64,
@@ -334,6 +375,14 @@
     }
 }
 
+/// Returns an estimate in units of `unit`.
+pub fn expectation(estimate: &cost::Estimate, unit: f64) -> Expectation {
+    Expectation {
+        mean: (estimate.mean / unit) as f32,
+        upper: (estimate.upper / unit) as f32,
+    }
+}
+
 /// Returns the value of a request to its caller; a short request has the value 1.
 pub fn prompt_value(tokens: u64) -> f64 {
     1.0 + tokens as f64 / TOKENS_PER_VALUE
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -18,6 +18,9 @@
 const FIRST_BUCKET_SECONDS: f64 = 0.004;
 /// The number of buckets of a duration histogram. Each bound is twice the one before.
 const BUCKET_COUNT: u16 = 13;
+/// The upper bound of the first bucket of a histogram of forecasts, as cost per expected cost. Bounds grow by
+/// the square root of two, up to eight.
+const FIRST_BUCKET_RATIO: f64 = 0.125;
 
 /// The labels of requests that ended.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
@@ -35,6 +38,24 @@
     pub route: String,
 }
 
+/// The labels of forecasts of costs.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ForecastLabels {
+    /// The route.
+    pub route: String,
+    /// `observed` or `declared`.
+    pub basis: &'static str,
+}
+
+/// What a forecast of a cost rests on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Basis {
+    /// Requests that were served before.
+    Observed,
+    /// What the request or the engine declares.
+    Declared,
+}
+
 /// The labels of servers' streams that ended.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct StreamLabels {
@@ -118,6 +139,7 @@
     }
 }
 
+type ForecastHistograms = Family<ForecastLabels, Histogram, fn() -> Histogram>;
 type DurationHistograms = Family<RouteLabels, Histogram, fn() -> Histogram>;
 
 /// All metrics of a gateway.
@@ -156,6 +178,12 @@
     pub datagrams: Family<DatagramLabels, Counter>,
     /// The bytes of these datagrams.
     pub datagram_bytes: Family<DatagramLabels, Counter>,
+    /// The cost of requests, as a multiple of what was expected.
+    pub cost_ratio: ForecastHistograms,
+    /// Observations of costs, those of other entries included.
+    pub cost_observations: Counter,
+    /// Groups of requests whose costs are kept.
+    pub cost_groups: Gauge,
     /// Log lines dropped over the budget of their part, with a full queue or after a failed write.
     pub log_lines_dropped: Counter,
 }
@@ -180,6 +208,9 @@
             entries_alive: Gauge::default(),
             datagrams: Family::default(),
             datagram_bytes: Family::default(),
+            cost_ratio: Family::new_with_constructor(ratio_histogram),
+            cost_observations: Counter::default(),
+            cost_groups: Gauge::default(),
             log_lines_dropped: Counter::default(),
         };
         metrics.register();
@@ -239,6 +270,24 @@
         total.inc_by(bytes as u64);
     }
 
+    /// Records the cost of a request as a multiple of what was expected.
+    pub fn record_forecast(&self, route: &str, basis: Basis, ratio: f64) {
+        let labels = ForecastLabels {
+            route: route.to_owned(),
+            basis: match basis {
+                Basis::Observed => "observed",
+                Basis::Declared => "declared",
+            },
+        };
+        self.cost_ratio.get_or_create(&labels).observe(ratio);
+    }
+
+    /// Counts observations of costs, and sets the number of groups.
+    pub fn record_costs(&self, count: usize, groups: usize) {
+        self.cost_observations.inc_by(count as u64);
+        self.cost_groups.set(groups as i64);
+    }
+
     /// Returns the datagrams so far by kind, as `KIND:COUNT/BYTES` separated by spaces.
     pub fn datagram_totals(&self, direction: Direction) -> String {
         let kinds = wire::frame::KINDS.iter().filter_map(|kind| {
@@ -340,6 +389,21 @@
             "Bytes of datagrams between entries",
             self.datagram_bytes.clone(),
         );
+        registry.register(
+            "cost_ratio",
+            "Cost of requests as a multiple of what was expected",
+            self.cost_ratio.clone(),
+        );
+        registry.register(
+            "cost_observations",
+            "Observations of costs",
+            self.cost_observations.clone(),
+        );
+        registry.register(
+            "cost_groups",
+            "Groups of requests whose costs are kept",
+            self.cost_groups.clone(),
+        );
         registry.register(
             "log_lines_dropped",
             "Log lines dropped",
@@ -351,3 +415,12 @@
 fn duration_histogram() -> Histogram {
     Histogram::new(exponential_buckets(FIRST_BUCKET_SECONDS, 2.0, BUCKET_COUNT))
 }
+
+fn ratio_histogram() -> Histogram {
+    let factor = std::f64::consts::SQRT_2;
+    Histogram::new(exponential_buckets(
+        FIRST_BUCKET_RATIO,
+        factor,
+        BUCKET_COUNT,
+    ))
+}
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -25,6 +25,7 @@
 use routing::Quarantine;
 
 use crate::connections::Pool;
+use crate::costs::Costs;
 use crate::held;
 use crate::metrics::Metrics;
 use crate::port::Decoder;
@@ -84,6 +85,8 @@
     pub records: Cache,
     /// The requests that all entries have placed.
     pub workload: Workload,
+    /// What requests cost.
+    pub costs: Costs,
     /// The entries.
     pub members: Members,
     /// The entries that are told what this one places.
@@ -128,6 +131,7 @@
                 servers: Servers::default(),
                 records: Cache::default(),
                 workload: Workload::default(),
+                costs: Costs::new(incarnation),
                 members: Members::new(member),
                 audience: Audience::default(),
                 quarantine: Quarantine::default(),
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -25,6 +25,8 @@
 const SWEEP_INTERVAL: Duration = Duration::from_secs(2);
 /// The interval between two snapshots of this entry's requests, which repair lost updates.
 const SNAPSHOT_INTERVAL: Duration = Duration::from_millis(1_000);
+/// The interval between two batches of observed costs.
+const COSTS_INTERVAL: Duration = Duration::from_secs(2);
 /// The interval between two log lines with the totals of datagrams.
 const TOTALS_INTERVAL: Duration = Duration::from_secs(10);
 /// The size limit of a datagram, in bytes.
@@ -36,6 +38,7 @@
     let mut next_tick = clock::now();
     let mut next_sweep = clock::now();
     let mut next_snapshot = clock::now();
+    let mut next_costs = clock::now();
     let mut next_totals = clock::now() + TOTALS_INTERVAL;
     loop {
         let received = async { Some(node.datagrams.recv_from(&mut buffer).await) };
@@ -61,6 +64,10 @@
                     datagrams::tell_snapshot(&node, now);
                     crash::send_summary(&node);
                 }
+                if now >= next_costs {
+                    next_costs = now + COSTS_INTERVAL;
+                    datagrams::tell_costs(&node);
+                }
                 if now >= next_totals {
                     next_totals = now + TOTALS_INTERVAL;
                     log_totals(&node);
@@ -107,6 +114,11 @@
             drop(state);
             record_heard(node, now, from);
         }
+        Ok(Frame::Costs(batch)) => {
+            let count = state.costs.apply(&batch);
+            node.metrics
+                .record_costs(count, state.costs.estimator.len());
+        }
         Ok(Frame::Delta(delta)) => {
             drop(state);
             follow::apply_delta(node, from, delta);
@@ -174,6 +186,7 @@
         None => {
             log::info!(target: "peers", incarnation:% = incarnation, alive; "an entry left or died");
             state.workload.remove_entry(now, incarnation);
+            state.costs.inbox.forget(incarnation);
         }
     }
 }
--- a/crates/gateway/src/registration.rs
+++ b/crates/gateway/src/registration.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use domain::Moment;
+use placement::Expectation;
 use placement::JobId;
 use placement::slowdown::Meter;
 use placement::workload::Change;
@@ -15,6 +16,7 @@
 use crate::Node;
 use crate::datagrams;
 use crate::exchange::Exchange;
+use crate::exchange::expectation;
 use crate::target::Target;
 
 /// The registration of an attempt in the workload, which all entries share. Dropping it removes the
@@ -40,12 +42,25 @@
         let millis = |it: Duration| u32::try_from(it.as_millis()).unwrap_or(u32::MAX);
         let first_token_time_left = now.until(exchange.arrived + exchange.route.latency_target);
         let tokens = exchange.metadata.prompt.map_or(0, |it| it.tokens);
+        let expected = |unit: f64| {
+            let estimate = target.estimate.as_ref();
+            estimate.map_or(Expectation::default(), |it| expectation(it, unit))
+        };
+        let (passes, service_ms) = match &exchange.service.engine {
+            Some(engine) => (
+                expected(engine.steps_per_pass.into()),
+                Expectation::default(),
+            ),
+            None => (Expectation::default(), expected(1.0)),
+        };
         let placement = Placement {
             target_ms: millis(first_token_time_left),
             pause_ms: exchange.route.pause_target.map_or(0, millis),
             value: crate::exchange::prompt_value(tokens) as f32,
             timeliness: target.timeliness.unwrap_or(Timeliness::OnTime),
             parts: target.parts.clone(),
+            passes,
+            service_ms,
         };
         datagrams::tell_change(node, now, job, Change::Placed(placement));
         Self {
--- a/crates/gateway/src/target.rs
+++ b/crates/gateway/src/target.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use cost::Estimate;
 use placement::Plan;
 use placement::Server;
 use placement::plan::Load;
@@ -32,6 +33,8 @@
     pub load: Load,
     /// Whether the first token is expected in time; absent for plain services.
     pub timeliness: Option<Timeliness>,
+    /// What the request is expected to cost; `None` while too little is known.
+    pub estimate: Option<Estimate>,
 }
 
 impl Target {
@@ -50,6 +53,7 @@
             loss: 0.0,
             load: Load::default(),
             timeliness: None,
+            estimate: None,
         }
     }
 
@@ -86,6 +90,7 @@
             loss: plan.loss,
             load: plan.load,
             timeliness: Some(plan.timeliness),
+            estimate: None,
         })
     }
 }
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -7,14 +7,17 @@
 //! Architecture invariant: this crate does no I/O and never reads a clock.
 
 pub mod budget;
+pub mod expectation;
 pub mod plain;
 pub mod plan;
 pub mod rates;
+pub mod remaining;
 pub mod servers;
 pub mod slowdown;
 pub mod workload;
 
 pub use budget::Budget;
+pub use expectation::Expectation;
 pub use plan::Plan;
 pub use rates::Rates;
 pub use servers::Server;
--- a/crates/placement/src/plan.rs
+++ b/crates/placement/src/plan.rs
@@ -15,6 +15,7 @@
 use route::Engine;
 
 use crate::Workload;
+use crate::remaining::Pace;
 use crate::servers::State;
 use crate::workload::Part;
 use crate::workload::Queue;
@@ -53,9 +54,6 @@
 /// The loss of a prompt that doesn't fit into the engine's free memory, in the value of a short
 /// request: the engine evicts its newest request and prefills it again.
 const MEMORY_LOSS: f64 = 5.0;
-/// Passes until a slot of a full engine becomes free: the 32 events of a usual answer over its 16
-/// slots.
-const PASSES_PER_FREE_SLOT: f64 = 2.0;
 /// The time that a request takes to an engine and its first token back, in milliseconds.
 const TRANSIT_MS: f64 = 15.0;
 /// The share of a pass that a request which arrives during it waits for its end. It is more than half,
@@ -333,7 +331,11 @@
         let queue = workload.queue(key);
         let (decoding, _) = queue.map_or((0, 0), Queue::decoding);
         let slowdown = workload.slowdowns().factor(now, key);
-        let pass_ms = queue.map_or(0.0, |it| it.pass_ms(engine)) * slowdown;
+        let pace = Pace {
+            pass_ms: queue.map_or(0.0, |it| it.pass_ms(engine)),
+            slowdown,
+        };
+        let pass_ms = pace.pass_ms * slowdown;
         let memory = engine.memory_tokens as f64 * USABLE_MEMORY_SHARE;
         let tight_ms = TIGHT_PAUSE.as_secs_f64() * 1e3;
         let is_tight = |it: &Task| !it.is_helper && it.pause_ms.is_some_and(|it| it <= tight_ms);
@@ -350,8 +352,11 @@
                 + backlog_ms(timeliness)
                 + overdue_ms
                 + joining_ms
-                + pass_ms * PASSES_PER_FREE_SLOT * excess as f64
+                + pass_ms * queue.map_or(0.0, |it| it.passes_until_free(now, engine, pace, excess))
         };
+        let held_tokens = queue.map_or(0.0, |it| {
+            it.tokens() as f64 + it.excess_tokens(now, engine, pace)
+        });
         Self {
             key,
             queue,
@@ -362,7 +367,7 @@
             pass_ms,
             decoding,
             has_tight_decoding: tasks.iter().any(is_tight),
-            free_tokens: memory - queue.map_or(0, Queue::tokens) as f64,
+            free_tokens: memory - held_tokens,
             jitter: random.random::<f64>() * 1e-3,
         }
     }
--- a/crates/placement/src/servers.rs
+++ b/crates/placement/src/servers.rs
@@ -19,6 +19,8 @@
 const OUTAGE_THRESHOLD: Duration = Duration::from_millis(2_500);
 /// The weight of the newest latency in the moving average.
 const LATENCY_WEIGHT: f64 = 0.2;
+/// The bounds of how much longer one call takes than expected, in the measurement of a server's pace.
+const PACE_BOUNDS: (f64, f64) = (0.125, 8.0);
 /// The time for which the last report of a removed server is kept.
 const REMOVED_TTL: Duration = Duration::from_secs(30);
 /// The time for which it is kept of a server that was leaving, which may serve for minutes more.
@@ -102,6 +104,9 @@
     pub health: Health,
     /// The moving average of its latency, and when the last answer came. Plain services only.
     latency: Option<(Duration, Moment)>,
+    /// The moving average of the logarithm of the factor by which calls take longer than expected, and
+    /// when it was last measured. Plain services only.
+    pace: Option<(f64, Moment)>,
     /// When it last sent data to this entry.
     last_activity: Option<Moment>,
     /// Whether it went off the list around an outage, and is kept for the grace period.
@@ -281,6 +286,7 @@
             server: Rc::new(server),
             health: Health::default(),
             latency: None,
+            pace: None,
             last_activity: None,
             is_lapsed: false,
             excluded_at: None,
@@ -316,6 +322,22 @@
         (now.since(at) < lifetime).then_some(latency)
     }
 
+    /// Records that a call to a plain service took `factor` times the time that was expected.
+    pub fn record_pace(&mut self, now: Moment, factor: f64) {
+        let (least, most) = PACE_BOUNDS;
+        let previous = self.pace.map_or(0.0, |it| it.0);
+        let measured = factor.clamp(least, most).ln();
+        let smoothed = previous + LATENCY_WEIGHT * (measured - previous);
+        self.pace = Some((smoothed, now));
+    }
+
+    /// Returns the factor by which calls take longer than expected, if one was measured within
+    /// `lifetime`.
+    pub fn recent_pace(&self, now: Moment, lifetime: Duration) -> Option<f64> {
+        let (pace, at) = self.pace?;
+        (now.since(at) < lifetime).then_some(pace.exp())
+    }
+
     /// Returns whether the server takes new work.
     pub fn is_usable(&self, now: Moment) -> bool {
         self.is_staying(now) && self.pause.is_over(now)
--- a/crates/placement/src/workload.rs
+++ b/crates/placement/src/workload.rs
@@ -7,6 +7,8 @@
 use domain::key::Incarnation;
 use route::Engine;
 
+use crate::expectation::Expectation;
+use crate::expectation::Work;
 use crate::rates::Rates;
 use crate::slowdown::Slowdowns;
 
@@ -79,6 +81,10 @@
     pub timeliness: Timeliness,
     /// The parts of the servers. The first part's server decodes the answer.
     pub parts: Vec<Part>,
+    /// The expected number of passes from the first token to the end of the answer.
+    pub passes: Expectation,
+    /// The expected service time at a plain service, in milliseconds.
+    pub service_ms: Expectation,
 }
 
 /// Whether a request is expected to meet its deadline. Late requests are scheduled after those that
@@ -125,6 +131,8 @@
     tasks: Vec<Task>,
     /// When the server last began a prefill, as far as updates show.
     prefill_started: Moment,
+    /// The prefill that has been done, in milliseconds.
+    prefilled_ms: f64,
 }
 
 /// The work of one server on one request.
@@ -150,6 +158,21 @@
     pub is_decoding: bool,
     /// Whether another server decodes the answer.
     pub is_helper: bool,
+    /// The passes that the answer is expected to take; `None` if that is not known.
+    pub passes: Option<Work>,
+    /// The service time that a call is expected to take, in milliseconds; `None` if that is not known.
+    pub service_ms: Option<Work>,
+    /// When the answer began; `None` before.
+    pub started: Option<Started>,
+}
+
+/// The beginning of an answer.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Started {
+    /// When the first token came.
+    pub at: Moment,
+    /// The prefill that the server had done by then, in milliseconds.
+    pub prefilled_ms: f64,
 }
 
 impl Workload {
@@ -255,6 +278,7 @@
         if self.jobs.contains_key(&job) {
             return;
         }
+        let (passes, service_ms) = (placement.passes.work(), placement.service_ms.work());
         for (index, part) in placement.parts.iter().enumerate() {
             self.rates.record_placed(now, part.server);
             let queue = self.queues.entry(part.server).or_default();
@@ -272,6 +296,9 @@
                 tokens: part.tokens.into(),
                 is_decoding: false,
                 is_helper: index > 0,
+                passes,
+                service_ms,
+                started: None,
             });
         }
         self.jobs.insert(
@@ -297,8 +324,14 @@
             // A helper's part ends here unless it holds memory: then it takes part in each step.
             let is_over = |it: &Task| it.job == job && it.is_helper && it.tokens == 0;
             queue.tasks.retain(|it| !is_over(it));
+            queue.prefilled_ms += f64::from(part.prefill_ms) * MIXED_PREFILL_FACTOR;
+            let prefilled_ms = queue.prefilled_ms;
             for task in queue.tasks.iter_mut().filter(|it| it.job == job) {
                 task.is_decoding = true;
+                task.started = Some(Started {
+                    at: now,
+                    prefilled_ms,
+                });
             }
         }
     }
@@ -343,6 +376,11 @@
         &self.tasks
     }
 
+    /// Returns the milliseconds of prefill that were done since the server began to have work.
+    pub fn prefilled_ms(&self) -> f64 {
+        self.prefilled_ms
+    }
+
     /// Returns the milliseconds of prefill that remain ahead of a request of this timeliness.
     pub fn backlog_ms(&self, now: Moment, timeliness: Timeliness) -> f64 {
         let total = pending_prefill_ms(self.ahead_of(timeliness));
--- a/crates/placement/tests/plain.rs
+++ b/crates/placement/tests/plain.rs
@@ -4,6 +4,7 @@
 
 use domain::Moment;
 use domain::key::Incarnation;
+use placement::Expectation;
 use placement::JobId;
 use placement::Server;
 use placement::Servers;
@@ -47,7 +48,14 @@
     let mut random = StdRng::seed_from_u64(3);
     let chosen = (0..100).filter_map(|_| {
         let usable = servers.usable(NOW, "app");
-        plain::choose(NOW, usable, workload, tried, &mut random)
+        plain::choose(
+            NOW,
+            usable,
+            workload,
+            Expectation::default(),
+            tried,
+            &mut random,
+        )
     });
     let chosen: Vec<&str> = chosen.map(|it| it.server.id.as_str()).collect();
     let count = |id| chosen.iter().filter(|it| **it == id).count();
@@ -83,7 +91,14 @@
     let mut random = StdRng::seed_from_u64(3);
     let chosen = (0..100).filter(|_| {
         let usable = servers.usable(later, "app");
-        let chosen = plain::choose(later, usable, &Workload::default(), &[], &mut random);
+        let chosen = plain::choose(
+            later,
+            usable,
+            &Workload::default(),
+            Expectation::default(),
+            &[],
+            &mut random,
+        );
         chosen.is_some_and(|it| it.server.id == "a")
     });
     assert!(chosen.count() > 20);
@@ -105,6 +120,8 @@
             value: 1.0,
             timeliness: Timeliness::OnTime,
             parts: vec![part],
+            passes: Expectation::default(),
+            service_ms: Expectation::default(),
         };
         let entry = Incarnation(1);
         let job = JobId { entry, number };
--- a/crates/placement/tests/plan.rs
+++ b/crates/placement/tests/plan.rs
@@ -4,6 +4,7 @@
 
 use domain::Moment;
 use domain::key::Incarnation;
+use placement::Expectation;
 use placement::JobId;
 use placement::Plan;
 use placement::Server;
@@ -109,6 +110,8 @@
             value: need.value as f32,
             timeliness: plan.timeliness,
             parts: plan.parts.clone(),
+            passes: Expectation::default(),
+            service_ms: Expectation::default(),
         };
         self.apply(job, Change::Placed(placed));
         job
--- a/crates/placement/tests/workload.rs
+++ b/crates/placement/tests/workload.rs
@@ -5,6 +5,7 @@
 
 use domain::Moment;
 use domain::key::Incarnation;
+use placement::Expectation;
 use placement::JobId;
 use placement::Update;
 use placement::Workload;
@@ -36,6 +37,8 @@
         value: 1.0,
         timeliness: Timeliness::OnTime,
         parts: vec![part(ENGINE, 5_000), part(HELPER, tokens_at_helper)],
+        passes: Expectation::default(),
+        service_ms: Expectation::default(),
     })
 }
 
--- a/crates/wire/schema/peer.capnp
+++ b/crates/wire/schema/peer.capnp
@@ -59,6 +59,8 @@
   expectedTokens @4 :UInt32;
   # The number of answer tokens, or the time of service in milliseconds for plain services.
   cost @5 :Float32;
+  # The most that the request could cost by what it declared, in the unit of the cost.
+  limit @6 :Float32;
 }
 
 struct Rumour {
@@ -131,6 +133,9 @@
       passes @12 :Float32;
       # The expected time of service at a plain service, in milliseconds; 0 if unknown.
       serviceMs @13 :Float32;
+      # The upper quantiles of both.
+      passesUpper @14 :Float32;
+      serviceUpperMs @15 :Float32;
     }
     # The first token has come.
     started @6 :Void;
@@ -221,8 +226,13 @@
       # Digests of requests that ran to their end.
       cleared @17 :List(UInt64);
     }
-    # What requests have cost, sent in batches (`Costs` in the code).
-    costs @18 :List(Cost);
+    costs :group {
+      # What requests have cost, sent in batches (`Costs` in the code). The entry numbers its
+      # observations; the number after these tells which of them a receiver has counted already.
+      observations @18 :List(Cost);
+      entry @20 :UInt64;
+      next @21 :UInt64;
+    }
   }
   # The evacuated data centres as the sender knows them; unset if it knows of none. Set in the messages of
   # the membership protocol only.
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -5,6 +5,7 @@
 use capnp::message::Builder;
 use capnp::message::ReaderOptions;
 use capnp::serialize_packed;
+use cost::Batch;
 use domain::key::Incarnation;
 use membership::Member;
 use membership::Message;
@@ -20,6 +21,7 @@
 use crate::Delta;
 use crate::Error;
 use crate::address;
+use crate::costs;
 use crate::listing;
 use crate::peer_capnp::datagram;
 use crate::peer_capnp::load;
@@ -32,7 +34,7 @@
 const PACKED_CAPACITY: usize = 256;
 
 /// The names of all kinds of frames, as in [`Frame::kind`].
-pub const KINDS: [&str; 9] = [
+pub const KINDS: [&str; 10] = [
     "probe",
     "ack",
     "probe_for",
@@ -42,6 +44,7 @@
     "snapshot",
     "quarantine",
     "delta",
+    "costs",
 ];
 
 /// One datagram between entries.
@@ -60,6 +63,8 @@
     Quarantine(Report),
     /// Changes to the list of servers. Only the gateway sends and uses them.
     Delta(Delta),
+    /// What requests that the sender served have cost. Only the gateway sends and uses them.
+    Costs(Batch),
 }
 
 /// The load of a backend server, as read by the entry that is its home.
@@ -88,6 +93,7 @@
             Self::Snapshot(_) => "snapshot",
             Self::Quarantine(_) => "quarantine",
             Self::Delta(_) => "delta",
+            Self::Costs(_) => "costs",
         }
     }
 
@@ -98,6 +104,7 @@
         match self {
             Self::Message(message) => write_message(message, datagram),
             Self::Delta(delta) => listing::write(delta, datagram.init_listing()),
+            Self::Costs(batch) => costs::write(batch, datagram.init_costs()),
             Self::Quarantine(it) => suspects::write(it, datagram.init_quarantine()),
             Self::Snapshot(snapshot) => update::write_snapshot(snapshot, datagram.init_roster()),
             Self::Loads(loads) => {
@@ -148,7 +155,7 @@
                 target: address::read(probe.get_target()?)?,
             },
             datagram::News(()) => Kind::Gossip,
-            datagram::Costs(_) => return Err(Error::Field("costs")),
+            datagram::Costs(it) => return Ok(Self::Costs(costs::read(it)?)),
         };
         let rumours = datagram
             .get_rumours()?
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -9,6 +9,7 @@
 
 pub mod address;
 pub mod call;
+mod costs;
 pub mod frame;
 pub mod listing;
 mod suspects;
--- a/crates/wire/src/peer_capnp.rs
+++ b/crates/wire/src/peer_capnp.rs
@@ -1150,6 +1150,10 @@
         pub fn get_cost(self) -> f32 {
             self.reader.get_data_field::<f32>(2)
         }
+        #[inline]
+        pub fn get_limit(self) -> f32 {
+            self.reader.get_data_field::<f32>(3)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
@@ -1276,6 +1280,14 @@
         pub fn set_cost(&mut self, value: f32)  {
             self.builder.set_data_field::<f32>(2, value);
         }
+        #[inline]
+        pub fn get_limit(self) -> f32 {
+            self.builder.get_data_field::<f32>(3)
+        }
+        #[inline]
+        pub fn set_limit(&mut self, value: f32)  {
+            self.builder.set_data_field::<f32>(3, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -1287,7 +1299,7 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 109] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 124] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(123, 193, 99, 238, 115, 8, 255, 162),
             ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
@@ -1297,55 +1309,62 @@
             ::capnp::word(21, 0, 0, 0, 130, 0, 0, 0),
             ::capnp::word(25, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 87, 1, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 143, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 67, 111, 115, 116, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(28, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(153, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(181, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(157, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(185, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(180, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(192, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(161, 0, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(189, 0, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(160, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(172, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(188, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(200, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(169, 0, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(197, 0, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(168, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(180, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(196, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(208, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(177, 0, 0, 0, 122, 0, 0, 0),
+            ::capnp::word(205, 0, 0, 0, 122, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(185, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(213, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(180, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(192, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(208, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(220, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(6, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(217, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(212, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(224, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(115, 101, 114, 118, 105, 99, 101, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -1397,6 +1416,14 @@
             ::capnp::word(10, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 105, 109, 105, 116, 0, 0, 0),
+            ::capnp::word(10, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(10, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -1406,6 +1433,7 @@
                 3 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 4 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 5 => <f32 as ::capnp::introspect::Introspect>::introspect(),
+                6 => <f32 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -1419,9 +1447,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[5,4,2,3,1,0];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[5,4,6,2,3,1,0];
         pub(crate) const TYPE_ID: u64 = 0xa2ff_0873_ee63_c17b;
     }
 }
@@ -2789,7 +2817,7 @@
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 5, pointers: 1 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 6, pointers: 1 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -2865,6 +2893,8 @@
             self.builder.set_bool_field(240, false);
             self.builder.set_data_field::<f32>(8, 0f32);
             self.builder.set_data_field::<f32>(9, 0f32);
+            self.builder.set_data_field::<f32>(10, 0f32);
+            self.builder.set_data_field::<f32>(11, 0f32);
             self.builder.into()
         }
         #[inline]
@@ -2932,7 +2962,7 @@
         pub(crate) static ENCODED_NODE: [::capnp::Word; 110] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(46, 195, 204, 216, 210, 74, 243, 151),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 5, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 6, 0),
             ::capnp::word(70, 40, 94, 123, 201, 161, 243, 208),
             ::capnp::word(1, 0, 7, 0, 0, 0, 5, 0),
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
@@ -3422,11 +3452,19 @@
             pub fn get_service_ms(self) -> f32 {
                 self.reader.get_data_field::<f32>(9)
             }
+            #[inline]
+            pub fn get_passes_upper(self) -> f32 {
+                self.reader.get_data_field::<f32>(10)
+            }
+            #[inline]
+            pub fn get_service_upper_ms(self) -> f32 {
+                self.reader.get_data_field::<f32>(11)
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 5, pointers: 1 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 6, pointers: 1 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -3540,6 +3578,22 @@
             pub fn set_service_ms(&mut self, value: f32)  {
                 self.builder.set_data_field::<f32>(9, value);
             }
+            #[inline]
+            pub fn get_passes_upper(self) -> f32 {
+                self.builder.get_data_field::<f32>(10)
+            }
+            #[inline]
+            pub fn set_passes_upper(&mut self, value: f32)  {
+                self.builder.set_data_field::<f32>(10, value);
+            }
+            #[inline]
+            pub fn get_service_upper_ms(self) -> f32 {
+                self.builder.get_data_field::<f32>(11)
+            }
+            #[inline]
+            pub fn set_service_upper_ms(&mut self, value: f32)  {
+                self.builder.set_data_field::<f32>(11, value);
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -3551,72 +3605,86 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 127] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 159] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(40, 87, 8, 101, 126, 165, 82, 237),
-                ::capnp::word(16, 0, 0, 0, 1, 0, 5, 0),
+                ::capnp::word(16, 0, 0, 0, 1, 0, 6, 0),
                 ::capnp::word(46, 195, 204, 216, 210, 74, 243, 151),
                 ::capnp::word(1, 0, 7, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 186, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 143, 1, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 255, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 87, 111, 114, 107, 46),
                 ::capnp::word(112, 108, 97, 99, 101, 100, 0, 0),
-                ::capnp::word(28, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(36, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 4, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(181, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(237, 0, 0, 0, 74, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(180, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(192, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(248, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 5, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(189, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(245, 0, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(184, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(196, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(240, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(252, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(2, 0, 0, 0, 6, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(193, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(249, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(188, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(200, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(244, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(0, 1, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(197, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(253, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(192, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(220, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(248, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(20, 1, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(4, 0, 0, 0, 240, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(217, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(17, 1, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(212, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(224, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(5, 0, 0, 0, 8, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(221, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(21, 1, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(216, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(228, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(16, 1, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(28, 1, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(6, 0, 0, 0, 9, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(225, 0, 0, 0, 82, 0, 0, 0),
+                ::capnp::word(25, 1, 0, 0, 82, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(24, 1, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(36, 1, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(7, 0, 0, 0, 10, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 14, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(33, 1, 0, 0, 98, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(32, 1, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(44, 1, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(8, 0, 0, 0, 11, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 15, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(41, 1, 0, 0, 122, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(224, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(236, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(40, 1, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(52, 1, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(116, 97, 114, 103, 101, 116, 77, 115),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
@@ -3679,6 +3747,24 @@
                 ::capnp::word(10, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(112, 97, 115, 115, 101, 115, 85, 112),
+                ::capnp::word(112, 101, 114, 0, 0, 0, 0, 0),
+                ::capnp::word(10, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(10, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(115, 101, 114, 118, 105, 99, 101, 85),
+                ::capnp::word(112, 112, 101, 114, 77, 115, 0, 0),
+                ::capnp::word(10, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(10, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
@@ -3689,6 +3775,8 @@
                     4 => <bool as ::capnp::introspect::Introspect>::introspect(),
                     5 => <f32 as ::capnp::introspect::Introspect>::introspect(),
                     6 => <f32 as ::capnp::introspect::Introspect>::introspect(),
+                    7 => <f32 as ::capnp::introspect::Introspect>::introspect(),
+                    8 => <f32 as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -3702,9 +3790,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[4,3,5,1,6,0,2];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[4,3,5,7,1,6,8,0,2];
             pub(crate) const TYPE_ID: u64 = 0xed52_a57e_6508_5728;
         }
     }
@@ -3782,7 +3870,7 @@
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 5, pointers: 1 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 6, pointers: 1 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -3862,7 +3950,7 @@
             pub(crate) static ENCODED_NODE: [::capnp::Word; 46] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(119, 16, 100, 252, 89, 46, 227, 227),
-                ::capnp::word(16, 0, 0, 0, 1, 0, 5, 0),
+                ::capnp::word(16, 0, 0, 0, 1, 0, 6, 0),
                 ::capnp::word(46, 195, 204, 216, 210, 74, 243, 151),
                 ::capnp::word(1, 0, 7, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -4613,11 +4701,6 @@
             !self.reader.get_pointer_field(2).is_null()
         }
         #[inline]
-        pub fn has_costs(&self) -> bool {
-            if self.reader.get_data_field::<u16>(8) != 9 { return false; }
-            !self.reader.get_pointer_field(2).is_null()
-        }
-        #[inline]
         pub fn get_evacuations(self) -> ::capnp::Result<crate::peer_capnp::evacuations::Reader<'a>> {
             ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(4), ::core::option::Option::None)
         }
@@ -4675,7 +4758,7 @@
                 }
                 9 => {
                     ::core::result::Result::Ok(Costs(
-                        ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
+                        self.reader.into()
                     ))
                 }
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x))
@@ -4850,19 +4933,12 @@
             self.builder.into()
         }
         #[inline]
-        pub fn set_costs(&mut self, value: ::capnp::struct_list::Reader<'_,crate::peer_capnp::cost::Owned>) -> ::capnp::Result<()> {
-            self.builder.set_data_field::<u16>(8, 9);
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(2), value, false)
-        }
-        #[inline]
-        pub fn init_costs(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::peer_capnp::cost::Owned> {
+        pub fn init_costs(mut self, ) -> crate::peer_capnp::datagram::costs::Builder<'a> {
             self.builder.set_data_field::<u16>(8, 9);
-            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(2), size)
-        }
-        #[inline]
-        pub fn has_costs(&self) -> bool {
-            if self.builder.get_data_field::<u16>(8) != 9 { return false; }
-            !self.builder.is_pointer_field_null(2)
+            self.builder.reborrow().get_pointer_field(2).clear();
+            self.builder.set_data_field::<u64>(1, 0u64);
+            self.builder.set_data_field::<u64>(3, 0u64);
+            self.builder.into()
         }
         #[inline]
         pub fn get_evacuations(self) -> ::capnp::Result<crate::peer_capnp::evacuations::Builder<'a>> {
@@ -4930,7 +5006,7 @@
                 }
                 9 => {
                     ::core::result::Result::Ok(Costs(
-                        ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
+                        self.builder.into()
                     ))
                 }
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x))
@@ -4953,7 +5029,7 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 219] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 208] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(253, 185, 205, 115, 77, 158, 110, 227),
             ::capnp::word(11, 0, 0, 0, 1, 0, 4, 0),
@@ -5055,20 +5131,20 @@
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 0, 246, 255, 2, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 18, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 246, 255, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(33, 240, 227, 211, 180, 136, 141, 150),
             ::capnp::word(117, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(112, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(140, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(13, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 19, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(137, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(93, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(136, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(148, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(92, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(104, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(102, 114, 111, 109, 0, 0, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(68, 38, 79, 232, 15, 20, 34, 187),
@@ -5153,17 +5229,6 @@
             ::capnp::word(113, 117, 97, 114, 97, 110, 116, 105),
             ::capnp::word(110, 101, 0, 0, 0, 0, 0, 0),
             ::capnp::word(99, 111, 115, 116, 115, 0, 0, 0),
-            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(123, 193, 99, 238, 115, 8, 255, 162),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(101, 118, 97, 99, 117, 97, 116, 105),
             ::capnp::word(111, 110, 115, 0, 0, 0, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
@@ -5188,7 +5253,7 @@
                 9 => <crate::peer_capnp::datagram::roster::Owned as ::capnp::introspect::Introspect>::introspect(),
                 10 => <crate::peer_capnp::datagram::listing::Owned as ::capnp::introspect::Introspect>::introspect(),
                 11 => <crate::peer_capnp::datagram::quarantine::Owned as ::capnp::introspect::Introspect>::introspect(),
-                12 => <::capnp::struct_list::Owned<crate::peer_capnp::cost::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                12 => <crate::peer_capnp::datagram::costs::Owned as ::capnp::introspect::Introspect>::introspect(),
                 13 => <crate::peer_capnp::evacuations::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
@@ -5220,8 +5285,8 @@
         Quarantine(A5),
         Costs(A6),
     }
-    pub type WhichReader<'a,> = Which<crate::peer_capnp::datagram::probe_for::Reader<'a>,::capnp::Result<::capnp::struct_list::Reader<'a,crate::peer_capnp::load::Owned>>,::capnp::Result<::capnp::struct_list::Reader<'a,crate::peer_capnp::work::Owned>>,crate::peer_capnp::datagram::roster::Reader<'a>,crate::peer_capnp::datagram::listing::Reader<'a>,crate::peer_capnp::datagram::quarantine::Reader<'a>,::capnp::Result<::capnp::struct_list::Reader<'a,crate::peer_capnp::cost::Owned>>>;
-    pub type WhichBuilder<'a,> = Which<crate::peer_capnp::datagram::probe_for::Builder<'a>,::capnp::Result<::capnp::struct_list::Builder<'a,crate::peer_capnp::load::Owned>>,::capnp::Result<::capnp::struct_list::Builder<'a,crate::peer_capnp::work::Owned>>,crate::peer_capnp::datagram::roster::Builder<'a>,crate::peer_capnp::datagram::listing::Builder<'a>,crate::peer_capnp::datagram::quarantine::Builder<'a>,::capnp::Result<::capnp::struct_list::Builder<'a,crate::peer_capnp::cost::Owned>>>;
+    pub type WhichReader<'a,> = Which<crate::peer_capnp::datagram::probe_for::Reader<'a>,::capnp::Result<::capnp::struct_list::Reader<'a,crate::peer_capnp::load::Owned>>,::capnp::Result<::capnp::struct_list::Reader<'a,crate::peer_capnp::work::Owned>>,crate::peer_capnp::datagram::roster::Reader<'a>,crate::peer_capnp::datagram::listing::Reader<'a>,crate::peer_capnp::datagram::quarantine::Reader<'a>,crate::peer_capnp::datagram::costs::Reader<'a>>;
+    pub type WhichBuilder<'a,> = Which<crate::peer_capnp::datagram::probe_for::Builder<'a>,::capnp::Result<::capnp::struct_list::Builder<'a,crate::peer_capnp::load::Owned>>,::capnp::Result<::capnp::struct_list::Builder<'a,crate::peer_capnp::work::Owned>>,crate::peer_capnp::datagram::roster::Builder<'a>,crate::peer_capnp::datagram::listing::Builder<'a>,crate::peer_capnp::datagram::quarantine::Builder<'a>,crate::peer_capnp::datagram::costs::Builder<'a>>;
 
     pub mod probe_for {
         #[derive(Copy, Clone)]
@@ -6267,6 +6332,274 @@
             pub(crate) const TYPE_ID: u64 = 0x8515_762b_0e00_3546;
         }
     }
+
+    pub mod costs {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> Reader<'a,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_observations(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::peer_capnp::cost::Owned>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_observations(&self) -> bool {
+                !self.reader.get_pointer_field(2).is_null()
+            }
+            #[inline]
+            pub fn get_entry(self) -> u64 {
+                self.reader.get_data_field::<u64>(1)
+            }
+            #[inline]
+            pub fn get_next(self) -> u64 {
+                self.reader.get_data_field::<u64>(3)
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 5 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_observations(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::peer_capnp::cost::Owned>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_observations(&mut self, value: ::capnp::struct_list::Reader<'_,crate::peer_capnp::cost::Owned>) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(2), value, false)
+            }
+            #[inline]
+            pub fn init_observations(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::peer_capnp::cost::Owned> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(2), size)
+            }
+            #[inline]
+            pub fn has_observations(&self) -> bool {
+                !self.builder.is_pointer_field_null(2)
+            }
+            #[inline]
+            pub fn get_entry(self) -> u64 {
+                self.builder.get_data_field::<u64>(1)
+            }
+            #[inline]
+            pub fn set_entry(&mut self, value: u64)  {
+                self.builder.set_data_field::<u64>(1, value);
+            }
+            #[inline]
+            pub fn get_next(self) -> u64 {
+                self.builder.get_data_field::<u64>(3)
+            }
+            #[inline]
+            pub fn set_next(&mut self, value: u64)  {
+                self.builder.set_data_field::<u64>(3, value);
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 67] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(33, 240, 227, 211, 180, 136, 141, 150),
+                ::capnp::word(20, 0, 0, 0, 1, 0, 4, 0),
+                ::capnp::word(253, 185, 205, 115, 77, 158, 110, 227),
+                ::capnp::word(5, 0, 7, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 210, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+                ::capnp::word(110, 112, 58, 68, 97, 116, 97, 103),
+                ::capnp::word(114, 97, 109, 46, 99, 111, 115, 116),
+                ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 18, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(69, 0, 0, 0, 106, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(96, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 20, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(93, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(88, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(100, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(2, 0, 0, 0, 3, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 21, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(97, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(111, 98, 115, 101, 114, 118, 97, 116),
+                ::capnp::word(105, 111, 110, 115, 0, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(123, 193, 99, 238, 115, 8, 255, 162),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(101, 110, 116, 114, 121, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(110, 101, 120, 116, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <::capnp::struct_list::Owned<crate::peer_capnp::cost::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,2,0];
+            pub(crate) const TYPE_ID: u64 = 0x968d_88b4_d3e3_f021;
+        }
+    }
 }
 
 pub mod key {
--- a/crates/wire/src/update.rs
+++ b/crates/wire/src/update.rs
@@ -1,6 +1,7 @@
 //! Encoding and decoding of updates on requests that entries have placed.
 
 use domain::key::Incarnation;
+use placement::Expectation;
 use placement::JobId;
 use placement::Snapshot;
 use placement::Update;
@@ -32,6 +33,10 @@
             group.set_pause_ms(placement.pause_ms);
             group.set_value(placement.value);
             group.set_is_late(placement.timeliness == Timeliness::Late);
+            group.set_passes(placement.passes.mean);
+            group.set_passes_upper(placement.passes.upper);
+            group.set_service_ms(placement.service_ms.mean);
+            group.set_service_upper_ms(placement.service_ms.upper);
             let mut parts = group.init_parts(placement.parts.len() as u32);
             for (index, it) in placement.parts.iter().enumerate() {
                 let mut part = parts.reborrow().get(index as u32);
@@ -100,6 +105,14 @@
                     Timeliness::OnTime
                 },
                 parts: parts.collect(),
+                passes: Expectation {
+                    mean: group.get_passes(),
+                    upper: group.get_passes_upper(),
+                },
+                service_ms: Expectation {
+                    mean: group.get_service_ms(),
+                    upper: group.get_service_upper_ms(),
+                },
             })
         }
     };
--- a/crates/wire/tests/frames.rs
+++ b/crates/wire/tests/frames.rs
@@ -1,6 +1,9 @@
 //! Frames decode to the value that was encoded.
 
+use cost::Batch;
+use cost::Observation;
 use domain::key::Incarnation;
+use placement::Expectation;
 use placement::JobId;
 use placement::Snapshot;
 use placement::Update;
@@ -34,6 +37,14 @@
         value: 1.5,
         timeliness,
         parts: vec![part(u64::MAX), part(0)],
+        passes: Expectation {
+            mean: 22.5,
+            upper: 41.0,
+        },
+        service_ms: Expectation {
+            mean: 60.0,
+            upper: 95.5,
+        },
     })
 }
 
@@ -105,3 +116,21 @@
     }));
     check_round_trip(Frame::Quarantine(Report::default()));
 }
+
+#[test]
+fn costs_round_trip() {
+    let observation = |organisation: &str, prompt_tokens, expected_tokens| Observation {
+        service: "llm".to_owned(),
+        route: "chat".to_owned(),
+        organisation: organisation.to_owned(),
+        prompt_tokens,
+        expected_tokens,
+        limit: 4_000.0,
+        cost: 1_360.5,
+    };
+    check_round_trip(Frame::Costs(Batch {
+        entry: Incarnation(9),
+        next: u64::MAX,
+        observations: vec![observation("org1", 5_000, 1_300), observation("", 0, 0)],
+    }));
+}
--- a/xtask/tests/tidy.rs
+++ b/xtask/tests/tidy.rs
@@ -7,10 +7,11 @@
 use sources::files;
 
 /// The crates that hold decision logic and must do no I/O.
-const DECISION_CRATES: [&str; 10] = [
+const DECISION_CRATES: [&str; 11] = [
     "domain",
     "config",
     "claim",
+    "cost",
     "assembly",
     "routing",
     "route",
