--- a/crates/cost/src/estimator.rs
+++ b/crates/cost/src/estimator.rs
@@ -17,6 +17,9 @@
 /// The number of observations from which a group's own distribution counts alone. With fewer ones, the
 /// wider group counts for the rest.
 const FULL_OBSERVATIONS: f64 = 20.0;
+/// The number of organisations from which the median of their forecasts stands for a route. One that lies
+/// or has extreme costs does not move it.
+const MEDIAN_ORGANISATIONS: usize = 3;
 /// The observations of an organisation count fully in the groups of its route and its service up to
 /// this number, and less beyond it, so that the busiest organisation does not decide for all.
 const FAIR_OBSERVATIONS: f64 = 16.0;
@@ -84,6 +87,7 @@
         let weight = (FAIR_OBSERVATIONS / organisation.weight()).min(1.0);
         self.group(keys.service).observe_bounded(weight, hint, cost);
         let route = self.group(keys.route);
+        route.record_organisation(keys.organisation);
         route.observe_bounded(weight, hint, cost);
         report(route)
     }
@@ -94,11 +98,16 @@
         let keys = Keys::of(request);
         let service = self.forecast(keys.service, hint);
         let mut forecast = service.filter(|it| it.weight >= MIN_OBSERVATIONS)?;
-        for key in [keys.route, keys.organisation] {
-            if let Some(narrower) = self.forecast(key, hint) {
-                let share = (narrower.weight / FULL_OBSERVATIONS).min(1.0);
-                forecast = forecast.mixed(&narrower, share);
-            }
+        let own = self.forecast(keys.organisation, hint);
+        let is_own_enough = own.is_some_and(|it| it.weight >= FULL_OBSERVATIONS);
+        let route = if is_own_enough {
+            None
+        } else {
+            self.route_forecast(keys.route, hint)
+        };
+        for narrower in [route, own].into_iter().flatten() {
+            let share = (narrower.weight / FULL_OBSERVATIONS).min(1.0);
+            forecast = forecast.mixed(&narrower, share);
         }
         let mean = mean_cost(&forecast).min(request.limit);
         let upper = forecast.upper().exp().min(request.limit).max(mean);
@@ -115,6 +124,24 @@
         self.groups.is_empty()
     }
 
+    /// Returns the forecast for an organisation of which nothing is known on this route: the median of
+    /// those of the others or, if there are few of them, that of all requests.
+    fn route_forecast(&mut self, key: u64, hint: Option<f64>) -> Option<Forecast> {
+        let route = self.forecast(key, hint)?;
+        let organisations = self.groups.get(&key)?.organisations();
+        let known = organisations.filter_map(|it| Some(self.groups.get(&it)?.forecast(hint)));
+        let mut known: Vec<Forecast> = known.filter(|it| it.weight >= MIN_OBSERVATIONS).collect();
+        if known.len() < MEDIAN_ORGANISATIONS {
+            return Some(route);
+        }
+        known.sort_by(|a, b| a.mean.total_cmp(&b.mean));
+        let median = known.get(known.len() / 2)?;
+        Some(Forecast {
+            weight: route.weight,
+            ..*median
+        })
+    }
+
     fn forecast(&mut self, key: u64, hint: Option<f64>) -> Option<Forecast> {
         self.groups.contains_key(&key).then(|| {
             let group = self.group(key);
--- a/crates/cost/src/exchange.rs
+++ b/crates/cost/src/exchange.rs
@@ -117,6 +117,16 @@
         &batch.observations[known..]
     }
 
+    /// Returns the number of entries whose batches are told apart.
+    pub fn len(&self) -> usize {
+        self.next.len()
+    }
+
+    /// Returns whether no batch was received.
+    pub fn is_empty(&self) -> bool {
+        self.next.is_empty()
+    }
+
     /// Forgets an entry that left or died.
     pub fn forget(&mut self, entry: Incarnation) {
         self.next.remove(&entry);
--- a/crates/cost/src/group.rs
+++ b/crates/cost/src/group.rs
@@ -4,6 +4,8 @@
 //! short and for long answers. The caller's hint is weighted by a regression of the cost on the hint, so
 //! that a hint which says nothing about the cost gets no weight.
 
+use std::collections::VecDeque;
+
 /// The time constant of the decay, in observations: those more than 200 observations ago have less than
 /// 5 % of the weight, so that a change of behaviour is followed within 200 observations.
 const DECAY_OBSERVATIONS: f64 = 64.0;
@@ -27,6 +29,9 @@
 /// from their mean, so that no caller moves them at once.
 const OUTLIER_DEVIATIONS: f64 = 3.0;
 
+/// The number of organisations of a route whose forecasts are compared.
+const ORGANISATION_LIMIT: usize = 9;
+
 /// The distribution of costs in a group.
 #[derive(Clone, Debug)]
 pub(crate) struct Group {
@@ -40,6 +45,8 @@
     pub(crate) reported: Option<f64>,
     /// The number of the last use.
     pub(crate) used: u64,
+    /// The keys of the organisations of a route that were observed lately.
+    organisations: VecDeque<u64>,
 }
 
 /// The forecast of a cost, as the distribution of its logarithm.
@@ -72,6 +79,7 @@
             deviations: NORMAL_DEVIATIONS,
             reported: None,
             used: 0,
+            organisations: VecDeque::new(),
         }
     }
 }
@@ -82,6 +90,22 @@
         self.all.weight
     }
 
+    /// Records that an organisation was observed on this route.
+    pub(crate) fn record_organisation(&mut self, key: u64) {
+        if self.organisations.contains(&key) {
+            return;
+        }
+        if self.organisations.len() == ORGANISATION_LIMIT {
+            self.organisations.pop_front();
+        }
+        self.organisations.push_back(key);
+    }
+
+    /// Returns the organisations that were observed on this route.
+    pub(crate) fn organisations(&self) -> impl Iterator<Item = u64> + '_ {
+        self.organisations.iter().copied()
+    }
+
     /// Returns the forecast for all requests of the group.
     pub(crate) fn overall(&self) -> Forecast {
         self.all.forecast(0.0, self.deviations)
@@ -130,7 +154,7 @@
 
     /// Returns the forecast in which `other` has the share `share`.
     pub(crate) fn mixed(&self, other: &Self, share: f64) -> Self {
-        let mix = |own: f64, other: f64| own + share * (other - own);
+        let mix = |own: f64, other: f64| (1.0 - share) * own + share * other;
         Self {
             mean: mix(self.mean, other.mean),
             variance: mix(self.variance, other.variance),
