--- a/crates/placement/tests/cost_load.rs
+++ b/crates/placement/tests/cost_load.rs
@@ -76,6 +76,9 @@
     },
 ];
 
+/// The number of plays, each with other requests.
+const SEEDS: u64 = 24;
+
 #[derive(Clone, Copy, PartialEq)]
 enum Basis {
     Declared,
@@ -366,7 +369,6 @@
 #[test]
 fn choose_by_cost_serves_no_kind_of_prompt_worse_and_all_together_better() {
     let mut sums = [[(0.0, 0.0); 3]; 2];
-    const SEEDS: u64 = 6;
     for seed in 1..=SEEDS {
         for (index, basis) in [Basis::Declared, Basis::Observed].into_iter().enumerate() {
             let result = Fleet::new(basis).play(seed).result();
--- a/crates/placement/tests/plain_load.rs
+++ b/crates/placement/tests/plain_load.rs
@@ -58,6 +58,9 @@
 /// Every ten seconds, a burst of four seconds brings this many times the usual calls.
 const BURST_FACTOR: f64 = 1.5;
 
+/// The number of plays, each with other requests.
+const SEEDS: u64 = 4;
+
 #[derive(Clone, Copy, PartialEq)]
 enum Chooser {
     ByCount,
@@ -275,7 +278,6 @@
 #[test]
 fn choose_by_cost_serves_no_kind_of_call_worse_and_all_together_better() {
     let mut sums = [[(0.0, 0.0); 2]; 2];
-    const SEEDS: u64 = 4;
     for seed in 1..=SEEDS {
         for (index, chooser) in [Chooser::ByCount, Chooser::ByCost].into_iter().enumerate() {
             let result = Play::new(chooser).play(seed).result();
