--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -144,9 +144,11 @@
     match future::or(response, stalled).await {
         Ok(Completion { outcome, reuse }) => {
             record_health(node, exchange, target, sent_at, &outcome);
-            observe::record(node, exchange, target, sent_at, had_begun, &outcome);
             if has_run(exchange, &outcome) {
                 crash::record_end(node, exchange, &target.server);
+                if !had_begun {
+                    observe::record(node, exchange, target, sent_at);
+                }
             }
             if matches!(outcome, Outcome::OtherServer) {
                 mark_replaced(node, &target.server);
--- a/crates/gateway/src/observe.rs
+++ b/crates/gateway/src/observe.rs
@@ -7,31 +7,15 @@
 use placement::plain;
 
 use crate::Node;
-use crate::attempt::Outcome;
 use crate::exchange::Exchange;
 use crate::metrics::Basis;
 use crate::target::Target;
 
-/// Records what a request has cost. Requests that failed, were cut off or were resumed are left out: how
-/// much the rest would have taken, or did take elsewhere, is not known. `had_begun` says whether the caller
-/// had part of the answer before this attempt.
-pub fn record(
-    node: &Node,
-    exchange: &Exchange,
-    target: &Target,
-    sent_at: Moment,
-    had_begun: bool,
-    outcome: &Outcome,
-) {
+/// Records what a request has cost that was sent at `sent_at` and served to its end. Those that failed, were
+/// cut off or were resumed must not be recorded: how much the rest would have taken, or did take elsewhere,
+/// is not known.
+pub fn record(node: &Node, exchange: &Exchange, target: &Target, sent_at: Moment) {
     let now = clock::now();
-    let is_whole = match outcome {
-        Outcome::Delivered => exchange.ending.event_count > 0,
-        Outcome::Answered(response, _) => (200..300).contains(&response.status),
-        _ => false,
-    };
-    if !is_whole || had_begun {
-        return;
-    }
     let Some(request) = exchange.cost_request() else {
         return;
     };
