--- a/crates/cost/src/estimator.rs
+++ b/crates/cost/src/estimator.rs
@@ -10,7 +10,7 @@
 use crate::observation::Observation;
 use crate::observation::Request;
 
-/// The maximum number of groups. They take less than 1 MB; the smallest instances have 160 MB.
+/// The maximum number of groups. They take about 1.5 MB; the smallest instances have 160 MB.
 const GROUP_LIMIT: usize = 4_096;
 /// The number of observations of a service from which its requests are estimated.
 const MIN_OBSERVATIONS: f64 = 8.0;
--- a/crates/placement/src/expectation.rs
+++ b/crates/placement/src/expectation.rs
@@ -27,7 +27,8 @@
 pub struct Work {
     mean: f64,
     median: f64,
-    shape: f64,
+    /// Twice the shape. Powers of halves are cheap; a plan takes thousands of them.
+    shape_halves: i32,
 }
 
 impl Expectation {
@@ -53,11 +54,11 @@
                 high = middle;
             }
         }
-        let shape = (low + high) / 2.0;
+        let shape_halves = (low + high).round();
         Self {
             mean,
-            median: mean / mean_ratio(shape),
-            shape,
+            median: mean / mean_ratio(shape_halves / 2.0),
+            shape_halves: shape_halves as i32,
         }
     }
 
@@ -68,21 +69,29 @@
 
     /// Returns the probability that work of which `done` is done takes more than `more` beyond that.
     pub fn survival(&self, done: f64, more: f64) -> f64 {
-        let odds = |it: f64| (it.max(0.0) / self.median).powf(self.shape);
-        (1.0 + odds(done)) / (1.0 + odds(done + more))
+        (1.0 + self.odds(done)) / (1.0 + self.odds(done + more))
+    }
+
+    /// Returns the odds that the work takes no more than `amount`.
+    fn odds(&self, amount: f64) -> f64 {
+        let root = (amount.max(0.0) / self.median).sqrt();
+        root.powi(self.shape_halves)
+    }
+
+    fn shape(&self) -> f64 {
+        f64::from(self.shape_halves) / 2.0
     }
 
     /// Returns the expected work in total, of which `done` is done. It grows once more is done than was
     /// likely.
     pub fn total(&self, done: f64) -> f64 {
-        self.mean.max(done + done / (self.shape - 1.0))
+        self.mean.max(done + done / (self.shape() - 1.0))
     }
 
     /// Returns the 0.9 quantile of the work that remains after `done`.
     pub fn upper_remaining(&self, done: f64) -> f64 {
-        let odds = (done.max(0.0) / self.median).powf(self.shape);
-        let upper_odds = (UPPER_ODDS + 1.0) * (1.0 + odds) - 1.0;
-        self.median * upper_odds.powf(1.0 / self.shape) - done.max(0.0)
+        let upper_odds = (UPPER_ODDS + 1.0) * (1.0 + self.odds(done)) - 1.0;
+        self.median * upper_odds.powf(1.0 / self.shape()) - done.max(0.0)
     }
 }
 
--- a/crates/placement/src/plan.rs
+++ b/crates/placement/src/plan.rs
@@ -345,14 +345,26 @@
         let joining_ms = queue.map_or(0.0, |it| it.joining_pass_ms(engine)) * slowdown;
         let overdue_ms = queue.map_or(0.0, |it| it.overdue_ms(now)) - joining_ms * OVERDUE_PASSES;
         let overdue_ms = overdue_ms.max(0.0) * OVERDUE_SHARE;
-        let wait_ms = |timeliness| {
+        let excess = |timeliness| {
             let ahead = queue.map_or(0, |it| it.ahead_of(timeliness).count());
-            let excess = (ahead + 1).saturating_sub(engine.slots);
+            (ahead + 1).saturating_sub(engine.slots)
+        };
+        let passes_until_free =
+            |slots| queue.map_or(0.0, |it| it.passes_until_free(now, engine, pace, slots));
+        let excesses = [Timeliness::OnTime, Timeliness::Late].map(excess);
+        let passes = passes_until_free(excesses[0]);
+        // Most engines have no late requests, so that both are equal.
+        let late_passes = if excesses[0] == excesses[1] {
+            passes
+        } else {
+            passes_until_free(excesses[1])
+        };
+        let wait_ms = |timeliness, passes: f64| {
             pass_ms * RESIDUAL_SHARE
                 + backlog_ms(timeliness)
                 + overdue_ms
                 + joining_ms
-                + pass_ms * queue.map_or(0.0, |it| it.passes_until_free(now, engine, pace, excess))
+                + pass_ms * passes
         };
         let held_tokens = queue.map_or(0.0, |it| {
             it.tokens() as f64 + it.excess_tokens(now, engine, pace)
@@ -361,8 +373,8 @@
             key,
             queue,
             slowdown,
-            wait_ms: wait_ms(Timeliness::OnTime),
-            late_wait_ms: wait_ms(Timeliness::Late),
+            wait_ms: wait_ms(Timeliness::OnTime, passes),
+            late_wait_ms: wait_ms(Timeliness::Late, late_passes),
             backlog_ms: backlog_ms(Timeliness::OnTime),
             pass_ms,
             decoding,
