--- a/crates/cost/src/exchange.rs
+++ b/crates/cost/src/exchange.rs
@@ -9,9 +9,12 @@
 
 use crate::observation::Observation;
 
-/// The maximum number of observations in a batch. They take about 80 bytes each, so that a batch fits into
-/// a datagram. Of more, a random sample is sent.
+/// The maximum number of observations in a batch. Of more, a random sample is sent.
 const BATCH_LIMIT: usize = 64;
+/// The maximum size of a batch, in bytes, so that it fits into a datagram also if names are long.
+const BATCH_BYTES: usize = 32 * 1024;
+/// The size of an observation without its names, in bytes.
+const OBSERVATION_BYTES: usize = 64;
 /// The number of an entry's own observations that it keeps for entries which join.
 const RECENT_LIMIT: usize = 32;
 /// The maximum number of entries whose batches are told apart.
@@ -78,16 +81,17 @@
             return None;
         }
         self.count = 0;
-        let observations = std::mem::take(&mut self.pending);
+        let observations = fitting(std::mem::take(&mut self.pending));
         self.next += observations.len() as u64;
         self.recent.extend(observations.iter().cloned());
         let excess = self.recent.len().saturating_sub(RECENT_LIMIT);
         self.recent.drain(..excess);
-        Some(self.batch(observations))
+        (!observations.is_empty()).then(|| self.batch(observations))
     }
 
     /// Returns the latest observations that were sent, for an entry that joins; `None` without any.
     pub fn recent(&self) -> Option<Batch> {
+        // The latest ones are last, and fewer than in a batch.
         let observations: Vec<Observation> = self.recent.iter().cloned().collect();
         (!observations.is_empty()).then(|| self.batch(observations))
     }
@@ -132,3 +136,16 @@
         self.next.remove(&entry);
     }
 }
+
+/// Returns as many of the observations as fit into a batch.
+fn fitting(mut observations: Vec<Observation>) -> Vec<Observation> {
+    let mut size = 0;
+    let fits = observations.iter().take_while(|it| {
+        let names = it.service.len() + it.route.len() + it.organisation.len();
+        size += OBSERVATION_BYTES + names;
+        size <= BATCH_BYTES
+    });
+    let count = fits.count();
+    observations.truncate(count);
+    observations
+}
--- a/crates/cost/tests/exchange.rs
+++ b/crates/cost/tests/exchange.rs
@@ -43,15 +43,6 @@
     assert_eq!(batch.observations.len(), 64);
     let mean = batch.observations.iter().map(|it| it.cost).sum::<f32>() / 64.0;
     assert!((3_500.0..6_500.0).contains(&mean), "{mean}");
-    let bytes = wire_size(&batch);
-    assert!(bytes < 16_000, "{bytes}");
-}
-
-/// Returns about the bytes of a batch: its texts, and its numbers.
-fn wire_size(batch: &Batch) -> usize {
-    let texts = |it: &Observation| it.service.len() + it.route.len() + it.organisation.len();
-    let sizes = batch.observations.iter().map(|it| texts(it) + 64);
-    sizes.sum()
 }
 
 #[test]
--- a/crates/placement/tests/cost_load.rs
+++ b/crates/placement/tests/cost_load.rs
@@ -170,7 +170,7 @@
     }
 
     /// Plays the same requests for each basis.
-    fn play(mut self, seed: u64) -> Self {
+    fn play(mut self, seed: u64, per_usual: f64) -> Self {
         let mut load = StdRng::seed_from_u64(seed);
         for millis in 0..PLAYED_MS {
             let factor = if millis % 10_000 < 4_000 {
@@ -179,7 +179,7 @@
                 1.0
             };
             for (index, kind) in KINDS.iter().enumerate() {
-                if load.random::<f64>() < kind.per_s * factor / 1e3 {
+                if load.random::<f64>() < kind.per_s * per_usual * factor / 1e3 {
                     let tokens = load.random_range(kind.prompt_tokens.clone());
                     let answer = kind.median * (ANSWER_SPREAD * normal(&mut load)).exp();
                     let hint = answer * (HINT_SPREAD * normal(&mut load)).exp();
@@ -364,14 +364,13 @@
     (-2.0 * (1.0 - a).ln()).sqrt() * (std::f64::consts::TAU * b).cos()
 }
 
-/// Guards against placement by costs that serves any kind of prompt worse than placement by what callers
-/// declare.
-#[test]
-fn choose_by_cost_serves_no_kind_of_prompt_worse_and_all_together_better() {
+/// Checks that placement by costs serves no kind of prompt worse than placement by what callers declare,
+/// and all together better. `load` is the number of requests as a multiple of the usual ones.
+fn check(load: f64) {
     let mut sums = [[(0.0, 0.0); 3]; 2];
     for seed in 1..=SEEDS {
         for (index, basis) in [Basis::Declared, Basis::Observed].into_iter().enumerate() {
-            let result = Fleet::new(basis).play(seed).result();
+            let result = Fleet::new(basis).play(seed, load).result();
             for (sum, it) in sums[index].iter_mut().zip(result) {
                 sum.0 += it.0 / SEEDS as f64;
                 sum.1 += it.1 / SEEDS as f64;
@@ -392,3 +391,15 @@
         assert!(after.1 <= before.1, "{} {}", kind.route, kind.organisation);
     }
 }
+
+/// Guards against forecasts of free slots that serve some prompts worse when slots are taken in waves.
+#[test]
+fn choose_by_cost_serves_no_kind_of_prompt_worse_in_waves() {
+    check(1.0);
+}
+
+/// The same when waves bring more than all slots can serve in time.
+#[test]
+fn choose_by_cost_serves_no_kind_of_prompt_worse_in_overload() {
+    check(1.2);
+}
--- a/crates/wire/tests/frames.rs
+++ b/crates/wire/tests/frames.rs
@@ -2,6 +2,7 @@
 
 use cost::Batch;
 use cost::Observation;
+use cost::Outbox;
 use domain::key::Incarnation;
 use placement::Expectation;
 use placement::JobId;
@@ -11,6 +12,8 @@
 use placement::workload::Part;
 use placement::workload::Placement;
 use placement::workload::Timeliness;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
 use routing::quarantine::Report;
 use routing::quarantine::Suspicion;
 use wire::Delta;
@@ -134,3 +137,34 @@
         observations: vec![observation("org1", 5_000, 1_300), observation("", 0, 0)],
     }));
 }
+
+/// A batch must fit into a datagram, also if the names in the configuration are long.
+#[test]
+fn costs_batches_fit_into_datagrams() {
+    let mut random = StdRng::seed_from_u64(1);
+    for (name_length, min_count) in [(12, 64), (300, 30), (3_000, 3)] {
+        let mut outbox = Outbox::new(Incarnation(u64::MAX));
+        for number in 0..1_000 {
+            let name = format!("{number}").repeat(name_length)[..name_length].to_owned();
+            outbox.push(
+                Observation {
+                    service: name.clone(),
+                    route: name.clone(),
+                    organisation: name,
+                    prompt_tokens: u32::MAX,
+                    expected_tokens: u32::MAX,
+                    limit: 1.1,
+                    cost: 1.1,
+                },
+                &mut random,
+            );
+        }
+        let batch = outbox.take_batch().expect("a batch");
+        assert!(batch.observations.len() >= min_count);
+        let recent = outbox.recent().expect("a batch");
+        for batch in [batch, recent] {
+            let bytes = Frame::Costs(batch).encode().len();
+            assert!(bytes < 40_000, "{name_length}: {bytes}");
+        }
+    }
+}
