Let estimates by route follow changes as fast as those of organisations

The bound of outliers was three standard deviations, which are tiny on a route whose costs never differed: 200 observations after a change from 250 to 1,000, a new organisation got 320. With a bound of at least a factor of two, and the median of the organisations that are known, it gets 981.

--- a/crates/cost/src/estimator.rs
+++ b/crates/cost/src/estimator.rs
@@ -17,9 +17,6 @@
 /// The number of observations from which a group's own distribution counts alone. With fewer ones, the
 /// wider group counts for the rest.
 const FULL_OBSERVATIONS: f64 = 20.0;
-/// The number of organisations from which the median of their forecasts stands for a route. One that lies
-/// or has extreme costs does not move it.
-const MEDIAN_ORGANISATIONS: usize = 3;
 /// The observations of an organisation count fully in the groups of its route and its service up to
 /// this number, and less beyond it, so that the busiest organisation does not decide for all.
 const FAIR_OBSERVATIONS: f64 = 16.0;
@@ -125,20 +122,20 @@
     }
 
     /// Returns the forecast for an organisation of which nothing is known on this route: the median of
-    /// those of the others or, if there are few of them, that of all requests.
+    /// those of the others, which one that lies or has extreme costs does not move.
     fn route_forecast(&mut self, key: u64, hint: Option<f64>) -> Option<Forecast> {
         let route = self.forecast(key, hint)?;
         let organisations = self.groups.get(&key)?.organisations();
         let known = organisations.filter_map(|it| Some(self.groups.get(&it)?.forecast(hint)));
         let mut known: Vec<Forecast> = known.filter(|it| it.weight >= MIN_OBSERVATIONS).collect();
-        if known.len() < MEDIAN_ORGANISATIONS {
-            return Some(route);
-        }
         known.sort_by(|a, b| a.mean.total_cmp(&b.mean));
-        let median = known.get(known.len() / 2)?;
+        let Some(last) = known.len().checked_sub(1) else {
+            return Some(route);
+        };
+        let (lower, upper) = (known[last / 2], known[last - last / 2]);
         Some(Forecast {
             weight: route.weight,
-            ..*median
+            ..lower.middle(&upper)
         })
     }
 
--- a/crates/cost/src/group.rs
+++ b/crates/cost/src/group.rs
@@ -28,6 +28,9 @@
 /// Observations count in the groups of the route and of the service up to this many standard deviations
 /// from their mean, so that no caller moves them at once.
 const OUTLIER_DEVIATIONS: f64 = 3.0;
+/// The least such bound, as a logarithm: a factor of two. Without it, a route whose costs never differed would
+/// follow a change too slowly.
+const MIN_OUTLIER_BOUND: f64 = std::f64::consts::LN_2;
 
 /// The number of organisations of a route whose forecasts are compared.
 const ORGANISATION_LIMIT: usize = 9;
@@ -140,7 +143,7 @@
         if overall.weight < MIN_WEIGHT {
             return self.observe(weight, hint, cost);
         }
-        let most = OUTLIER_DEVIATIONS * overall.variance.sqrt();
+        let most = (OUTLIER_DEVIATIONS * overall.variance.sqrt()).max(MIN_OUTLIER_BOUND);
         let cost = cost.clamp(overall.mean - most, overall.mean + most);
         self.observe(weight, hint, cost);
     }
@@ -152,6 +155,13 @@
         self.mean + self.deviations * self.variance.sqrt()
     }
 
+    /// Returns the forecast for a request that belongs to either of two distributions.
+    pub(crate) fn middle(&self, other: &Self) -> Self {
+        let mut middle = self.mixed(other, 0.5);
+        middle.variance += ((other.mean - self.mean) / 2.0).powi(2);
+        middle
+    }
+
     /// Returns the forecast in which `other` has the share `share`.
     pub(crate) fn mixed(&self, other: &Self, share: f64) -> Self {
         let mix = |own: f64, other: f64| (1.0 - share) * own + share * other;
--- a/crates/cost/tests/estimator.rs
+++ b/crates/cost/tests/estimator.rs
@@ -205,6 +205,28 @@
     }
 }
 
+/// Guards against a bound of outliers that keeps what others get of a route from following a change, if its
+/// costs never differed before.
+#[test]
+fn estimate_by_route_follows_a_change_of_constant_costs() {
+    let mut estimator = Estimator::default();
+    let mut report = None;
+    for index in 0..2 * FOLLOWED_WITHIN {
+        let cost = if index < FOLLOWED_WITHIN {
+            250.0
+        } else {
+            1_000.0
+        };
+        let shift = estimator.observe(&observation("chat", "org", 0.0, cost));
+        report = report.or(shift.map(|_| index - FOLLOWED_WITHIN));
+    }
+    let asked = observation("chat", "new", 0.0, 1.0);
+    let mean = estimate(&mut estimator, &asked).expect("an estimate").mean;
+    println!("reported after {report:?} observations; by route {mean:.0} after 200");
+    assert!((700.0..1_400.0).contains(&mean), "{mean}");
+    assert!(report.is_some_and(|it| it < FOLLOWED_WITHIN), "{report:?}");
+}
+
 /// An organisation that names huge hints and causes extreme costs must not change the estimate of another
 /// one, nor much that of one of which nothing is known, with a hint or without.
 #[test]
