Merge the estimates of request costs

Cause: requests that look alike cost servers very different amounts of work, and placement counted requests.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -25,6 +25,7 @@
 use crate::exchange::Exchange;
 use crate::held;
 use crate::notice;
+use crate::observe;
 use crate::port::Forwarding;
 use crate::port::Verdict;
 use crate::registration::Registration;
@@ -113,6 +114,7 @@
     }
     exchange.attempts += 1;
     exchange.sent_at = Some(sent_at);
+    let had_begun = exchange.last_event.is_some();
     exchange.ending = Ending::default();
     let head = node.protocol.forward(
         &exchange.request,
@@ -149,6 +151,9 @@
             record_health(node, exchange, target, sent_at, &outcome);
             if has_run(exchange, &outcome) {
                 crash::record_end(node, exchange, &target.server);
+                if !had_begun {
+                    observe::record(node, exchange, target, sent_at);
+                }
             }
             if matches!(outcome, Outcome::OtherServer) {
                 mark_replaced(node, &target.server);
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -26,6 +26,7 @@
 use routing::Quarantine;
 
 use crate::connections::Pool;
+use crate::costs::Costs;
 use crate::faults::Faults;
 use crate::held;
 use crate::metrics::Metrics;
@@ -90,6 +91,8 @@
     pub faults: Faults,
     /// The requests that all entries have placed.
     pub workload: Workload,
+    /// What requests cost.
+    pub costs: Costs,
     /// The entries.
     pub members: Members,
     /// The entries that are told what this one places.
@@ -136,6 +139,7 @@
                 records: Cache::default(),
                 faults: Faults::default(),
                 workload: Workload::default(),
+                costs: Costs::new(incarnation),
                 members: Members::new(member),
                 audience: Audience::default(),
                 quarantine: Quarantine::default(),
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -8,16 +8,20 @@
 
 pub mod budget;
 pub mod cold;
+pub mod ends;
 pub mod evacuation;
+pub mod expectation;
 pub mod plain;
 pub mod plan;
 pub mod rates;
+pub mod remaining;
 pub mod servers;
 pub mod slowdown;
 pub mod workload;
 
 pub use budget::Budget;
 pub use evacuation::Evacuations;
+pub use expectation::Expectation;
 pub use plan::Plan;
 pub use rates::Rates;
 pub use servers::Server;
--- a/crates/placement/src/servers.rs
+++ b/crates/placement/src/servers.rs
@@ -11,26 +11,24 @@
 use domain::digest;
 use route::ColdStart;
 use routing::Pause;
-use routing::health::Health;
 
 use crate::Workload;
 use crate::cold::Period;
 use crate::cold::Source;
 
+mod state;
+
+pub use self::state::State;
+
 /// The grace period after an outage of the list, in which a server that lapsed during the outage
 /// may reappear: the period that the platform documents and its report lag.
 const LAPSE_GRACE: Duration = Duration::from_millis(2_300);
 /// The time without a read of the list that counts as an outage, in which servers may have lapsed.
 const OUTAGE_THRESHOLD: Duration = Duration::from_millis(2_500);
-/// The weight of the newest latency in the moving average.
-const LATENCY_WEIGHT: f64 = 0.2;
 /// The time for which the last report of a removed server is kept.
 const REMOVED_TTL: Duration = Duration::from_secs(30);
 /// The time for which it is kept of a server that was leaving, which may serve for minutes more.
 const REMOVED_LEAVING_TTL: Duration = Duration::from_secs(600);
-/// The time for which a server gets no work after another entry reported that it leaves, or after
-/// another server answered at its address, if the list does not change.
-const EXCLUSION_TIME: Duration = Duration::from_secs(10);
 
 /// A backend server as the platform lists it.
 #[derive(Clone, Debug, PartialEq)]
@@ -106,31 +104,6 @@
     }
 }
 
-/// A server and its state as observed by this entry.
-#[derive(Clone, Debug)]
-pub struct State {
-    /// The server as the platform lists it.
-    pub server: Rc<Server>,
-    /// Its key, stored since each event of each stream looks the server up by it.
-    key: u64,
-    /// The circuit breaker.
-    pub health: Health,
-    /// The moving average of its latency, and when the last answer came. Plain services only.
-    latency: Option<(Duration, Moment)>,
-    /// When it last sent data to this entry.
-    last_activity: Option<Moment>,
-    /// Whether it went off the list around an outage, and is kept for the grace period.
-    is_lapsed: bool,
-    /// When it was last excluded from new work.
-    excluded_at: Option<Moment>,
-    /// The pause that it asked this entry for.
-    pub pause: Pause,
-    /// The period in which it is cold.
-    pub cold: Period,
-    /// The cold start of its service; `None` if its servers are never cold.
-    cold_start: Option<ColdStart>,
-}
-
 impl Servers {
     /// Replaces all servers by a full list.
     pub fn replace(&mut self, now: Moment, listed: Vec<Server>) {
@@ -385,114 +358,3 @@
                 .is_some_and(|it| now.since(it) < LAPSE_GRACE)
     }
 }
-
-impl State {
-    fn new(server: Server, cold_start: Option<ColdStart>) -> Self {
-        Self {
-            key: server.key(),
-            server: Rc::new(server),
-            health: Health::default(),
-            latency: None,
-            last_activity: None,
-            is_lapsed: false,
-            excluded_at: None,
-            pause: Pause::default(),
-            cold: Period::default(),
-            cold_start,
-        }
-    }
-
-    /// Begins the cold start of a server that is listed for the first time while the list is in use, if
-    /// its record says nothing.
-    fn begin_cold_start(&mut self, now: Moment, is_loaded: bool) {
-        if let Some(cold_start) = self.cold_start
-            && is_loaded
-            && self.server.cold_left.is_none()
-        {
-            let duration = cold_start.duration;
-            self.cold.extend(now, duration, Source::FirstListed);
-        }
-    }
-
-    /// Records what the server's report says of the time for which it is cold. Returns whether other
-    /// entries have to know.
-    fn record_cold(&mut self, now: Moment) -> bool {
-        let left = self.server.cold_left;
-        let is_news = left.is_some_and(|it| self.cold.record_listed(now, it));
-        // The list may be read before the configuration that has the cold start.
-        is_news && self.cold_start.is_some()
-    }
-
-    /// Returns whether the server is cold, and from where that is known, if this has changed since the last
-    /// call.
-    pub fn observe_cold(&mut self, now: Moment) -> Option<(bool, Source)> {
-        self.cold_start.and_then(|_| self.cold.observe(now))
-    }
-
-    /// Returns whether the server is cold.
-    pub fn is_cold(&self, now: Moment) -> bool {
-        self.cold_start.is_some() && !self.cold.left(now).is_zero()
-    }
-
-    /// Returns the requests a second that the server can take if it is cold.
-    pub fn cold_rate(&self, now: Moment) -> Option<f64> {
-        let cold_start = self.cold_start.filter(|_| self.is_cold(now));
-        cold_start.map(|it| it.per_s)
-    }
-
-    /// Returns the time until the server gets another request by its bound if it is cold. The bound ends
-    /// with the period.
-    pub fn cold_hold(&self, now: Moment, workload: &Workload) -> Duration {
-        let per_s = self.cold_rate(now);
-        let hold = per_s.map(|it| workload.window().left(now, self.key, it));
-        hold.unwrap_or_default().min(self.cold.left(now))
-    }
-
-    /// Returns the time until the server takes another request by the limit that it named, and by its
-    /// bound if it is cold.
-    pub fn hold(&self, now: Moment, workload: &Workload) -> Duration {
-        let limited = workload.rates().left(now, self.key);
-        limited.max(self.cold_hold(now, workload))
-    }
-
-    /// Returns the key of this process of the server in the workload.
-    pub fn key(&self) -> u64 {
-        self.key
-    }
-
-    /// Records that the server sent data.
-    pub fn record_activity(&mut self, now: Moment) {
-        self.last_activity = Some(now);
-    }
-
-    /// Returns when the server last sent data to this entry.
-    pub fn last_activity(&self) -> Option<Moment> {
-        self.last_activity
-    }
-
-    /// Records the latency of an answer of a plain service.
-    pub fn record_latency(&mut self, now: Moment, latency: Duration) {
-        let previous = self.latency.map_or(latency, |it| it.0);
-        let smoothed = previous.mul_f64(1.0 - LATENCY_WEIGHT) + latency.mul_f64(LATENCY_WEIGHT);
-        self.latency = Some((smoothed, now));
-    }
-
-    /// Returns the average latency, if an answer came within `lifetime`.
-    pub fn recent_latency(&self, now: Moment, lifetime: Duration) -> Option<Duration> {
-        let (latency, at) = self.latency?;
-        (now.since(at) < lifetime).then_some(latency)
-    }
-
-    /// Returns whether the server takes new work.
-    pub fn is_usable(&self, now: Moment) -> bool {
-        self.is_staying(now) && self.pause.is_over(now)
-    }
-
-    /// Returns whether the server takes new work now or after a pause.
-    fn is_staying(&self, now: Moment) -> bool {
-        let is_excluded = self
-            .excluded_at
-            .is_some_and(|it| now.since(it) < EXCLUSION_TIME);
-        !self.server.is_leaving && !is_excluded
-    }
-}
--- a/crates/placement/src/workload.rs
+++ b/crates/placement/src/workload.rs
@@ -5,18 +5,22 @@
 
 use domain::Moment;
 use domain::key::Incarnation;
-use route::Engine;
 
 use crate::cold::Window;
+use crate::expectation::Expectation;
 use crate::rates::Rates;
 use crate::slowdown::Slowdowns;
 
+mod queue;
+
+use self::queue::MIXED_PREFILL_FACTOR;
+pub use self::queue::Queue;
+pub use self::queue::Started;
+pub use self::queue::Task;
+
 /// The time after which a request counts as ended if no entry reported its end; longer than the
 /// limit of any route.
 const JOB_LIFETIME: Duration = Duration::from_secs(40);
-/// The factor by which prefill takes longer beside decoding requests: each step also generates a
-/// token for them, which adds 1.02 ms to the 10 ms in which a step prefills its chunk.
-const MIXED_PREFILL_FACTOR: f64 = 1.1;
 
 /// Identifies one attempt at a request among those of all entries.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -80,6 +84,10 @@
     pub timeliness: Timeliness,
     /// The parts of the servers. The first part's server decodes the answer.
     pub parts: Vec<Part>,
+    /// The expected number of passes from the first token to the end of the answer.
+    pub passes: Expectation,
+    /// The expected service time at a plain service, in milliseconds.
+    pub service_ms: Expectation,
 }
 
 /// Whether a request is expected to meet its deadline. Late requests are scheduled after those that
@@ -121,39 +129,6 @@
     is_started: bool,
 }
 
-/// The work on one server.
-#[derive(Clone, Debug, Default)]
-pub struct Queue {
-    tasks: Vec<Task>,
-    /// When the server last began a prefill, as far as updates show.
-    prefill_started: Moment,
-}
-
-/// The work of one server on one request.
-#[derive(Clone, Debug)]
-pub struct Task {
-    /// The attempt at the request.
-    pub job: JobId,
-    /// When the request was placed.
-    pub placed_at: Moment,
-    /// The deadline of its first token.
-    pub target_at: Moment,
-    /// The longest pause that is still on time, in milliseconds; `None` without a limit.
-    pub pause_ms: Option<f64>,
-    /// Its value to the caller.
-    pub value: f64,
-    /// The duration of the prefill, in milliseconds.
-    pub prefill_ms: f64,
-    /// Whether its first token was expected in time when it was placed.
-    pub timeliness: Timeliness,
-    /// Tokens that the server holds in memory.
-    pub tokens: u64,
-    /// Whether the first token has come.
-    pub is_decoding: bool,
-    /// Whether another server decodes the answer.
-    pub is_helper: bool,
-}
-
 impl Workload {
     /// Applies an update of this entry or of another one.
     pub fn apply(&mut self, now: Moment, update: &Update) {
@@ -281,6 +256,7 @@
         if self.jobs.contains_key(&job) {
             return;
         }
+        let (passes, service_ms) = (placement.passes.work(), placement.service_ms.work());
         for (index, part) in placement.parts.iter().enumerate() {
             self.rates.record_placed(now, part.server);
             let attempt = (job.entry, job.number);
@@ -289,7 +265,9 @@
             if !queue.tasks.iter().any(Task::is_prefilling) {
                 queue.prefill_started = now;
             }
+            let place = queue.ends.place(queue.tasks.len());
             queue.tasks.push(Task {
+                place,
                 job,
                 placed_at: now,
                 target_at: now + Duration::from_millis(placement.target_ms.into()),
@@ -300,6 +278,9 @@
                 tokens: part.tokens.into(),
                 is_decoding: false,
                 is_helper: index > 0,
+                passes,
+                service_ms,
+                started: None,
             });
         }
         self.jobs.insert(
@@ -325,8 +306,14 @@
             // A helper's part ends here unless it holds memory: then it takes part in each step.
             let is_over = |it: &Task| it.job == job && it.is_helper && it.tokens == 0;
             queue.tasks.retain(|it| !is_over(it));
+            queue.prefilled_ms += f64::from(part.prefill_ms) * MIXED_PREFILL_FACTOR;
+            let prefilled_ms = queue.prefilled_ms;
             for task in queue.tasks.iter_mut().filter(|it| it.job == job) {
                 task.is_decoding = true;
+                task.started = Some(Started {
+                    at: now,
+                    prefilled_ms,
+                });
             }
         }
     }
@@ -354,99 +341,7 @@
                 queue.prefill_started = now;
             }
             queue.tasks.retain(|it| it.job != job);
+            queue.ends.record(now);
         }
     }
 }
-
-impl Task {
-    /// Returns whether the server has not yet finished the prefill.
-    pub fn is_prefilling(&self) -> bool {
-        !self.is_decoding
-    }
-}
-
-impl Queue {
-    /// Returns the tasks.
-    pub fn tasks(&self) -> &[Task] {
-        &self.tasks
-    }
-
-    /// Returns the milliseconds of prefill that remain ahead of a request of this timeliness.
-    pub fn backlog_ms(&self, now: Moment, timeliness: Timeliness) -> f64 {
-        let total = pending_prefill_ms(self.ahead_of(timeliness));
-        let done = now.since(self.prefill_started).as_secs_f64() * 1e3;
-        (total - done).max(0.0)
-    }
-
-    /// Returns the milliseconds by which the pending prefill takes longer than forecast so far.
-    pub fn overdue_ms(&self, now: Moment) -> f64 {
-        let total = pending_prefill_ms(self.tasks.iter());
-        if total == 0.0 {
-            return 0.0;
-        }
-        let done = now.since(self.prefill_started).as_secs_f64() * 1e3;
-        (done - total).max(0.0)
-    }
-
-    /// Returns the tasks that are scheduled ahead of a request of this timeliness.
-    pub fn ahead_of(&self, timeliness: Timeliness) -> impl Iterator<Item = &Task> {
-        self.tasks.iter().filter(move |it| {
-            it.is_decoding || it.timeliness == Timeliness::OnTime || timeliness == Timeliness::Late
-        })
-    }
-
-    /// Returns the number of decoding requests, and the tokens that they hold.
-    pub fn decoding(&self) -> (usize, u64) {
-        let decoding = self.tasks.iter().filter(|it| it.is_decoding);
-        decoding.fold((0, 0), |(count, tokens), it| {
-            (count + 1, tokens + it.tokens)
-        })
-    }
-
-    /// Returns the tokens in memory once the prefill of all requests is done.
-    pub fn tokens(&self) -> u64 {
-        self.tasks.iter().map(|it| it.tokens).sum()
-    }
-
-    /// Returns the number of requests in progress.
-    pub fn len(&self) -> usize {
-        self.tasks.len()
-    }
-
-    /// Returns whether no request is in progress.
-    pub fn is_empty(&self) -> bool {
-        self.tasks.is_empty()
-    }
-
-    /// Returns the milliseconds of a pass that completes all pending prefill.
-    pub fn longest_pass_ms(&self, engine: &Engine) -> f64 {
-        self.pass_ms(engine) + pending_prefill_ms(self.tasks.iter())
-    }
-
-    /// Returns the milliseconds of a pass without prefill once all tasks decode.
-    pub fn joining_pass_ms(&self, engine: &Engine) -> f64 {
-        let answering = self.tasks.iter().filter(|it| !it.is_helper);
-        let (count, tokens) = answering.fold((0, 0), |(count, tokens), it| {
-            (count + 1, tokens + it.tokens)
-        });
-        if count == 0 {
-            return 0.0;
-        }
-        engine.pass_ms(count, tokens)
-    }
-
-    /// Returns the milliseconds of a pass without prefill.
-    pub fn pass_ms(&self, engine: &Engine) -> f64 {
-        let (decoding, tokens) = self.decoding();
-        if decoding == 0 {
-            return 0.0;
-        }
-        engine.pass_ms(decoding, tokens)
-    }
-}
-
-/// Returns the milliseconds that the pending prefill of these tasks takes if none has begun.
-fn pending_prefill_ms<'a>(tasks: impl Iterator<Item = &'a Task>) -> f64 {
-    let pending = tasks.filter(|it| it.is_prefilling());
-    pending.map(|it| it.prefill_ms * MIXED_PREFILL_FACTOR).sum()
-}
--- a/crates/placement/tests/cold.rs
+++ b/crates/placement/tests/cold.rs
@@ -5,6 +5,7 @@
 
 use domain::Moment;
 use domain::key::Incarnation;
+use placement::Expectation;
 use placement::JobId;
 use placement::Server;
 use placement::Servers;
@@ -111,6 +112,8 @@
         pause_ms: 0,
         value: 1.0,
         timeliness: Timeliness::OnTime,
+        passes: Expectation::default(),
+        service_ms: Expectation::default(),
         parts: vec![part],
     };
     let job = JobId {
@@ -422,10 +425,14 @@
 
 /// Returns the ids of the servers chosen in 100 calls to a plain service.
 fn choices(servers: &Servers, workload: &Workload) -> Vec<String> {
+    choices_of(servers, workload, Expectation::default())
+}
+
+fn choices_of(servers: &Servers, workload: &Workload, expected: Expectation) -> Vec<String> {
     let mut random = StdRng::seed_from_u64(3);
     let chosen = (0..100).filter_map(|_| {
         let usable = servers.usable(after(0), "app");
-        plain::choose(after(0), usable, workload, &[], &mut random)
+        plain::choose(after(0), usable, workload, expected, &[], &mut random)
     });
     chosen.map(|it| it.server.id.clone()).collect()
 }
@@ -436,6 +443,13 @@
     servers.add(after(0), server("b", 1, 1, Some(3_000)));
     let workload = Workload::default();
     assert!(choices(&servers, &workload).iter().all(|it| it == "a"));
+    let known = Expectation {
+        mean: 60.0,
+        upper: 100.0,
+    };
+    assert!(known.work().is_some());
+    let chosen = choices_of(&servers, &workload, known);
+    assert!(chosen.iter().all(|it| it == "a"));
 }
 
 #[test]
--- a/crates/placement/tests/fleet/fleet.rs
+++ b/crates/placement/tests/fleet/fleet.rs
@@ -7,6 +7,7 @@
 
 use domain::Moment;
 use domain::key::Incarnation;
+use placement::Expectation;
 use placement::JobId;
 use placement::Plan;
 use placement::Server;
@@ -216,6 +217,8 @@
             pause_ms: 250,
             value: 1.5,
             timeliness: Timeliness::OnTime,
+            passes: Expectation::default(),
+            service_ms: Expectation::default(),
             parts,
         }
     }
--- a/crates/wire/tests/frames.rs
+++ b/crates/wire/tests/frames.rs
@@ -3,12 +3,16 @@
 use std::collections::BTreeSet;
 use std::rc::Rc;
 
+use cost::Batch;
+use cost::Observation;
+use cost::Outbox;
 use domain::evacuation::Set;
 use domain::key::Incarnation;
 use membership::Member;
 use membership::Message;
 use membership::member::Phase;
 use membership::message::Kind;
+use placement::Expectation;
 use placement::JobId;
 use placement::Snapshot;
 use placement::Update;
@@ -16,6 +20,8 @@
 use placement::workload::Part;
 use placement::workload::Placement;
 use placement::workload::Timeliness;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
 use routing::quarantine::Report;
 use routing::quarantine::Suspicion;
 use wire::Delta;
@@ -45,6 +51,14 @@
         value: 1.5,
         timeliness,
         parts: vec![part(u64::MAX), part(0)],
+        passes: Expectation {
+            mean: 22.5,
+            upper: 41.0,
+        },
+        service_ms: Expectation {
+            mean: 60.0,
+            upper: 95.5,
+        },
     })
 }
 
@@ -163,3 +177,52 @@
     }));
     check_round_trip(Frame::Quarantine(Report::default()));
 }
+
+#[test]
+fn costs_round_trip() {
+    let observation = |organisation: &str, prompt_tokens, expected_tokens| Observation {
+        service: "llm".to_owned(),
+        route: "chat".to_owned(),
+        organisation: organisation.to_owned(),
+        prompt_tokens,
+        expected_tokens,
+        limit: 4_000.0,
+        cost: 1_360.5,
+    };
+    check_round_trip(Frame::Costs(Batch {
+        entry: Incarnation(9),
+        next: u64::MAX,
+        observations: vec![observation("org1", 5_000, 1_300), observation("", 0, 0)],
+    }));
+}
+
+/// A batch must fit into a datagram, also if the names in the configuration are long.
+#[test]
+fn costs_batches_fit_into_datagrams() {
+    let mut random = StdRng::seed_from_u64(1);
+    for (name_length, min_count) in [(12, 64), (300, 30), (3_000, 3)] {
+        let mut outbox = Outbox::new(Incarnation(u64::MAX));
+        for number in 0..1_000 {
+            let name = format!("{number}").repeat(name_length)[..name_length].to_owned();
+            outbox.push(
+                Observation {
+                    service: name.clone(),
+                    route: name.clone(),
+                    organisation: name,
+                    prompt_tokens: u32::MAX,
+                    expected_tokens: u32::MAX,
+                    limit: 1.1,
+                    cost: 1.1,
+                },
+                &mut random,
+            );
+        }
+        let batch = outbox.take_batch().expect("a batch");
+        assert!(batch.observations.len() >= min_count);
+        let recent = outbox.recent().expect("a batch");
+        for batch in [batch, recent] {
+            let bytes = Frame::Costs(batch).encode().len();
+            assert!(bytes < 40_000, "{name_length}: {bytes}");
+        }
+    }
+}
