--- a/crates/cost/src/exchange.rs
+++ b/crates/cost/src/exchange.rs
@@ -91,7 +91,6 @@
 
     /// Returns the latest observations that were sent, for an entry that joins; `None` without any.
     pub fn recent(&self) -> Option<Batch> {
-        // The latest ones are last, and fewer than in a batch.
         let observations: Vec<Observation> = self.recent.iter().cloned().collect();
         (!observations.is_empty()).then(|| self.batch(observations))
     }
