--- a/crates/placement/src/servers.rs
+++ b/crates/placement/src/servers.rs
@@ -237,6 +237,13 @@
         is_changed
     }
 
+    /// Closes all circuit breakers. Failures while no server was reached say nothing about a server.
+    pub fn close_breakers(&mut self) {
+        for state in self.states.values_mut() {
+            state.health.on_success();
+        }
+    }
+
     /// Returns a server by its key.
     pub fn get_mut(&mut self, key: u64) -> Option<&mut State> {
         self.states.values_mut().find(|it| it.key == key)
