Leave isolated members out of address answers

Cause: callers must not be directed to an instance that reaches no server, unless none does.

Change: isolated members are not responsive unless no member is ready.

--- a/crates/membership/src/members.rs
+++ b/crates/membership/src/members.rs
@@ -21,6 +21,7 @@
 use crate::message::Message;
 use crate::message::Rumour;
 
+mod delegate;
 mod homes;
 mod listed;
 mod outbound;
@@ -56,6 +57,8 @@
     relays: BTreeMap<u64, Relay>,
     probe_order: Order,
     gossip_queue: Queue,
+    /// Broadcasts of this entry's phase that are still to be sent.
+    repeats: outbound::Repeats,
     sequence: u64,
     last_probe: Moment,
     last_tick: Moment,
@@ -113,6 +116,7 @@
             relays: BTreeMap::new(),
             probe_order: Order::default(),
             gossip_queue: Queue::default(),
+            repeats: outbound::Repeats::default(),
             sequence: 0,
             last_probe: Moment::default(),
             last_tick: Moment::default(),
@@ -161,6 +165,7 @@
             }
         }
         self.last_tick = now;
+        output.datagrams.extend(self.repeat_phase(now));
         self.check_probes(now, random, &mut output);
         self.check_suspects(now, &mut output);
         self.relays
--- a/crates/membership/src/members/views.rs
+++ b/crates/membership/src/members/views.rs
@@ -30,9 +30,19 @@
     }
 
     /// Returns the members that are ready for callers and not suspect, this entry first if it is
-    /// ready.
+    /// ready. If there are none, isolated ones take their place: no other member would serve better.
     pub fn responsive(&self) -> impl Iterator<Item = &Member> {
-        self.unsuspected().filter(|it| it.phase == Phase::Ready)
+        let is_ready = |it: &Member| it.phase == Phase::Ready;
+        let phase = match self.unsuspected().any(is_ready) {
+            true => Phase::Ready,
+            false => Phase::Isolated,
+        };
+        self.unsuspected().filter(move |it| it.phase == phase)
+    }
+
+    /// Returns whether the member with this incarnation is neither dead nor suspect.
+    pub fn is_unsuspected(&self, incarnation: Incarnation) -> bool {
+        self.unsuspected().any(|it| it.incarnation == incarnation)
     }
 
     /// Returns the members that are neither dead nor suspect, this entry first.
