Relay requests of instances that reach no server

Cause: callers of an instance that is cut off from all servers fail until they learn other addresses.

Waiting connects are abandoned at the verdict, and attempts that may be sent again when silent. Crash checks, slowdowns and circuit breakers don't count during isolation.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,5 +1,6 @@
 //! One attempt to have a request answered by a backend server.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -12,6 +13,7 @@
 use h1::body::Decoder;
 use membership::message::Rumour;
 use placement::Server;
+use placement::reach::Failure;
 
 use crate::Node;
 use crate::crash;
@@ -24,6 +26,7 @@
 use crate::notice;
 use crate::port::Forwarding;
 use crate::port::Verdict;
+use crate::reachability;
 use crate::registration::Registration;
 use crate::relay::Answer;
 use crate::relay::State;
@@ -77,6 +80,47 @@
     }
 }
 
+/// Whom an answer comes from.
+#[derive(Clone, Copy)]
+pub enum Source<'a> {
+    /// A backend server, with the registration of the attempt.
+    Server(&'a Server, &'a Registration<'a>),
+    /// Another entry, which registers its attempts itself, with the moment of the last event.
+    Peer(&'a Cell<Moment>),
+}
+
+impl Source<'_> {
+    /// Records that the head of a response arrived.
+    fn record_response(self, node: &Node, response: &Response, sent_at: Option<Moment>) {
+        if let Self::Server(server, _) = self {
+            reachability::record_answer(node);
+            notice::record(node, server, response, sent_at);
+        }
+    }
+
+    /// Records that events arrived.
+    fn record_events(self, node: &Node, exchange: &Exchange, is_first: bool) {
+        let now = clock::now();
+        match self {
+            Self::Server(_, registration) => {
+                if is_first {
+                    registration.started();
+                }
+                reachability::record_answer(node);
+                registration.progressed(now, exchange.service.engine.as_ref());
+            }
+            Self::Peer(progress) => progress.set(now),
+        }
+    }
+
+    /// Records that events were passed on to the caller.
+    fn passed_on(self) {
+        if let Self::Server(_, registration) = self {
+            registration.passed_on();
+        }
+    }
+}
+
 /// Sends a request to a server and relays a streamed answer to the caller.
 pub async fn run(
     node: &Rc<Node>,
@@ -86,6 +130,7 @@
 ) -> Outcome {
     let now = clock::now();
     let registration = Registration::new(node, now, exchange, target);
+    let _in_progress = reachability::Attempt::begin(node);
     let _lease = if target.parts.iter().skip(1).any(|it| it.tokens > 0) {
         match reserve::acquire(node, registration.job, target).await {
             Some(lease) => Some(lease),
@@ -98,7 +143,9 @@
         Ok(stream) => stream,
         Err(error) => {
             log::info!(target: "server", server = target.server.id.as_str(), error:% = error; "can't connect to the server");
-            node.mark_unreachable(clock::now(), target.server.key());
+            if !node.isolation.is_set() {
+                node.mark_unreachable(clock::now(), target.server.key());
+            }
             return Outcome::Unreached;
         }
     };
@@ -131,12 +178,13 @@
         &mut stream,
         head,
         answer,
-        &registration,
-        &target.server,
+        Source::Server(&target.server, &registration),
     );
     let stalled = async {
         watchdog.expired(node, &registration.progress).await;
-        registration.overdue(clock::now());
+        if !node.isolation.is_set() {
+            registration.overdue(clock::now());
+        }
         Err(Error::Io(std::io::ErrorKind::TimedOut.into()))
     };
     match future::or(response, stalled).await {
@@ -149,10 +197,14 @@
                 mark_replaced(node, &target.server);
                 return outcome;
             }
-            dial::keep(node, &target.server, stream, reuse);
+            dial::keep(node, target.server.key(), stream, reuse);
             outcome
         }
         Err(error) => {
+            if matches!(error, Error::Io(_)) {
+                let key = target.server.key();
+                reachability::record_failure(node, key, Failure::Unanswered);
+            }
             log::info!(
                 target: "broken",
                 request = exchange.metadata.id.as_deref().unwrap_or("-"),
@@ -184,9 +236,11 @@
 }
 
 /// The result of an attempt whose response was read to its end.
-struct Completion {
-    outcome: Outcome,
-    reuse: Option<Reuse>,
+pub struct Completion {
+    /// How the attempt ended.
+    pub outcome: Outcome,
+    /// Whether the connection can be reused.
+    pub reuse: Option<Reuse>,
 }
 
 /// Records that a request is about to be sent to a server. Returns false if that is no longer allowed.
@@ -206,14 +260,13 @@
 }
 
 /// Sends the request and reads the response.
-async fn send_and_receive(
+pub async fn send_and_receive(
     node: &Rc<Node>,
     exchange: &mut Exchange,
     stream: &mut Stream,
     mut head: h1::Request,
     answer: &mut Answer,
-    registration: &Registration<'_>,
-    server: &Server,
+    source: Source<'_>,
 ) -> Result<Completion, Error> {
     if !exchange.body.is_empty() || exchange.request.framing != Framing::Empty {
         head.framing = Framing::Length(exchange.body.len() as u64);
@@ -230,7 +283,7 @@
         .read_response(&head.method, RESPONSE_HEAD_LIMIT)
         .await?;
     exchange.ending.framing = Some(response.framing);
-    notice::record(node, server, &response, exchange.sent_at);
+    source.record_response(node, &response, exchange.sent_at);
     let expected_id = exchange.metadata.id.as_deref();
     if let Some(id) = node.protocol.response_id(&response)
         && expected_id.is_some_and(|it| it != id)
@@ -242,8 +295,7 @@
     let verdict = node.protocol.verdict(&response);
     let is_stream = verdict == Verdict::Ran && exchange.route.kind.is_stream();
     if is_stream && response.status == 200 {
-        let mut completion =
-            relay_events(node, exchange, stream, response, answer, registration).await?;
+        let mut completion = relay_events(node, exchange, stream, response, answer, source).await?;
         completion.reuse = completion.reuse.filter(|_| writing.is_finished());
         return Ok(completion);
     }
@@ -274,7 +326,7 @@
     stream: &mut Stream,
     response: Response,
     answer: &mut Answer,
-    registration: &Registration<'_>,
+    source: Source<'_>,
 ) -> Result<Completion, Error> {
     let mut decoder = Decoder::new(response.framing);
     let reuse = Reuse::of(&response);
@@ -294,14 +346,10 @@
             node.metrics
                 .record_stream_end(framing, splitter.partial_event_len());
         }
-        if !ready.is_empty() && !has_started {
-            has_started = true;
-            registration.started();
-        }
         if !ready.is_empty() {
-            let now = clock::now();
-            exchange.timing.record(now);
-            registration.progressed(now, exchange.service.engine.as_ref());
+            exchange.timing.record(clock::now());
+            source.record_events(node, exchange, !has_started);
+            has_started = true;
         }
         let is_complete = matches!(end, Some(Ok(())));
         let is_first = answer.state() == State::NotBegun;
@@ -319,7 +367,7 @@
             None if ready.is_empty() => Ok(()),
             None => answer.send_events(&ready).await,
         };
-        registration.passed_on();
+        source.passed_on();
         exchange.last_event = splitter.last_id();
         let ended = match sent {
             Ok(()) if is_complete => answer.end_stream(b"").await,
--- a/crates/gateway/src/crash.rs
+++ b/crates/gateway/src/crash.rs
@@ -11,6 +11,7 @@
 use h1::Framing;
 use h1::Stream;
 use placement::Server;
+use placement::reach::Failure;
 use routing::quarantine::Fingerprint;
 use routing::quarantine::Progress;
 use routing::quarantine::Report;
@@ -21,6 +22,7 @@
 use crate::datagrams;
 use crate::dial;
 use crate::exchange::Exchange;
+use crate::reachability;
 
 /// The delay before each check of whether a server whose connection broke accepts connections
 /// again. A server that crashed takes longer to restart.
@@ -89,7 +91,12 @@
     }
 
     fn record_crash(&self, node: &Node, listener: Listener) {
+        if node.isolation.is_set() {
+            // This entry reaches no server, which says nothing of this one.
+            return;
+        }
         let now = clock::now();
+        reachability::record_failure(node, self.server.key(), Failure::Unconnected);
         node.mark_unreachable(now, self.server.key());
         let Some(progress) = self.progress else {
             return;
--- a/crates/gateway/src/datagrams.rs
+++ b/crates/gateway/src/datagrams.rs
@@ -4,7 +4,6 @@
 
 use domain::Moment;
 use membership::message::Datagram;
-use membership::message::Rumour;
 use placement::JobId;
 use placement::Update;
 use placement::workload::Change;
@@ -98,17 +97,12 @@
     }
 }
 
-/// Broadcasts this entry's phase at once, before a planned stop continues.
+/// Broadcasts this entry's phase at once.
 pub fn announce_phase(node: &Node) {
     let messages = {
         let mut state = node.state.borrow_mut();
         let phase = state.phase();
-        state.members.set_phase(phase);
-        let member = state.members.local().clone();
-        state.members.broadcast(Rumour::Member {
-            member,
-            state: membership::member::State::Alive,
-        })
+        state.members.announce_phase(clock::now(), phase)
     };
     send_all(node, messages);
 }
--- a/crates/gateway/src/dial.rs
+++ b/crates/gateway/src/dial.rs
@@ -1,32 +1,68 @@
 //! Connects to backend servers, with an idle connection from the pool if there is one.
 
+use std::io::ErrorKind;
+use std::net::SocketAddr;
 use std::time::Duration;
 
+use domain::digest;
+use futures_lite::future;
 use h1::Error;
 use h1::Response;
 use h1::Stream;
 use placement::Server;
+use placement::reach::Failure;
 use web::stream::within;
 
 use crate::Node;
+use crate::reachability;
 
 /// The timeout for connecting. Servers accept within milliseconds; in a partition, none does.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// The time after which a connection fails if the server acknowledges nothing.
 pub const ACK_TIMEOUT: Duration = Duration::from_millis(1_500);
 
-/// Returns a connection to a server, from the pool if there is an idle one.
+/// Returns a connection to a server, from the pool if there is an idle one. Fails at once while this
+/// entry is isolated.
 pub async fn connect(node: &Node, server: &Server) -> Result<Stream, Error> {
-    let pooled = node
-        .connections
-        .borrow_mut()
-        .take(clock::now(), server.key());
-    if let Some(stream) = pooled {
+    if let Some(stream) = pooled(node, server.key()) {
         return Ok(stream);
     }
-    let connect = Stream::connect(server.address, ACK_TIMEOUT);
+    let isolated = async {
+        node.isolation.wait().await;
+        Err(Error::Io(ErrorKind::NetworkUnreachable.into()))
+    };
+    let connected = future::or(isolated, open(server.address)).await;
+    if node.isolation.is_set() {
+        return connected;
+    }
+    match &connected {
+        Ok(_) => reachability::record_connection(node),
+        Err(_) => reachability::record_failure(node, server.key(), Failure::Unconnected),
+    }
+    connected
+}
+
+/// Returns a connection to another entry's relay address, from the pool if there is an idle one.
+pub async fn connect_to_peer(node: &Node, address: SocketAddr) -> Result<Stream, Error> {
+    match pooled(node, peer_key(address)) {
+        Some(stream) => Ok(stream),
+        None => open(address).await,
+    }
+}
+
+/// Returns the key of another entry's relay address in the pool.
+pub fn peer_key(address: SocketAddr) -> u64 {
+    digest::fast(address.to_string().as_bytes())
+}
+
+fn pooled(node: &Node, key: u64) -> Option<Stream> {
+    node.connections.borrow_mut().take(clock::now(), key)
+}
+
+async fn open(address: SocketAddr) -> Result<Stream, Error> {
+    let connect = Stream::connect(address, ACK_TIMEOUT);
     let connected = within(CONNECT_TIMEOUT, connect).await;
-    connected.unwrap_or(Err(Error::Io(std::io::ErrorKind::TimedOut.into())))
+    connected.unwrap_or(Err(Error::Io(ErrorKind::TimedOut.into())))
 }
 
 /// States that a connection can be reused.
@@ -45,12 +81,13 @@
     }
 }
 
-/// Returns a reusable connection to the pool if its last response was read in full.
-pub fn keep(node: &Node, server: &Server, stream: Stream, reuse: Option<Reuse>) {
+/// Returns a reusable connection to the pool if its last response was read in full. `key` is the
+/// server's key or [`peer_key`].
+pub fn keep(node: &Node, key: u64, stream: Stream, reuse: Option<Reuse>) {
     if let Some(reuse) = reuse.filter(|_| stream.buffered_len() == 0) {
         let now = clock::now();
         let mut connections = node.connections.borrow_mut();
-        connections.keep(now, server.key(), stream, reuse.keep_alive);
+        connections.keep(now, key, stream, reuse.keep_alive);
     }
 }
 
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -31,6 +31,15 @@
 /// or eight times the pause target if that is longer, as the platform documents.
 const STREAM_SILENCE_LIMIT: Duration = Duration::from_secs(2);
 
+/// Who sent a request to this entry.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Requester {
+    /// A caller.
+    Caller,
+    /// Another entry that reaches no backend server. Its requests are not relayed again.
+    Peer,
+}
+
 /// A request that was admitted.
 pub struct Exchange {
     /// The head as the caller sent it.
@@ -45,6 +54,8 @@
     pub service: Rc<Service>,
     /// The organisation that sends it, if the key names one.
     pub organisation: Option<Rc<Organisation>>,
+    /// Who sent it to this entry.
+    pub requester: Requester,
     /// When it arrived.
     pub arrived: Moment,
     /// When the caller stops waiting.
@@ -110,6 +121,7 @@
     request: Request,
     body: Vec<u8>,
     metadata: Metadata,
+    requester: Requester,
     arrived: Moment,
 ) -> Result<Exchange, Refused> {
     let (route, organisation) =
@@ -152,6 +164,7 @@
         route,
         service,
         organisation,
+        requester,
         arrived,
     })
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -28,6 +28,8 @@
 pub mod peers;
 pub mod port;
 pub mod position;
+pub mod proxy;
+pub mod reachability;
 pub mod records;
 pub mod refusal;
 pub mod registration;
@@ -36,6 +38,7 @@
 pub mod run;
 pub mod serve;
 pub mod settings;
+pub mod signal;
 pub mod target;
 pub mod watchdog;
 
--- a/crates/gateway/src/listener.rs
+++ b/crates/gateway/src/listener.rs
@@ -17,6 +17,7 @@
 use web::stream::within;
 
 use crate::Node;
+use crate::exchange::Requester;
 use crate::relay::Answer;
 use crate::relay::Disposition;
 use crate::serve;
@@ -30,16 +31,17 @@
 /// Callers' bodies may take up the process's memory divided by this.
 const BODY_MEMORY_DIVISOR: usize = 4;
 
-/// Accepts callers until the task is cancelled, which also closes the listener.
-pub async fn accept(node: Rc<Node>, listener: Async<TcpListener>) {
+/// Accepts callers, or other entries that relay requests, until the task is cancelled, which also closes
+/// the listener.
+pub async fn accept(node: Rc<Node>, listener: Async<TcpListener>, requester: Requester) {
     loop {
         let socket = web::stream::accept(&listener, "front").await;
-        let connection = serve_connection(node.clone(), socket);
+        let connection = serve_connection(node.clone(), socket, requester);
         node.executor.spawn(connection).detach();
     }
 }
 
-async fn serve_connection(node: Rc<Node>, socket: Async<TcpStream>) {
+async fn serve_connection(node: Rc<Node>, socket: Async<TcpStream>, requester: Requester) {
     let mut stream = match Stream::new(socket, ACK_TIMEOUT) {
         Ok(stream) => stream,
         Err(error) => {
@@ -49,7 +51,7 @@
     };
     while wait_for_request(&node, &mut stream).await {
         node.running_requests.set(node.running_requests.get() + 1);
-        let disposition = serve_request(&node, &mut stream).await;
+        let disposition = serve_request(&node, &mut stream, requester).await;
         node.running_requests.set(node.running_requests.get() - 1);
         if disposition == Disposition::Close {
             stream.linger(LINGER_TIME).await;
@@ -80,7 +82,7 @@
 }
 
 /// Reads one request and answers it.
-async fn serve_request(node: &Rc<Node>, stream: &mut Stream) -> Disposition {
+async fn serve_request(node: &Rc<Node>, stream: &mut Stream, requester: Requester) -> Disposition {
     let arrived = clock::now();
     let limits = current_limits(node);
     let request = within(limits.head_timeout, stream.read_request(limits.head_bytes)).await;
@@ -98,7 +100,7 @@
     };
     let size = body.len();
     node.body_bytes.set(node.body_bytes.get() + size);
-    let disposition = serve::run(node, stream, request, body, arrived).await;
+    let disposition = serve::run(node, stream, request, body, requester, arrived).await;
     node.body_bytes.set(node.body_bytes.get() - size);
     disposition
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -60,6 +60,20 @@
     pub outcome: &'static str,
 }
 
+/// The labels of requests that were relayed to another entry.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct RelayLabels {
+    /// How the attempt at the other entry ended.
+    pub outcome: &'static str,
+}
+
+/// The labels of probes of backend servers.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ProbeLabels {
+    /// `open` if the server accepted the connection, otherwise `failed`.
+    pub outcome: &'static str,
+}
+
 /// The labels of datagrams between entries.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct DatagramLabels {
@@ -156,6 +170,16 @@
     pub datagrams: Family<DatagramLabels, Counter>,
     /// The bytes of these datagrams.
     pub datagram_bytes: Family<DatagramLabels, Counter>,
+    /// Connections opened to backend servers to find out whether they are reached.
+    pub probes: Family<ProbeLabels, Counter>,
+    /// Decisions that this entry reaches no backend server.
+    pub isolations: Counter,
+    /// 1 while this entry reaches no backend server, otherwise 0.
+    pub isolated: Gauge,
+    /// Attempts to have a request served by another entry.
+    pub relayed: Family<RelayLabels, Counter>,
+    /// Requests that other entries relayed to this one.
+    pub relays_received: Counter,
     /// Log lines dropped over the budget of their part, with a full queue or after a failed write.
     pub log_lines_dropped: Counter,
 }
@@ -180,6 +204,11 @@
             entries_alive: Gauge::default(),
             datagrams: Family::default(),
             datagram_bytes: Family::default(),
+            probes: Family::default(),
+            isolations: Counter::default(),
+            isolated: Gauge::default(),
+            relayed: Family::default(),
+            relays_received: Counter::default(),
             log_lines_dropped: Counter::default(),
         };
         metrics.register();
@@ -228,6 +257,17 @@
         self.streams.get_or_create(&labels).inc();
     }
 
+    /// Counts a probe of a backend server.
+    pub fn record_probe(&self, is_open: bool) {
+        let outcome = if is_open { "open" } else { "failed" };
+        self.probes.get_or_create(&ProbeLabels { outcome }).inc();
+    }
+
+    /// Counts an attempt to have a request served by another entry.
+    pub fn record_relayed(&self, outcome: &'static str) {
+        self.relayed.get_or_create(&RelayLabels { outcome }).inc();
+    }
+
     /// Counts a datagram between this entry and another one.
     pub fn record_datagram(&self, direction: Direction, kind: &'static str, bytes: usize) {
         let labels = DatagramLabels {
@@ -340,6 +380,31 @@
             "Bytes of datagrams between entries",
             self.datagram_bytes.clone(),
         );
+        registry.register(
+            "probes",
+            "Connections opened to find out whether servers are reached",
+            self.probes.clone(),
+        );
+        registry.register(
+            "isolations",
+            "Decisions that this entry reaches no backend server",
+            self.isolations.clone(),
+        );
+        registry.register(
+            "isolated",
+            "Whether this entry reaches no backend server",
+            self.isolated.clone(),
+        );
+        registry.register(
+            "relayed",
+            "Attempts to have a request served by another entry",
+            self.relayed.clone(),
+        );
+        registry.register(
+            "relays_received",
+            "Requests that other entries relayed to this one",
+            self.relays_received.clone(),
+        );
         registry.register(
             "log_lines_dropped",
             "Log lines dropped",
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -19,6 +19,7 @@
 use membership::member::Phase;
 use placement::Budget;
 use placement::JobId;
+use placement::Reach;
 use placement::Servers;
 use placement::Workload;
 use route::Table;
@@ -31,6 +32,7 @@
 use crate::port::Protocol;
 use crate::records::Cache;
 use crate::settings::Settings;
+use crate::signal::Signal;
 
 /// A gateway process.
 pub struct Node {
@@ -65,6 +67,10 @@
     /// Signals that the platform's store came back from an older copy, so that what this instance
     /// wrote there is written again.
     pub returns: (Sender<()>, Receiver<()>),
+    /// Wakes the task that probes servers when an attempt failed.
+    pub suspicions: (Sender<()>, Receiver<()>),
+    /// Set while this entry reaches no backend server.
+    pub isolation: Signal,
     /// Closed when callers' idle connections have to be closed.
     close_sender: Sender<()>,
     close_receiver: Receiver<()>,
@@ -90,6 +96,8 @@
     pub audience: Audience,
     /// Requests that crash backend servers.
     pub quarantine: Quarantine,
+    /// Whether this entry reaches backend servers.
+    pub reach: Reach,
     /// The retry budgets, by service.
     pub retry_budgets: HashMap<String, Budget>,
     /// Whether the process is stopping.
@@ -115,7 +123,7 @@
             phase: Phase::Starting,
             version: 0,
             capacity: settings.capacity,
-            relay_address: None,
+            relay_address: settings.relay_address,
         };
         let (close_sender, close_receiver) = async_channel::bounded(1);
         Rc::new(Self {
@@ -131,6 +139,7 @@
                 members: Members::new(member),
                 audience: Audience::default(),
                 quarantine: Quarantine::default(),
+                reach: Reach::default(),
                 retry_budgets: HashMap::new(),
                 is_stopping: false,
             }),
@@ -144,6 +153,8 @@
             config_hints: async_channel::bounded(1),
             gaps: async_channel::bounded(1),
             returns: async_channel::bounded(1),
+            suspicions: async_channel::bounded(1),
+            isolation: Signal::default(),
             close_sender,
             close_receiver,
             settings: RefCell::new(Rc::new(settings)),
@@ -206,6 +217,7 @@
     pub fn phase(&self) -> Phase {
         match (self.can_serve(), self.is_stopping) {
             (_, true) => Phase::Leaving,
+            (true, false) if self.reach.is_isolated() => Phase::Isolated,
             (true, false) => Phase::Ready,
             (false, false) => Phase::Starting,
         }
--- a/crates/gateway/src/port.rs
+++ b/crates/gateway/src/port.rs
@@ -119,6 +119,10 @@
     /// Returns the request head that is sent to a backend server.
     fn forward(&self, request: &Request, forwarding: &Forwarding<'_>) -> Request;
 
+    /// Returns the request head that is sent to another entry, which serves the request in place of
+    /// this one.
+    fn relay(&self, request: &Request, time_left: Duration, last_event: Option<u64>) -> Request;
+
     /// Reads from a backend server's response whether it ran the request.
     fn verdict(&self, response: &Response) -> Verdict;
 
--- /dev/null
+++ b/crates/gateway/src/proxy.rs
@@ -0,0 +1,183 @@
+//! Has requests served by other entries while this one reaches no backend server.
+//!
+//! A request is sent to another entry's relay address as the caller sent it, with the time that remains.
+//! The other entry admits, places and retries it, but never relays it again. Its answer is passed on like a
+//! server's: a stream event by event, so that it can be resumed after the last one.
+
+use std::cell::Cell;
+use std::io::ErrorKind;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_io::Timer;
+use domain::Moment;
+use domain::key::Incarnation;
+use futures_lite::future;
+use h1::Error;
+use membership::Member;
+
+use crate::Node;
+use crate::attempt;
+use crate::attempt::Completion;
+use crate::attempt::Source;
+use crate::dial;
+use crate::exchange::Ending;
+use crate::exchange::Exchange;
+use crate::exchange::Requester;
+use crate::refusal::Refusal;
+use crate::relay::Answer;
+
+/// The number of other entries to which a request that none has run is sent before it is refused. A
+/// caller that retries is directed to other entries by then.
+const PEER_LIMIT: usize = 3;
+/// The status by which an entry says that it has not run a request.
+const UNAVAILABLE: u16 = 503;
+/// The silence after which an entry that others suspect to have stopped is given up.
+const SUSPECT_SILENCE: Duration = Duration::from_millis(300);
+/// The interval between two checks for entries that have stopped.
+const CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
+/// How the relaying of a request ended.
+#[derive(Debug)]
+pub enum Outcome {
+    /// The caller received an answer, or left.
+    Ended(&'static str),
+    /// No other entry answered.
+    Refused(Refusal),
+    /// This entry reaches servers again, so that it can place the request itself.
+    Reconnected,
+}
+
+/// Has a request served by one other entry after the other, until one answers or no further attempt is
+/// allowed.
+pub async fn run(node: &Rc<Node>, exchange: &mut Exchange, answer: &mut Answer) -> Outcome {
+    if exchange.requester == Requester::Peer {
+        return Outcome::Refused(Refusal::Isolated);
+    }
+    if exchange.sent_at.is_some() && !exchange.route.kind.is_retryable() {
+        return Outcome::Refused(Refusal::NotRun);
+    }
+    let mut tried: Vec<Incarnation> = Vec::new();
+    while node.isolation.is_set() {
+        let peer = {
+            let state = node.state.borrow();
+            let peer = state.members.delegate(&tried, &mut rand::rng());
+            peer.filter(|_| tried.len() < PEER_LIMIT).cloned()
+        };
+        let Some(peer) = peer else {
+            return Outcome::Refused(Refusal::NoServer);
+        };
+        tried.push(peer.incarnation);
+        let outcome = attempt_at(node, exchange, answer, &peer).await;
+        record(node, exchange, &peer, outcome.name());
+        match outcome {
+            attempt::Outcome::Delivered => return Outcome::Ended("delivered"),
+            attempt::Outcome::CallerLeft => return Outcome::Ended("caller_left"),
+            attempt::Outcome::Answered(response, body) => {
+                if exchange.may_have_run && response.status == UNAVAILABLE {
+                    // The peer has not run the request, but a server may have before.
+                    return Outcome::Refused(Refusal::Failed);
+                }
+                let passed_on = answer.send_whole(response, &body.bytes).await;
+                return Outcome::Ended(passed_on.map_or("caller_left", |()| "answered"));
+            }
+            attempt::Outcome::Broken => {
+                exchange.may_have_run = true;
+                if !exchange.route.kind.is_retryable() || !exchange.take_retry(node) {
+                    return Outcome::Refused(Refusal::Failed);
+                }
+            }
+            attempt::Outcome::NotRun | attempt::Outcome::OtherServer => {
+                // The peer is isolated too, so the attempt does not count.
+                exchange.attempts = exchange.attempts.saturating_sub(1);
+            }
+            attempt::Outcome::Unreached
+            | attempt::Outcome::Withdrawn
+            | attempt::Outcome::NoRoom => {}
+        }
+    }
+    Outcome::Reconnected
+}
+
+/// Sends a request to another entry and passes its answer on.
+async fn attempt_at(
+    node: &Rc<Node>,
+    exchange: &mut Exchange,
+    answer: &mut Answer,
+    peer: &Member,
+) -> attempt::Outcome {
+    let Some(address) = peer.relay_address else {
+        return attempt::Outcome::Unreached;
+    };
+    let mut stream = match dial::connect_to_peer(node, address).await {
+        Ok(stream) => stream,
+        Err(error) => {
+            log::info!(target: "relay", peer = peer.name.as_str(), error:% = error; "can't connect to the other instance");
+            return attempt::Outcome::Unreached;
+        }
+    };
+    let sent_at = clock::now();
+    exchange.attempts += 1;
+    exchange.sent_at = Some(sent_at);
+    exchange.server.clone_from(&peer.name);
+    exchange.ending = Ending::default();
+    let time_left = sent_at.until(exchange.deadline());
+    let head = node
+        .protocol
+        .relay(&exchange.request, time_left, exchange.last_event);
+    let progress = Cell::new(sent_at);
+    let is_retryable = exchange.route.kind.is_retryable();
+    let source = Source::Peer(&progress);
+    let response = attempt::send_and_receive(node, exchange, &mut stream, head, answer, source);
+    let stopped = async {
+        if !is_retryable {
+            // Silence does not prove that the request did not run.
+            return future::pending().await;
+        }
+        wait_until_stopped(node, peer.incarnation, &progress).await;
+        Err(Error::Io(ErrorKind::TimedOut.into()))
+    };
+    match future::or(response, stopped).await {
+        Ok(Completion { outcome, reuse }) => {
+            dial::keep(node, dial::peer_key(address), stream, reuse);
+            outcome
+        }
+        Err(error) => {
+            log::info!(
+                target: "broken",
+                request = exchange.metadata.id.as_deref().unwrap_or("-"),
+                peer = peer.name.as_str(),
+                events = exchange.ending.event_count,
+                error:% = error;
+                "the other instance's response ended early"
+            );
+            attempt::Outcome::Broken
+        }
+    }
+}
+
+/// Completes once another entry is suspected to have stopped and has been silent.
+async fn wait_until_stopped(node: &Node, peer: Incarnation, progress: &Cell<Moment>) {
+    loop {
+        Timer::after(CHECK_INTERVAL).await;
+        let is_quiet = clock::now().since(progress.get()) >= SUSPECT_SILENCE;
+        if is_quiet && !node.state.borrow().members.is_unsuspected(peer) {
+            return;
+        }
+    }
+}
+
+fn record(node: &Node, exchange: &Exchange, peer: &Member, outcome: &'static str) {
+    node.metrics.record_relayed(outcome);
+    log::info!(
+        target: "relay",
+        request = exchange.metadata.id.as_deref().unwrap_or("-"),
+        route = exchange.route.name.as_str(),
+        peer = peer.name.as_str(),
+        attempt = exchange.attempts,
+        last_event = exchange.last_event.unwrap_or_default(),
+        elapsed_ms = clock::now().since(exchange.arrived).as_millis() as u64,
+        outcome;
+        "request relayed to another instance"
+    );
+}
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -34,6 +34,8 @@
     /// Every backend server of the service asked for a pause or has reached the limit that it named; the
     /// first one takes work after this time.
     Paused(Duration),
+    /// This entry reaches no backend server, and another entry relayed the request to it.
+    Isolated,
     /// No engines have enough memory for the prompt.
     NoRoom,
     /// The caller would disconnect before the first event.
@@ -50,6 +52,8 @@
     /// Returns the HTTP status for the caller.
     pub fn status(self) -> u16 {
         match self {
+            // Only other entries see this status. Backend servers' 421 is never passed on.
+            Self::Isolated => 421,
             Self::NoRoute => 404,
             Self::UnknownKey => 401,
             Self::Failed => 502,
@@ -73,6 +77,7 @@
             Self::Quarantined => "quarantined",
             Self::NoServer => "no_server",
             Self::Paused(_) => "paused",
+            Self::Isolated => "isolated",
             Self::NoRoom => "no_room",
             Self::TooLate => "too_late",
             Self::NotRun => "not_run",
--- a/crates/gateway/src/reserve.rs
+++ b/crates/gateway/src/reserve.rs
@@ -14,6 +14,7 @@
 use h1::body::Decoder;
 use placement::JobId;
 use placement::Server;
+use placement::reach::Failure;
 use web::stream::within;
 
 use crate::Node;
@@ -22,6 +23,7 @@
 use crate::notice;
 use crate::port::Command;
 use crate::port::Reservation;
+use crate::reachability;
 use crate::target::Target;
 
 /// The duration of a lease. Memory must be free 4 s after its request has ended, even if this
@@ -139,7 +141,10 @@
 /// Sends a command to a server and returns the status of its response.
 async fn send(node: &Node, server: &Server, command: Command) -> Result<u16, Error> {
     let result = within(COMMAND_TIMEOUT, send_and_receive(node, server, command)).await;
-    result.unwrap_or(Err(Error::Io(std::io::ErrorKind::TimedOut.into())))
+    result.unwrap_or_else(|| {
+        reachability::record_failure(node, server.key(), Failure::Unanswered);
+        Err(Error::Io(std::io::ErrorKind::TimedOut.into()))
+    })
 }
 
 async fn send_and_receive(node: &Node, server: &Server, command: Command) -> Result<u16, Error> {
@@ -151,9 +156,10 @@
     let mut stream = dial::connect(node, server).await?;
     stream.writer().write(&bytes).await?;
     let response = stream.read_response(&head.method, RESPONSE_LIMIT).await?;
+    reachability::record_answer(node);
     notice::record(node, server, &response, None);
     let mut decoder = Decoder::new(response.framing);
     stream.read_whole_body(&mut decoder, RESPONSE_LIMIT).await?;
-    dial::keep(node, server, stream, Reuse::of(&response));
+    dial::keep(node, server.key(), stream, Reuse::of(&response));
     Ok(response.status)
 }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -23,9 +23,11 @@
 use crate::calls;
 use crate::datagrams;
 use crate::endpoints;
+use crate::exchange::Requester;
 use crate::follow;
 use crate::listener;
 use crate::peers;
+use crate::reachability;
 
 /// The interval between checks for a signal to stop, and for the end of the last request.
 const SIGNAL_CHECK_INTERVAL: Duration = Duration::from_millis(50);
@@ -73,6 +75,7 @@
         bound.ok()
     });
     let calls = bind(settings.peer_address)?;
+    let relays = settings.relay_address.map(bind).transpose()?;
     let node = Node::new(
         settings,
         ports.protocol,
@@ -114,10 +117,16 @@
     }
     let watch = watch_settings(node.clone(), signals.clone(), reload);
     spawner.spawn(watch).detach();
-    let accept = spawner.spawn(listener::accept(node.clone(), callers));
+    spawner.spawn(reachability::watch(node.clone())).detach();
+    let accept = listener::accept(node.clone(), callers, Requester::Caller);
+    let mut accepts = vec![spawner.spawn(accept)];
+    if let Some(relays) = relays {
+        let accept = listener::accept(node.clone(), relays, Requester::Peer);
+        accepts.push(spawner.spawn(accept));
+    }
     async_io::block_on(executor.run(async move {
         signals.stop_requested().await;
-        stop(&node, accept).await;
+        stop(&node, accepts).await;
     }));
     Ok(())
 }
@@ -181,9 +190,9 @@
     }
 }
 
-/// Stops gracefully: first callers get only the addresses of other instances, then the listener is
+/// Stops gracefully: first callers get only the addresses of other instances, then the listeners are
 /// closed, then requests in progress are awaited.
-async fn stop(node: &Node, accept: async_executor::Task<()>) {
+async fn stop(node: &Node, accepts: Vec<async_executor::Task<()>>) {
     let started = clock::now();
     let settings = node.settings();
     let deadline = started + settings.grace_period.mul_f64(GRACE_FRACTION);
@@ -192,7 +201,9 @@
     let drain_time = settings.address_lifetime * MAX_LIFETIMES;
     log::info!(target: "run", busy = node.running_requests.get(), lead_away_ms = drain_time.as_millis() as u64; "stopping");
     clock::wait_until((started + drain_time).min(deadline)).await;
-    accept.cancel().await;
+    for accept in accepts {
+        accept.cancel().await;
+    }
     node.close_callers();
     while node.running_requests.get() > 0 && clock::now() < deadline {
         Timer::after(SIGNAL_CHECK_INTERVAL).await;
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -19,8 +19,11 @@
 use crate::crash;
 use crate::exchange;
 use crate::exchange::Exchange;
+use crate::exchange::Requester;
 use crate::held;
 use crate::port::Metadata;
+use crate::proxy;
+use crate::reachability;
 use crate::refusal::Refusal;
 use crate::relay::Answer;
 use crate::relay::Disposition;
@@ -44,8 +47,12 @@
     caller: &mut Stream,
     request: Request,
     body: Vec<u8>,
+    requester: Requester,
     arrived: Moment,
 ) -> Disposition {
+    if requester == Requester::Peer {
+        node.metrics.relays_received.inc();
+    }
     let meta = node.protocol.metadata(&request);
     let is_persistent = request.is_persistent && !node.state.borrow().is_stopping;
     let answer = Answer::new(caller.writer(), is_persistent);
@@ -54,7 +61,9 @@
         state.table.clone().filter(|_| state.can_serve())
     };
     let admitted = match table {
-        Some(table) => exchange::admit(&table, request, body, meta, arrived).map_err(|it| *it),
+        Some(table) => {
+            exchange::admit(&table, request, body, meta, requester, arrived).map_err(|it| *it)
+        }
         None => Err((Refusal::Unconfigured, meta)),
     };
     let exchange = match admitted {
@@ -132,15 +141,28 @@
         node: &Rc<Node>,
         answer: &mut Answer,
     ) -> Result<&'static str, Refusal> {
-        self.add_retry_credit(node);
+        if self.requester == Requester::Caller {
+            // The entry that relayed the request has added its credit.
+            self.add_retry_credit(node);
+        }
         let mut failure: Option<(Response, held::Body)> = None;
         loop {
+            if node.isolation.is_set() {
+                match proxy::run(node, self, answer).await {
+                    proxy::Outcome::Ended(outcome) => return Ok(outcome),
+                    proxy::Outcome::Refused(refusal) => {
+                        return self.give_up(answer, failure, refusal).await;
+                    }
+                    proxy::Outcome::Reconnected => {}
+                }
+            }
             let mut target = match self.place(node) {
                 Ok(target) => target,
                 Err(Refusal::NoRoom) if self.may_wait_for_room() => {
                     Timer::after(ROOM_CHECK_INTERVAL).await;
                     continue;
                 }
+                Err(Refusal::NoServer) if reachability::is_isolated(node).await => continue,
                 Err(refusal) => return self.give_up(answer, failure, refusal).await,
             };
             self.server.clone_from(&target.server.id);
@@ -167,13 +189,14 @@
                 }
                 Outcome::CallerLeft => return Ok("caller_left"),
                 Outcome::NoRoom => {
-                    if !self.may_wait_for_room() {
+                    if !self.may_wait_for_room() && !reachability::is_isolated(node).await {
                         return self.give_up(answer, failure, Refusal::NoRoom).await;
                     }
                     Timer::after(ROOM_CHECK_INTERVAL).await;
                 }
                 Outcome::Unreached | Outcome::Withdrawn => {
-                    if self.tried.len() > CONNECT_LIMIT {
+                    let is_last = self.tried.len() > CONNECT_LIMIT;
+                    if is_last && !reachability::is_isolated(node).await {
                         return self.give_up(answer, failure, Refusal::NoServer).await;
                     }
                 }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -20,6 +20,8 @@
     pub readiness_address: Option<SocketAddr>,
     /// The address to which other entries send datagrams and RPC calls.
     pub peer_address: SocketAddr,
+    /// The address at which requests are served that other entries relay to this one.
+    pub relay_address: Option<SocketAddr>,
     /// The address at which metrics are served.
     pub metrics_address: Option<SocketAddr>,
     /// The peer addresses of entries that may be running.
--- a/crates/gateway/src/watchdog.rs
+++ b/crates/gateway/src/watchdog.rs
@@ -28,6 +28,8 @@
 const PLAIN_SILENCE: Duration = Duration::from_millis(250);
 /// The time after which a measured latency expires.
 const LATENCY_LIFETIME: Duration = Duration::from_secs(10);
+/// The silence allowed to any server once this entry reaches none and hears from none.
+const ISOLATED_SILENCE: Duration = Duration::from_millis(500);
 /// The interval between two checks.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -80,7 +82,11 @@
         loop {
             Timer::after(CHECK_INTERVAL).await;
             let now = clock::now();
-            let limit = self.limit(node, now, progress.get() == started);
+            let limit = if node.state.borrow().reach.is_silent() {
+                ISOLATED_SILENCE
+            } else {
+                self.limit(node, now, progress.get() == started)
+            };
             let silence = now.since(self.last_activity(node).max(progress.get()));
             if silence > limit && self.has_retry(node, now) {
                 log::info!(target: "server", quiet_ms = silence.as_millis() as u64, limit_ms = limit.as_millis() as u64, server = self.server_id.as_str(); "server silent for too long; sending the request to another server");
