Probe dead servers rarely, and silent ones before a verdict

Cause: found by review. In a deployment of up to three servers, one silent request at each isolated the instance without a probe, since servers with any failure were not probed. While a plain service is dead, each instance opened three probes a second. A request whose service is dead waited 0.9 s for a verdict that was not coming.

Change: only servers to which connections have failed are left out of probes; failures at the servers that were dead when the last suspicion proved unfounded raise none for 8 s; requests wait only while a suspicion lasts.

--- a/crates/gateway/src/reachability.rs
+++ b/crates/gateway/src/reachability.rs
@@ -27,6 +27,8 @@
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// The longest time in which a suspicion is decided: two rounds of probes.
 const DECISION_TIME: Duration = Duration::from_millis(900);
+/// The interval between two checks for the end of a suspicion, which mostly comes within milliseconds.
+const DECISION_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
 /// An attempt in progress. Dropping it records its end.
 pub struct Attempt<'a>(&'a Node);
@@ -63,8 +65,9 @@
 pub fn record_failure(node: &Node, server: u64, failure: Failure) {
     let is_doubtful = {
         let mut state = node.state.borrow_mut();
-        state.reach.record_failure(clock::now(), server, failure);
-        state.reach.is_doubtful()
+        let now = clock::now();
+        state.reach.record_failure(now, server, failure);
+        state.reach.is_doubtful(now)
     };
     if is_doubtful {
         // The channel holds one notice. If one is already there, this one is not needed.
@@ -74,12 +77,17 @@
 
 /// Returns whether this entry is isolated. Waits for the decision if there is a suspicion.
 pub async fn is_isolated(node: &Node) -> bool {
-    if node.state.borrow().reach.is_doubtful() {
-        within(DECISION_TIME, node.isolation.wait()).await;
+    let deadline = clock::now() + DECISION_TIME;
+    while is_doubtful(node) && clock::now() < deadline {
+        within(DECISION_CHECK_INTERVAL, node.isolation.wait()).await;
     }
     node.isolation.is_set()
 }
 
+fn is_doubtful(node: &Node) -> bool {
+    node.state.borrow().reach.is_doubtful(clock::now())
+}
+
 /// Probes servers whenever there is a suspicion, until the process ends.
 pub async fn watch(node: Rc<Node>) {
     loop {
@@ -92,7 +100,7 @@
             });
         }
         apply(&node);
-        if node.state.borrow().reach.is_doubtful() && !targets.is_empty() {
+        if is_doubtful(&node) && !targets.is_empty() {
             continue;
         }
         let noticed = async {
--- a/crates/placement/src/reach.rs
+++ b/crates/placement/src/reach.rs
@@ -6,6 +6,7 @@
 //! of a few servers, or of all servers of one small service, is not taken for isolation.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use domain::Moment;
@@ -22,6 +23,9 @@
 const PROOF_COUNT: usize = 3;
 /// The same if servers still answer over connections that were opened earlier.
 const PROOF_COUNT_ANSWERED: usize = 6;
+/// The time for which failures raise no suspicion if all of them are at servers at which there were failures
+/// when the last suspicion proved unfounded: these servers are dead, and others are reached.
+const EXCUSE_TIME: Duration = Duration::from_secs(8);
 /// The number of probes in a round during a suspicion.
 const PROBE_COUNT: usize = 3;
 /// The time from the end of an unfounded suspicion to the next probes.
@@ -96,6 +100,8 @@
     failures: BTreeMap<u64, (Moment, Failure)>,
     /// When the next round of probes may begin.
     next_round: Moment,
+    /// The servers at which there were failures when the last suspicion proved unfounded, and when that was.
+    excused: (BTreeSet<u64>, Moment),
     /// When silence may raise the next suspicion.
     next_silent_round: Moment,
     /// The number of unfounded suspicions since something was received or an attempt began.
@@ -144,9 +150,9 @@
     }
 
     /// Returns whether there are reasons for a suspicion that is not decided yet.
-    pub fn is_doubtful(&self) -> bool {
+    pub fn is_doubtful(&self, now: Moment) -> bool {
         match self.phase {
-            Phase::Connected => self.failures.len() >= SUSPICIOUS_COUNT,
+            Phase::Connected => self.has_suspicious_failures(now, SUSPICIOUS_COUNT),
             Phase::Suspected { .. } => true,
             Phase::Isolated { .. } => false,
         }
@@ -179,8 +185,9 @@
     /// Records that a server accepted a connection for an attempt.
     pub fn record_connection(&mut self, now: Moment) {
         self.quiet_since = now;
-        self.failures.clear();
+        let failures = std::mem::take(&mut self.failures);
         if let Phase::Suspected { since } = self.phase {
+            self.excused = (failures.into_keys().collect(), now);
             self.phase = Phase::Connected;
             self.next_round = now + UNFOUNDED_PAUSE;
             let pause = UNFOUNDED_PAUSE * 2_u32.pow(self.unfounded.min(8));
@@ -339,7 +346,14 @@
         let is_silent = self.attempts > 0
             && now >= self.next_silent_round
             && now.since(self.quiet_since) >= SILENCE_LIMIT;
-        is_silent || self.failures.len() >= SUSPICIOUS_COUNT.min(servers.len())
+        is_silent || self.has_suspicious_failures(now, SUSPICIOUS_COUNT.min(servers.len()))
+    }
+
+    fn has_suspicious_failures(&self, now: Moment, count: usize) -> bool {
+        let (excused, since) = &self.excused;
+        let is_expired = now.since(*since) >= EXCUSE_TIME;
+        let is_new = |it: &u64| is_expired || !excused.contains(it);
+        self.failures.len() >= count && self.failures.keys().any(is_new)
     }
 
     /// Forgets failures that are too old, and those at servers that are not listed any more.
@@ -349,11 +363,12 @@
         });
     }
 
-    /// Returns servers to probe at which nothing has failed yet.
+    /// Returns servers to probe: those to which no connection has failed yet.
     fn untried(&self, servers: &[Candidate<'_>], random: &mut impl Rng) -> Vec<u64> {
+        let is_unconnected = |it: &(Moment, Failure)| it.1 == Failure::Unconnected;
         let untried = servers
             .iter()
-            .filter(|it| !self.failures.contains_key(&it.key));
+            .filter(|it| !self.failures.get(&it.key).is_some_and(is_unconnected));
         spread(untried.copied().collect(), PROBE_COUNT, random)
     }
 
--- a/crates/placement/tests/reach.rs
+++ b/crates/placement/tests/reach.rs
@@ -195,6 +195,35 @@
     }
 }
 
+#[test]
+fn dead_servers_are_probed_for_rarely() {
+    let mut network = Network::new(48, 3);
+    network.open.retain(|it| *it > 3);
+    network.reach.record_begin(network.now);
+    for _ in 0..600 {
+        network.reach.record_answer(network.now);
+        (1..=3).for_each(|it| network.fail(it, Failure::Unconnected));
+        network.step();
+    }
+    // Three probes each time, in 30 s.
+    assert!(network.probe_count <= 3 * 4, "{}", network.probe_count);
+    // A partition that follows is still found.
+    network.isolate();
+}
+
+#[test]
+fn silent_requests_at_all_servers_of_few_do_not_isolate() {
+    for count in [1, 2, 3] {
+        let mut network = Network::new(count, 0);
+        network.reach.record_begin(network.now);
+        for _ in 0..100 {
+            (1..=count).for_each(|it| network.fail(it, Failure::Unanswered));
+            network.step();
+            assert!(!network.reach.is_isolated(), "{count} servers");
+        }
+    }
+}
+
 #[test]
 fn one_answering_server_of_few_prevents_isolation() {
     for count in [2, 3] {
