Merge instances that reach no server

Cause: an instance that loses every server held its callers until their time limits, and was named to new ones.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -32,6 +32,8 @@
 pub mod observe;
 pub mod peers;
 pub mod port;
+pub mod proxy;
+pub mod reachability;
 pub mod records;
 pub mod refusal;
 pub mod registration;
@@ -40,6 +42,7 @@
 pub mod run;
 pub mod serve;
 pub mod settings;
+pub mod signal;
 pub mod target;
 pub mod watchdog;
 
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -3,7 +3,6 @@
 use std::time::Duration;
 
 use h1::Framing;
-use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -14,6 +13,24 @@
 
 use crate::port::List;
 
+mod labels;
+
+pub use self::labels::Basis;
+pub use self::labels::CallLabels;
+pub use self::labels::CallOutcome;
+pub use self::labels::DataCentreLabels;
+pub use self::labels::DatagramLabels;
+pub use self::labels::DeltaLabels;
+pub use self::labels::Direction;
+pub use self::labels::ForecastLabels;
+pub use self::labels::HoldLabels;
+pub use self::labels::PeerCallLabels;
+pub use self::labels::ProbeLabels;
+pub use self::labels::RelayLabels;
+pub use self::labels::RequestLabels;
+pub use self::labels::RouteLabels;
+pub use self::labels::StreamLabels;
+
 /// The upper bound of the first bucket of a duration histogram, in seconds.
 const FIRST_BUCKET_SECONDS: f64 = 0.004;
 /// The number of buckets of a duration histogram. Each bound is twice the one before.
@@ -22,137 +39,6 @@
 /// the square root of two, up to eight.
 const FIRST_BUCKET_RATIO: f64 = 0.125;
 
-/// The labels of requests that ended.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
-pub struct RequestLabels {
-    /// The route.
-    pub route: String,
-    /// How the request ended.
-    pub outcome: &'static str,
-}
-
-/// The labels of metrics that are kept by route.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
-pub struct RouteLabels {
-    /// The route.
-    pub route: String,
-}
-
-/// The labels of forecasts of costs.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
-pub struct ForecastLabels {
-    /// The route.
-    pub route: String,
-    /// `observed` or `declared`.
-    pub basis: &'static str,
-}
-
-/// What a forecast of a cost rests on.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Basis {
-    /// Requests that were served before.
-    Observed,
-    /// What the request or the engine declares.
-    Declared,
-}
-
-/// The labels of servers' streams that ended.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
-pub struct StreamLabels {
-    /// How the body was delimited.
-    pub framing: &'static str,
-    /// `event` if the stream ended after a complete event, otherwise `partial_event`.
-    pub end: &'static str,
-}
-
-/// The labels of placements that the bounds of cold servers held back.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
-pub struct HoldLabels {
-    /// `placing` if a cold server was left out of a choice, `sending` if an attempt was withdrawn.
-    pub stage: &'static str,
-}
-
-/// The labels of calls to the platform.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
-pub struct CallLabels {
-    /// The list that was read or written.
-    pub list: &'static str,
-    /// `done`, `refused` or `unanswered`.
-    pub outcome: &'static str,
-}
-
-/// The labels of list changes that other entries broadcast.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
-pub struct DeltaLabels {
-    /// `applied`, or `ignored` if the changes start after or end before the known position.
-    pub outcome: &'static str,
-}
-
-/// The labels of datagrams between entries.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
-pub struct DatagramLabels {
-    /// `sent` or `received`.
-    pub direction: &'static str,
-    /// The kind of frame, or `malformed`.
-    pub kind: &'static str,
-}
-
-/// The labels of metrics about an evacuated data centre.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
-pub struct DataCentreLabels {
-    /// The data centre.
-    pub data_centre: String,
-}
-
-/// The direction of a datagram as seen by this entry.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Direction {
-    /// To another entry.
-    Sent,
-    /// From another entry.
-    Received,
-}
-
-/// The labels of calls that other entries make to this one.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
-pub struct PeerCallLabels {
-    /// The list that was fetched.
-    pub list: &'static str,
-}
-
-impl Direction {
-    fn name(self) -> &'static str {
-        match self {
-            Self::Sent => "sent",
-            Self::Received => "received",
-        }
-    }
-}
-
-/// How a call to the platform ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum CallOutcome {
-    /// It was answered.
-    Done,
-    /// The platform refused it.
-    Refused,
-    /// No usable answer came.
-    Unanswered,
-}
-
-impl CallOutcome {
-    const ALL: [Self; 3] = [Self::Done, Self::Refused, Self::Unanswered];
-
-    /// Returns the name used in metrics.
-    pub fn name(self) -> &'static str {
-        match self {
-            Self::Done => "done",
-            Self::Refused => "refused",
-            Self::Unanswered => "unanswered",
-        }
-    }
-}
-
 type ForecastHistograms = Family<ForecastLabels, Histogram, fn() -> Histogram>;
 type DurationHistograms = Family<RouteLabels, Histogram, fn() -> Histogram>;
 
@@ -208,6 +94,16 @@
     pub cost_observations: Counter,
     /// Groups of requests whose costs are kept.
     pub cost_groups: Gauge,
+    /// Connections opened to backend servers to find out whether they are reached.
+    pub probes: Family<ProbeLabels, Counter>,
+    /// Decisions that this entry reaches no backend server.
+    pub isolations: Counter,
+    /// 1 while this entry reaches no backend server, otherwise 0.
+    pub isolated: Gauge,
+    /// Attempts to have a request served by another entry.
+    pub relayed: Family<RelayLabels, Counter>,
+    /// Requests that other entries relayed to this one.
+    pub relays_received: Counter,
     /// Log lines dropped over the budget of their part, with a full queue or after a failed write.
     pub log_lines_dropped: Counter,
 }
@@ -240,6 +136,11 @@
             cost_ratio: Family::new_with_constructor(ratio_histogram),
             cost_observations: Counter::default(),
             cost_groups: Gauge::default(),
+            probes: Family::default(),
+            isolations: Counter::default(),
+            isolated: Gauge::default(),
+            relayed: Family::default(),
+            relays_received: Counter::default(),
             log_lines_dropped: Counter::default(),
         };
         metrics.register();
@@ -307,6 +208,17 @@
         self.evacuated_running.remove(&labels);
     }
 
+    /// Counts a probe of a backend server.
+    pub fn record_probe(&self, is_open: bool) {
+        let outcome = if is_open { "open" } else { "failed" };
+        self.probes.get_or_create(&ProbeLabels { outcome }).inc();
+    }
+
+    /// Counts an attempt to have a request served by another entry.
+    pub fn record_relayed(&self, outcome: &'static str) {
+        self.relayed.get_or_create(&RelayLabels { outcome }).inc();
+    }
+
     /// Counts a datagram between this entry and another one.
     pub fn record_datagram(&self, direction: Direction, kind: &'static str, bytes: usize) {
         let labels = DatagramLabels {
@@ -477,6 +389,31 @@
             "Groups of requests whose costs are kept",
             self.cost_groups.clone(),
         );
+        registry.register(
+            "probes",
+            "Connections opened to find out whether servers are reached",
+            self.probes.clone(),
+        );
+        registry.register(
+            "isolations",
+            "Decisions that this entry reaches no backend server",
+            self.isolations.clone(),
+        );
+        registry.register(
+            "isolated",
+            "Whether this entry reaches no backend server",
+            self.isolated.clone(),
+        );
+        registry.register(
+            "relayed",
+            "Attempts to have a request served by another entry",
+            self.relayed.clone(),
+        );
+        registry.register(
+            "relays_received",
+            "Requests that other entries relayed to this one",
+            self.relays_received.clone(),
+        );
         registry.register(
             "log_lines_dropped",
             "Log lines dropped",
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -20,6 +20,7 @@
 use placement::Budget;
 use placement::Evacuations;
 use placement::JobId;
+use placement::Reach;
 use placement::Servers;
 use placement::Workload;
 use route::Table;
@@ -34,6 +35,7 @@
 use crate::port::Protocol;
 use crate::records::Cache;
 use crate::settings::Settings;
+use crate::signal::Signal;
 
 /// A gateway process.
 pub struct Node {
@@ -68,6 +70,10 @@
     /// Signals that the platform's store came back from an older copy, so that what this instance
     /// wrote there is written again.
     pub returns: (Sender<()>, Receiver<()>),
+    /// Wakes the task that probes servers when an attempt failed.
+    pub suspicions: (Sender<()>, Receiver<()>),
+    /// Set while this entry reaches no backend server.
+    pub isolation: Signal,
     /// Closed when callers' idle connections have to be closed.
     close_sender: Sender<()>,
     close_receiver: Receiver<()>,
@@ -99,6 +105,8 @@
     pub audience: Audience,
     /// Requests that crash backend servers.
     pub quarantine: Quarantine,
+    /// Whether this entry reaches backend servers.
+    pub reach: Reach,
     /// The retry budgets, by service.
     pub retry_budgets: HashMap<String, Budget>,
     /// Whether the process is stopping.
@@ -124,7 +132,7 @@
             phase: Phase::Starting,
             version: 0,
             capacity: settings.capacity,
-            relay_address: None,
+            relay_address: settings.relay_address,
         };
         let (close_sender, close_receiver) = async_channel::bounded(1);
         Rc::new(Self {
@@ -143,6 +151,7 @@
                 members: Members::new(member),
                 audience: Audience::default(),
                 quarantine: Quarantine::default(),
+                reach: Reach::default(),
                 retry_budgets: HashMap::new(),
                 is_stopping: false,
             }),
@@ -156,6 +165,8 @@
             config_hints: async_channel::bounded(1),
             gaps: async_channel::bounded(1),
             returns: async_channel::bounded(1),
+            suspicions: async_channel::bounded(1),
+            isolation: Signal::default(),
             close_sender,
             close_receiver,
             settings: RefCell::new(Rc::new(settings)),
@@ -218,6 +229,7 @@
     pub fn phase(&self) -> Phase {
         match (self.can_serve(), self.is_stopping) {
             (_, true) => Phase::Leaving,
+            (true, false) if self.reach.is_isolated() => Phase::Isolated,
             (true, false) => Phase::Ready,
             (false, false) => Phase::Starting,
         }
