Add the crate admission: order, decisions and retry times

Cause: under overload each request is placed at once, so all become late together. Change: plans state the loss to others, the requests ahead and the wait; the route table knows the levels of priority of a service; the new crate decides and orders.

--- a/crates/placement/src/plan.rs
+++ b/crates/placement/src/plan.rs
@@ -85,6 +85,12 @@
     pub timeliness: Timeliness,
     /// The expected loss, in the value of a short request.
     pub loss: f64,
+    /// The part of the loss that other requests bear.
+    pub loss_to_others: f64,
+    /// The greatest number of requests that one of its engines has scheduled ahead of this one.
+    pub ahead: usize,
+    /// The part of the forecast that passes before its engines begin the prefill.
+    pub wait: Duration,
     /// Whether the engines' memory has room for the prompt and its answer.
     pub has_room: bool,
     /// The load of the first engine.
@@ -114,6 +120,8 @@
     wait_ms: f64,
     /// The same wait for a request that is late.
     late_wait_ms: f64,
+    /// The requests ahead of one that is on time, and of one that is late.
+    ahead: [usize; 2],
     /// Its prefill backlog, in milliseconds, without requests that are late.
     backlog_ms: f64,
     /// The length of a pass without prefill, in milliseconds.
@@ -237,6 +245,11 @@
         max_of(|it| it.late_wait_ms) + work_ms,
     );
     let interference: f64 = ranked.iter().map(|it| it.interference).sum();
+    let ahead = ranked.iter().map(|it| match forecast.timeliness {
+        Timeliness::OnTime => it.engine.ahead[0],
+        Timeliness::Late => it.engine.ahead[1],
+    });
+    let ahead = ahead.max().unwrap_or_default();
     let parts = ranked.iter().zip(&memory.tokens).map(|(it, tokens)| Part {
         server: it.engine.key,
         prefill_ms: part_ms as f32,
@@ -257,6 +270,9 @@
         has_room: memory.is_enough,
         load: first.load(),
         loss: loss + cost,
+        loss_to_others: interference + free_engine_loss,
+        ahead,
+        wait: Duration::from_secs_f64((forecast.first_token_ms - work_ms).max(0.0) / 1e3),
         parts,
         first_token: Duration::from_secs_f64(forecast.first_token_ms / 1e3),
         timeliness: forecast.timeliness,
@@ -343,9 +359,9 @@
         let joining_ms = queue.map_or(0.0, |it| it.joining_pass_ms(engine)) * slowdown;
         let overdue_ms = queue.map_or(0.0, |it| it.overdue_ms(now)) - joining_ms * OVERDUE_PASSES;
         let overdue_ms = overdue_ms.max(0.0) * OVERDUE_SHARE;
+        let ahead = |timeliness| queue.map_or(0, |it| it.ahead_of(timeliness).count());
         let wait_ms = |timeliness| {
-            let ahead = queue.map_or(0, |it| it.ahead_of(timeliness).count());
-            let excess = (ahead + 1).saturating_sub(engine.slots);
+            let excess = (ahead(timeliness) + 1).saturating_sub(engine.slots);
             pass_ms * RESIDUAL_SHARE
                 + backlog_ms(timeliness)
                 + overdue_ms
@@ -358,6 +374,7 @@
             slowdown,
             wait_ms: wait_ms(Timeliness::OnTime),
             late_wait_ms: wait_ms(Timeliness::Late),
+            ahead: [ahead(Timeliness::OnTime), ahead(Timeliness::Late)],
             backlog_ms: backlog_ms(Timeliness::OnTime),
             pass_ms,
             decoding,
--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -16,6 +16,8 @@
     services: HashMap<String, Rc<Service>>,
     /// The organisation that each API key belongs to; `None` if no key is needed.
     keys: Option<HashMap<String, Rc<Organisation>>>,
+    /// The priority of the most urgent requests of each service.
+    most_urgent: HashMap<String, u32>,
     limits: Limits,
 }
 
@@ -105,6 +107,7 @@
         keys: Option<HashMap<String, Rc<Organisation>>>,
         limits: Limits,
     ) -> Self {
+        let most_urgent = most_urgent(&routes, keys.as_ref());
         let mut hosts: HashMap<String, Vec<Rc<Route>>> = HashMap::new();
         for route in routes {
             let host = route.host.to_ascii_lowercase();
@@ -121,6 +124,7 @@
             hosts,
             services: services.collect(),
             keys,
+            most_urgent,
             limits,
         }
     }
@@ -145,6 +149,13 @@
         self.services.values()
     }
 
+    /// Returns by how many levels a request is less urgent than the most urgent ones of its service; 0
+    /// if the priorities of all are equal.
+    pub fn level(&self, service: &str, route: &Route, organisation: Option<&Organisation>) -> u32 {
+        let most_urgent = self.most_urgent.get(service).copied().unwrap_or_default();
+        route.priority_of(organisation).saturating_sub(most_urgent)
+    }
+
     /// Looks up the route of a request. `host` may include a port; `key` is the caller's API key.
     pub fn find(&self, host: &str, path: &str, key: Option<&str>) -> Match {
         let host_name = host.rsplit_once(':').map_or(host, |it| it.0);
@@ -170,7 +181,32 @@
     }
 }
 
+/// Returns the priority of the most urgent requests of each service, by the routes and organisations
+/// that may use it.
+fn most_urgent(
+    routes: &[Route],
+    keys: Option<&HashMap<String, Rc<Organisation>>>,
+) -> HashMap<String, u32> {
+    let mut most_urgent = HashMap::new();
+    for route in routes {
+        let organisations = keys.filter(|_| !route.is_public).into_iter().flatten();
+        let priorities = organisations.map(|it| route.priority_of(Some(it.1)));
+        let priority = priorities.min().unwrap_or(route.priority);
+        for (service, _) in &route.services {
+            let known = most_urgent.entry(service.clone()).or_insert(priority);
+            *known = priority.min(*known);
+        }
+    }
+    most_urgent
+}
+
 impl Route {
+    /// Returns the priority of the requests of an organisation, whose own goes first.
+    pub fn priority_of(&self, organisation: Option<&Organisation>) -> u32 {
+        let own = organisation.and_then(|it| it.priority);
+        own.unwrap_or(self.priority)
+    }
+
     /// Selects the service of a request by weight. `point` lies between 0 and 1 and is the same for
     /// all attempts of the request, so they all go to one service.
     pub fn service(&self, point: f64) -> Option<&str> {
--- a/xtask/tests/tidy.rs
+++ b/xtask/tests/tidy.rs
@@ -7,7 +7,7 @@
 use sources::files;
 
 /// The crates that hold decision logic and must do no I/O.
-const DECISION_CRATES: [&str; 10] = [
+const DECISION_CRATES: [&str; 11] = [
     "domain",
     "config",
     "claim",
@@ -15,6 +15,7 @@
     "routing",
     "route",
     "placement",
+    "admission",
     "limit",
     "membership",
     "burn/src/ledger",
