--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -117,7 +117,7 @@
             organisation: exchange.organisation.as_ref().map(|it| it.name.as_str()),
             last_event: exchange.last_event,
             helpers: &target.helpers,
-            priority: target.priority(),
+            priority: target.priority(exchange.level),
         },
     );
     if target.parts.len() == 1 {
--- a/crates/gateway/src/datagrams.rs
+++ b/crates/gateway/src/datagrams.rs
@@ -34,6 +34,9 @@
         state.workload.apply(now, &update);
         state.audience.record_told(now);
     }
+    if matches!(update.change, Change::Started | Change::Ended) {
+        node.notify_waiting();
+    }
     tell(node, &Frame::Updates(vec![update]));
 }
 
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -3,6 +3,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use admission::Decision;
+use admission::RetryTime;
+use admission::decision::Bounds;
+use admission::queue::Ahead;
+use admission::queue::Reason;
 use domain::Moment;
 use domain::digest;
 use h1::Framing;
@@ -10,19 +15,24 @@
 use placement::plain;
 use placement::plan;
 use placement::plan::Need;
+use placement::workload::Timeliness;
+use route::Engine;
 use route::Match;
 use route::Organisation;
 use route::Route;
 use route::Service;
 use route::Table;
-use routing::quarantine::Decision;
+use routing::quarantine;
 use routing::quarantine::Fingerprint;
 
 use crate::Node;
 use crate::node::State;
 use crate::port::Metadata;
+use crate::port::Prompt;
 use crate::refusal::Refusal;
 use crate::target::Target;
+use crate::turns::Standing;
+use crate::turns::Turn;
 
 /// Prompt tokens that add the value of one short request. As the users specify, the value grows by
 /// about one for each 10,000 tokens.
@@ -30,6 +40,12 @@
 /// Callers of streams disconnect after this time without an event, or after four times the target
 /// or eight times the pause target if that is longer, as the platform documents.
 const STREAM_SILENCE_LIMIT: Duration = Duration::from_secs(2);
+/// The interval between two checks for free engine memory. Several requests end within it.
+const ROOM_CHECK_INTERVAL: Duration = Duration::from_millis(80);
+/// The time for which the latency of a plain server's answers counts.
+const LATENCY_LIFETIME: Duration = Duration::from_secs(3);
+/// The latency that is assumed of plain servers that have not answered yet, as a share of the target.
+const ASSUMED_LATENCY_SHARE: f64 = 0.25;
 
 /// A request that was admitted.
 pub struct Exchange {
@@ -69,6 +85,10 @@
     pub may_have_run: bool,
     /// Describes the work for the quarantine.
     pub fingerprint: Fingerprint,
+    /// The levels by which it is less urgent than the most urgent requests of its service.
+    pub level: u32,
+    /// Whether it comes back as a rejection told it to.
+    pub is_returned: bool,
 }
 
 /// How a server's answer is delimited, and what was left at its end.
@@ -132,6 +152,8 @@
     let route_deadline = arrived + route.time_limit;
     let timeout = metadata.timeout.unwrap_or(route.time_limit);
     Ok(Exchange {
+        level: table.level(&service.name, &route, organisation.as_deref()),
+        is_returned: false,
         fingerprint: Fingerprint {
             request: digest::seeded(name.as_bytes(), request_hash),
             parts: metadata.shared_parts.clone(),
@@ -188,8 +210,8 @@
         is_allowed
     }
 
-    /// Chooses the server, or the servers, for the next attempt.
-    pub fn place(&self, node: &Node) -> Result<Target, Refusal> {
+    /// Chooses the server, or the servers, for the next attempt, unless the request should wait.
+    pub fn place(&self, node: &Node, standing: Standing) -> Result<Turn, Refusal> {
         let now = clock::now();
         let mut state = node.state.borrow_mut();
         let state = &mut *state;
@@ -197,19 +219,65 @@
         let decision = state
             .quarantine
             .admit(now, &self.fingerprint, |it| members.is_owner(it));
-        if let Decision::Test(digest) = decision {
+        let mut standing = standing;
+        if let quarantine::Decision::Test(digest) = decision {
             log::info!(target: "quarantine", digest; "a request tests whether it still crashes servers");
+            // A test that waits would not be admitted a second time.
+            standing = Standing::Exempt;
         }
-        if decision == Decision::Refuse {
+        if decision == quarantine::Decision::Refuse {
             return Err(Refusal::Quarantined);
         }
-        let mut random = rand::rng();
+        let (Some(_), Some(prompt)) = (&self.service.engine, self.metadata.prompt) else {
+            return self.place_call(now, state, standing);
+        };
+        self.place_prompt(now, state, prompt, standing)
+    }
+
+    /// Chooses the server for a call to a plain service.
+    fn place_call(
+        &self,
+        now: Moment,
+        state: &mut State,
+        standing: Standing,
+    ) -> Result<Turn, Refusal> {
         let servers = state.servers.usable(now, &self.service.name);
-        let (Some(engine), Some(prompt)) = (&self.service.engine, self.metadata.prompt) else {
-            let chosen = plain::choose(now, servers, &state.workload, &self.tried, &mut random);
-            let server_state =
-                chosen.ok_or_else(|| self.refusal_in_pause(now, state, Refusal::NoServer))?;
-            return Ok(Target::plain(server_state.server.clone()));
+        let mut random = rand::rng();
+        let chosen = plain::choose(now, servers, &state.workload, &self.tried, &mut random);
+        let chosen = chosen.ok_or_else(|| self.refusal_in_pause(now, state, Refusal::NoServer))?;
+        let assumed = self.route.latency_target.mul_f64(ASSUMED_LATENCY_SHARE);
+        let latency = chosen.recent_latency(now, LATENCY_LIFETIME);
+        let latency = latency.unwrap_or(assumed);
+        let server = chosen.server.clone();
+        // A free server goes before full ones, so if this one is full, all are.
+        let running = state.workload.queue(server.key()).map_or(0, |it| it.len());
+        let has_slot = server.slots == 0 || running < usable_slots(state, server.slots);
+        let queue = state.waiting.queue(&self.service.name);
+        if standing != Standing::Exempt {
+            let target = now.until(self.arrived + self.route.latency_target);
+            let ahead = match standing {
+                Standing::New => queue.ahead(now, &self.rank()),
+                _ => Ahead::default(),
+            };
+            let decision = admission::decide_call(now, target, latency, has_slot, ahead);
+            if let Decision::Wait { until, reason } = decision {
+                return Ok(Turn::Wait(until, reason));
+            }
+        }
+        queue.record_placed(now, self.rank().organisation, latency.as_secs_f64() * 1e3);
+        Ok(Turn::Place(Target::plain(server)))
+    }
+
+    /// Chooses the engines for a prompt.
+    fn place_prompt(
+        &self,
+        now: Moment,
+        state: &mut State,
+        prompt: Prompt,
+        standing: Standing,
+    ) -> Result<Turn, Refusal> {
+        let Some(engine) = &self.service.engine else {
+            return Err(Refusal::NoServer);
         };
         let need = self.need(
             now,
@@ -220,25 +288,66 @@
         let plan = plan::choose(
             now,
             engine,
-            servers,
+            state.servers.usable(now, &self.service.name),
             &state.workload,
             &need,
             &self.tried,
-            &mut random,
+            &mut rand::rng(),
         );
         let plan = plan.ok_or_else(|| self.refusal_in_pause(now, state, Refusal::NoServer))?;
         if !plan.has_room && prompt.tokens + prompt.max_answer_tokens > engine.memory_tokens {
+            if self.may_wait_for_room() && standing != Standing::Exempt {
+                return Ok(Turn::Wait(now + ROOM_CHECK_INTERVAL, Reason::Slot));
+            }
             return Err(Refusal::NoRoom);
         }
-        if now + plan.first_token > self.first_event_deadline() && self.attempts == 0 {
-            return Err(Refusal::TooLate);
+        let bounds = Bounds {
+            first_event: now.until(self.first_event_deadline()),
+            slots: usable_slots(state, engine.slots),
+        };
+        let queue = state.waiting.queue(&self.service.name);
+        let ahead = match (plan.timeliness, standing) {
+            (Timeliness::Late, _) => queue.ahead_of_late(),
+            (Timeliness::OnTime, Standing::New) => queue.ahead(now, &self.rank()),
+            (Timeliness::OnTime, _) => Ahead::default(),
+        };
+        match admission::decide(now, &need, &plan, ahead, bounds) {
+            Decision::Reject { room } if self.attempts == 0 => {
+                return Err(Refusal::TooLate(room));
+            }
+            Decision::Wait { until, reason } if standing != Standing::Exempt => {
+                return Ok(Turn::Wait(until, reason));
+            }
+            _ => {}
         }
+        queue.record_placed(now, self.rank().organisation, engine_ms(engine, &need));
         let part_servers = plan.parts.iter().map(|it| {
             let server_state = state.servers.get_mut(it.server)?;
             Some(server_state.server.clone())
         });
         let part_servers: Option<Vec<_>> = part_servers.collect();
-        Target::planned(plan, part_servers.unwrap_or_default()).ok_or(Refusal::NoServer)
+        let target = Target::planned(plan, part_servers.unwrap_or_default());
+        target.map(Turn::Place).ok_or(Refusal::NoServer)
+    }
+
+    /// Returns when a caller that gets this refusal should come back.
+    pub fn retry_time(&self, node: &Node, refusal: Refusal) -> Option<RetryTime> {
+        let room = match refusal {
+            Refusal::TooLate(room) => room,
+            Refusal::NoServer | Refusal::NoRoom | Refusal::NotRun => Duration::ZERO,
+            _ => return refusal.retry_time(),
+        };
+        let usual = refusal.retry_time()?;
+        let drain = {
+            let mut state = node.state.borrow_mut();
+            state.waiting.queue(&self.service.name).drain_time()
+        };
+        let left = clock::now().until(self.caller_deadline);
+        Some(RetryTime::new(
+            room.max(usual.earliest),
+            drain.max(usual.spread),
+            left,
+        ))
     }
 
     /// Returns the refusal if every server of the service asked for a pause or has reached its limit,
@@ -274,10 +383,16 @@
             target: now.until(self.arrived + self.route.latency_target),
             initial_target: self.route.latency_target,
             pause: self.route.pause_target,
-            value: prompt_value(tokens),
+            value: self.value(),
         }
     }
 
+    /// Returns the value that plans weigh, which each level of priority halves.
+    pub fn value(&self) -> f64 {
+        let tokens = self.metadata.prompt.map_or(0, |it| it.tokens);
+        prompt_value(tokens) * admission::weight(self.level)
+    }
+
     /// Returns when the caller of a stream disconnects if it has received no event.
     fn first_event_deadline(&self) -> Moment {
         let pause = self.route.pause_target.unwrap_or_default();
@@ -334,7 +449,21 @@
     }
 }
 
+/// Returns the slots of a server that this instance may count on. One that is cut off from others can't see
+/// their work, and counts on its share.
+fn usable_slots(state: &State, slots: usize) -> usize {
+    let alive = state.members.alive().count();
+    (slots * alive).div_ceil(state.members.expected().max(1))
+}
+
+/// Returns the engine time that a prompt and its answer are expected to take, in milliseconds.
+fn engine_ms(engine: &Engine, need: &Need) -> f64 {
+    let passes = need.expected_answer_tokens as f64 / f64::from(engine.steps_per_pass.max(1));
+    let slots = engine.slots.max(1);
+    engine.prefill_ms(need.prompt_tokens) + passes * engine.pass_ms(slots, 0) / slots as f64
+}
+
 /// Returns the value of a request to its caller; a short request has the value 1.
-pub fn prompt_value(tokens: u64) -> f64 {
+fn prompt_value(tokens: u64) -> f64 {
     1.0 + tokens as f64 / TOKENS_PER_VALUE
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -37,6 +37,8 @@
 pub mod serve;
 pub mod settings;
 pub mod target;
+pub mod turns;
+pub mod waiting;
 pub mod watchdog;
 
 pub use node::Node;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -28,6 +28,15 @@
     pub outcome: &'static str,
 }
 
+/// The labels of requests that waited at this instance.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct WaitLabels {
+    /// The route.
+    pub route: String,
+    /// `placed`, `refused`, or `abandoned` if the caller left or the time limit passed.
+    pub outcome: &'static str,
+}
+
 /// The labels of metrics that are kept by route.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct RouteLabels {
@@ -128,6 +137,12 @@
     pub requests: Family<RequestLabels, Counter>,
     /// Time to the first event of a stream, or to its end if it has no events.
     pub first_token: DurationHistograms,
+    /// Requests that wait at this instance now.
+    pub waiting: Gauge,
+    /// Requests that have waited at this instance.
+    pub waits: Family<WaitLabels, Counter>,
+    /// The time that they waited.
+    pub waited: DurationHistograms,
     /// Streams of servers that ended without an error of the connection.
     pub streams: Family<StreamLabels, Counter>,
     /// Responses by which a server asked for a pause.
@@ -166,6 +181,9 @@
             registry: Registry::with_prefix("coriander"),
             requests: Family::default(),
             first_token: Family::new_with_constructor(duration_histogram),
+            waiting: Gauge::default(),
+            waits: Family::default(),
+            waited: Family::new_with_constructor(duration_histogram),
             streams: Family::default(),
             pauses: Counter::default(),
             retries: Counter::default(),
@@ -215,6 +233,18 @@
         histogram.observe(after.as_secs_f64());
     }
 
+    /// Records the end of a request's wait at this instance.
+    pub fn record_wait(&self, route: &str, outcome: &'static str, waited: Duration) {
+        let route = route.to_owned();
+        let labels = WaitLabels {
+            route: route.clone(),
+            outcome,
+        };
+        self.waits.get_or_create(&labels).inc();
+        let histogram = self.waited.get_or_create(&RouteLabels { route });
+        histogram.observe(waited.as_secs_f64());
+    }
+
     /// Counts a stream of a server that ended with this number of bytes after its last event.
     pub fn record_stream_end(&self, framing: Framing, partial_event_bytes: usize) {
         let end = match partial_event_bytes {
@@ -278,6 +308,13 @@
             "Time to the first event or the whole answer",
             self.first_token.clone(),
         );
+        registry.register("waiting", "Requests that wait now", self.waiting.clone());
+        registry.register("waits", "Requests that have waited", self.waits.clone());
+        registry.register(
+            "waited_seconds",
+            "Time that requests waited",
+            self.waited.clone(),
+        );
         registry.register(
             "streams",
             "Streams of servers that ended",
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -31,6 +31,7 @@
 use crate::port::Protocol;
 use crate::records::Cache;
 use crate::settings::Settings;
+use crate::turns::Waiting;
 
 /// A gateway process.
 pub struct Node {
@@ -65,6 +66,8 @@
     /// Signals that the platform's store came back from an older copy, so that what this instance
     /// wrote there is written again.
     pub returns: (Sender<()>, Receiver<()>),
+    /// Signals that requests wait and that the workload has changed.
+    pub turns: (Sender<()>, Receiver<()>),
     /// Closed when callers' idle connections have to be closed.
     close_sender: Sender<()>,
     close_receiver: Receiver<()>,
@@ -92,6 +95,8 @@
     pub quarantine: Quarantine,
     /// The retry budgets, by service.
     pub retry_budgets: HashMap<String, Budget>,
+    /// The requests that wait to be placed.
+    pub waiting: Waiting,
     /// Whether the process is stopping.
     pub is_stopping: bool,
 }
@@ -132,6 +137,7 @@
                 audience: Audience::default(),
                 quarantine: Quarantine::default(),
                 retry_budgets: HashMap::new(),
+                waiting: Waiting::default(),
                 is_stopping: false,
             }),
             connections: RefCell::default(),
@@ -144,6 +150,7 @@
             config_hints: async_channel::bounded(1),
             gaps: async_channel::bounded(1),
             returns: async_channel::bounded(1),
+            turns: async_channel::bounded(1),
             close_sender,
             close_receiver,
             settings: RefCell::new(Rc::new(settings)),
@@ -178,6 +185,15 @@
         }
     }
 
+    /// Signals that a request waits, or that the workload has changed, so that waiting requests are
+    /// planned again soon. Costs little while none waits.
+    pub fn notify_waiting(&self) {
+        if !self.state.borrow().waiting.is_empty() {
+            // The channel holds one signal. If one is already there, this one is not needed.
+            let _ = self.turns.0.try_send(());
+        }
+    }
+
     /// Closes callers' idle connections at once, and the others after their current request.
     pub fn close_callers(&self) {
         self.close_sender.close();
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -10,6 +10,8 @@
 use membership::members::Output;
 use membership::message::Event;
 use membership::message::Rumour;
+use placement::Update;
+use placement::workload::Change;
 use wire::Frame;
 
 use crate::Node;
@@ -100,6 +102,10 @@
                 state.workload.apply(now, update);
             }
             drop(state);
+            let is_end = |it: &Update| matches!(it.change, Change::Started | Change::Ended);
+            if updates.iter().any(is_end) {
+                node.notify_waiting();
+            }
             record_heard(node, now, from);
         }
         Ok(Frame::Snapshot(snapshot)) => {
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use admission::RetryTime;
+
 /// The retry time while no configuration is loaded: about the time that the first read takes after
 /// a restart.
 const UNCONFIGURED_RETRY: Duration = Duration::from_millis(500);
@@ -9,15 +11,6 @@
 /// the circuit breakers reflect a change.
 const NO_SERVER_RETRY: Duration = Duration::from_millis(600);
 
-/// When a refused caller should come back: at `earliest`, plus a random part of `spread`.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct RetryTime {
-    /// The time after which a retry may succeed.
-    pub earliest: Duration,
-    /// The time over which the callers' retries are distributed.
-    pub spread: Duration,
-}
-
 /// Why a request was refused, for logs and metrics.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Refusal {
@@ -36,8 +29,9 @@
     Paused(Duration),
     /// No engines have enough memory for the prompt.
     NoRoom,
-    /// The caller would disconnect before the first event.
-    TooLate,
+    /// The caller would disconnect before the first event. A request that arrives after this time is
+    /// expected to be in time.
+    TooLate(Duration),
     /// Every server that was tried reported that it did not run the request.
     NotRun,
     /// The request may have run, but its answer is lost.
@@ -59,7 +53,7 @@
             | Self::NoServer
             | Self::Paused(_)
             | Self::NoRoom
-            | Self::TooLate
+            | Self::TooLate(_)
             | Self::NotRun => 503,
         }
     }
@@ -74,7 +68,7 @@
             Self::NoServer => "no_server",
             Self::Paused(_) => "paused",
             Self::NoRoom => "no_room",
-            Self::TooLate => "too_late",
+            Self::TooLate(_) => "too_late",
             Self::NotRun => "not_run",
             Self::Failed => "failed",
             Self::TimedOut => "timed_out",
@@ -86,9 +80,8 @@
         let (earliest, spread) = match self {
             Self::Unconfigured => (UNCONFIGURED_RETRY, UNCONFIGURED_RETRY),
             Self::Paused(left) => (left, NO_SERVER_RETRY),
-            Self::NoServer | Self::NoRoom | Self::NotRun | Self::TooLate => {
-                (NO_SERVER_RETRY, NO_SERVER_RETRY)
-            }
+            Self::TooLate(room) => (room, Duration::ZERO),
+            Self::NoServer | Self::NoRoom | Self::NotRun => (NO_SERVER_RETRY, NO_SERVER_RETRY),
             _ => return None,
         };
         Some(RetryTime { earliest, spread })
--- a/crates/gateway/src/registration.rs
+++ b/crates/gateway/src/registration.rs
@@ -39,11 +39,10 @@
         let job = node.next_job();
         let millis = |it: Duration| u32::try_from(it.as_millis()).unwrap_or(u32::MAX);
         let first_token_time_left = now.until(exchange.arrived + exchange.route.latency_target);
-        let tokens = exchange.metadata.prompt.map_or(0, |it| it.tokens);
         let placement = Placement {
             target_ms: millis(first_token_time_left),
             pause_ms: exchange.route.pause_target.map_or(0, millis),
-            value: crate::exchange::prompt_value(tokens) as f32,
+            value: exchange.value() as f32,
             timeliness: target.timeliness.unwrap_or(Timeliness::OnTime),
             parts: target.parts.clone(),
         };
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -26,6 +26,7 @@
 use crate::follow;
 use crate::listener;
 use crate::peers;
+use crate::waiting;
 
 /// The interval between checks for a signal to stop, and for the end of the last request.
 const SIGNAL_CHECK_INTERVAL: Duration = Duration::from_millis(50);
@@ -91,6 +92,7 @@
     let platform = Rc::new(ports.platform);
     let spawner = &executor;
     spawner.spawn(peers::gossip(node.clone())).detach();
+    spawner.spawn(waiting::run(node.clone())).detach();
     spawner.spawn(calls::serve(node.clone(), calls)).detach();
     spawner
         .spawn(follow::routes(node.clone(), platform.clone()))
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -28,7 +28,7 @@
 
 /// Bytes of a pipelined request that are buffered while the current one is being answered.
 const PIPELINE_LIMIT: usize = 64 * 1024;
-/// The interval between two checks for free engine memory. Several requests end within it.
+/// The delay after a reservation of engine memory was refused. Several requests end within it.
 const ROOM_CHECK_INTERVAL: Duration = Duration::from_millis(80);
 /// The number of servers that a stream which has begun may be sent to before the request fails.
 const RESUME_LIMIT: usize = 5;
@@ -57,9 +57,18 @@
         Some(table) => exchange::admit(&table, request, body, meta, arrived).map_err(|it| *it),
         None => Err((Refusal::Unconfigured, meta)),
     };
-    let exchange = match admitted {
+    let mut exchange = match admitted {
         Ok(exchange) => exchange,
-        Err((refusal, meta)) => return refuse(node, answer, refusal, &meta, "", arrived).await,
+        Err((refusal, meta)) => {
+            let retry_after = refusal.retry_time();
+            let retry_after = retry_after.map(|it| it.delay(rand::rng().random()));
+            return refuse(node, answer, refusal, retry_after, &meta, "", arrived).await;
+        }
+    };
+    let digest = exchange.fingerprint.request;
+    exchange.is_returned = {
+        let mut state = node.state.borrow_mut();
+        state.waiting.returns.take(arrived, digest)
     };
     exchange.serve(node, caller, answer).await
 }
@@ -90,10 +99,18 @@
             }
             Some(Some(Err(refusal))) => {
                 if answer.state() == State::NotBegun {
+                    let retry_after = self.retry_time(node, refusal);
+                    let retry_after = retry_after.map(|it| it.delay(rand::rng().random()));
+                    if let Some(delay) = retry_after {
+                        let mut state = node.state.borrow_mut();
+                        let digest = self.fingerprint.request;
+                        state.waiting.returns.record(clock::now(), digest, delay);
+                    }
                     return refuse(
                         node,
                         answer,
                         refusal,
+                        retry_after,
                         &self.metadata,
                         &route.name,
                         self.arrived,
@@ -112,6 +129,7 @@
                     node,
                     answer,
                     Refusal::TimedOut,
+                    None,
                     &self.metadata,
                     &route.name,
                     self.arrived,
@@ -135,7 +153,7 @@
         self.add_retry_credit(node);
         let mut failure: Option<(Response, held::Body)> = None;
         loop {
-            let mut target = match self.place(node) {
+            let mut target = match self.place_in_turn(node).await {
                 Ok(target) => target,
                 Err(Refusal::NoRoom) if self.may_wait_for_room() => {
                     Timer::after(ROOM_CHECK_INTERVAL).await;
@@ -246,14 +264,12 @@
     node: &Node,
     answer: Answer,
     refusal: Refusal,
+    retry_after: Option<Duration>,
     metadata: &Metadata,
     route: &str,
     arrived: Moment,
 ) -> Disposition {
     node.metrics.record_end(route, refusal.name());
-    let retry_after = refusal
-        .retry_time()
-        .map(|it| it.earliest + it.spread.mul_f64(rand::rng().random()));
     log::info!(
         target: "refuse",
         request = metadata.id.as_deref().unwrap_or("-"),
--- a/crates/gateway/src/target.rs
+++ b/crates/gateway/src/target.rs
@@ -14,6 +14,10 @@
 /// Priorities of waiting requests at an engine, 0 to 9; lower ones go first.
 const PRIORITY_ON_TIME: u8 = 3;
 const PRIORITY_LATE: u8 = 7;
+/// The lowest priority. Only late requests are told apart by level: ranks by length among those that are
+/// on time made long ones late that were forecast in time (0.693 without, 0.679 with, see
+/// docs/design/placement.md).
+const PRIORITY_LOWEST: u8 = 9;
 
 /// The servers that an attempt is sent to, and the forecast for them.
 #[derive(Clone, Debug)]
@@ -53,11 +57,13 @@
         }
     }
 
-    /// Returns the priority among the requests that wait at an engine.
-    pub fn priority(&self) -> Option<u8> {
+    /// Returns the priority among the requests that wait at an engine, for a request that is less urgent
+    /// by `level` levels than the most urgent ones of its service.
+    pub fn priority(&self, level: u32) -> Option<u8> {
+        let lower = u8::try_from(level).unwrap_or(u8::MAX);
         self.timeliness.map(|it| match it {
             Timeliness::OnTime => PRIORITY_ON_TIME,
-            Timeliness::Late => PRIORITY_LATE,
+            Timeliness::Late => PRIORITY_LATE.saturating_add(lower).min(PRIORITY_LOWEST),
         })
     }
 
