--- a/crates/placement/tests/load.rs
+++ b/crates/placement/tests/load.rs
@@ -1,14 +1,16 @@
 //! Plays a load of short and long prompts in waves on engines that work as published, and checks when
 //! callers of short prompts get their first token and how far forecasts are off.
 
+#[allow(dead_code)]
+#[path = "engines/engines.rs"]
+mod engines;
+
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use domain::Moment;
 use domain::key::Incarnation;
 use placement::JobId;
 use placement::Plan;
-use placement::Server;
 use placement::Servers;
 use placement::Update;
 use placement::Workload;
@@ -21,8 +23,13 @@
 use rand::rngs::StdRng;
 use route::Engine;
 
+use engines::Running;
+use engines::Task;
+use engines::at;
+
 const ENGINES: usize = 24;
 const SLOTS: usize = 10;
+const MEMORY_TOKENS: u64 = 232_000;
 const PLAYED_MS: u64 = 30_000;
 /// Every ten seconds, a wave of four seconds brings this many times the usual requests.
 const WAVE_FACTOR: f64 = 3.0;
@@ -36,24 +43,6 @@
 /// The share of callers of short prompts that may be answered late.
 const LATE_LIMIT: f64 = 1.0 / 8.0;
 
-/// A request at an engine.
-struct Task {
-    job: JobId,
-    prefill_ms: f64,
-    tokens: u64,
-    passes_left: u32,
-    is_helper: bool,
-}
-
-/// An engine that runs all waiting work in passes.
-#[derive(Default)]
-struct Running {
-    waiting: Vec<Task>,
-    prefilling: Vec<Task>,
-    writing: Vec<Task>,
-    pass_end: Option<u64>,
-}
-
 /// A request of a caller.
 struct Request {
     is_short: bool,
@@ -72,42 +61,13 @@
     random: StdRng,
 }
 
-fn at(millis: u64) -> Moment {
-    Moment::from_millis(1_000_000 + millis)
-}
-
 impl Fleet {
     fn new(seed: u64) -> Self {
-        let mut servers = Servers::default();
-        let mut running = BTreeMap::new();
-        for index in 0..ENGINES {
-            let server = Server {
-                id: format!("i-{index}"),
-                started_ms: 1,
-                service: "llm".to_owned(),
-                address: ([10, 0, 0, index as u8], 80).into(),
-                data_centre: "dc".to_owned(),
-                sequence: 1,
-                slots: SLOTS,
-                is_leaving: false,
-            };
-            running.insert(server.key(), Running::default());
-            servers.add(at(0), server);
-        }
-        let engine = Engine {
-            slots: SLOTS,
-            memory_tokens: 232_000,
-            steps_per_pass: 68,
-            step_ms: 1.02,
-            sequence_ms: 0.002_26,
-            context_ms_per_k: 0.004_31,
-            prefill_tokens_per_ms: 206.0,
-            pairs_ms_per_m: 0.138,
-            prefill_chunk: 2_048,
-            usual_answer_tokens: 1_500,
-        };
+        let servers = engines::servers(ENGINES, SLOTS);
+        let running = servers.all().map(|it| (it.key(), Running::default()));
+        let running = running.collect();
         Self {
-            engine,
+            engine: engines::engine(SLOTS, MEMORY_TOKENS),
             servers,
             workload: Workload::default(),
             running,
@@ -180,6 +140,7 @@
             let running = self.running.get_mut(&part.server).expect("an engine");
             running.waiting.push(Task {
                 job,
+                rank: 0,
                 prefill_ms: f64::from(part.prefill_ms),
                 tokens: u64::from(part.tokens),
                 passes_left: self.random.random_range(8..38),
@@ -200,54 +161,20 @@
         self.workload.apply(at(millis), &Update { job, change });
     }
 
-    /// Ends the pass of an engine that is due, and begins the next one with all that waits.
+    /// Runs an engine, and records what it did.
     fn run(&mut self, millis: u64, key: u64) {
         let running = self.running.get_mut(&key).expect("an engine");
-        if running.pass_end.is_some_and(|it| millis < it) {
+        let Some(pass) = running.run(millis, &self.engine) else {
             return;
-        }
-        if running.pass_end.take().is_some() {
-            self.end_pass(millis, key);
-        }
-        let running = self.running.get_mut(&key).expect("an engine");
-        let room = SLOTS.saturating_sub(running.writing.len());
-        let count = running.waiting.len().min(room);
-        running.prefilling = running.waiting.drain(..count).collect();
-        let prefill_ms: f64 = running.prefilling.iter().map(|it| it.prefill_ms).sum();
-        let tokens = running.writing.iter().map(|it| it.tokens).sum();
-        let decode_ms = match running.writing.len() {
-            0 => 0.0,
-            writing => self.engine.pass_ms(writing, tokens),
         };
-        if prefill_ms + decode_ms > 0.0 {
-            let length = (prefill_ms * 1.1 + decode_ms).ceil() as u64;
-            running.pass_end = Some(millis + length);
-        }
-    }
-
-    fn end_pass(&mut self, millis: u64, key: u64) {
-        let running = self.running.get_mut(&key).expect("an engine");
-        for task in &mut running.writing {
-            task.passes_left -= 1;
-        }
-        let ended: Vec<JobId> = running
-            .writing
-            .extract_if(.., |it| it.passes_left == 0)
-            .map(|it| it.job)
-            .collect();
-        let read = std::mem::take(&mut running.prefilling);
-        for task in read {
-            let request = self.requests.get_mut(&task.job).expect("a request");
+        for job in pass.read {
+            let request = self.requests.get_mut(&job).expect("a request");
             request.parts_left -= 1;
             if request.parts_left == 0 {
                 request.first_token_ms = Some(millis);
             }
-            if !task.is_helper {
-                let running = self.running.get_mut(&key).expect("an engine");
-                running.writing.push(task);
-            }
         }
-        self.report(millis, ended);
+        self.report(millis, pass.ended);
     }
 
     /// Tells the workload which requests have begun and ended.
