--- a/crates/admission/src/decision.rs
+++ b/crates/admission/src/decision.rs
@@ -65,7 +65,7 @@
             room: plan.first_token.saturating_sub(need.initial_target),
         };
     }
-    let has_slot = plan.ahead < bounds.slots && plan.has_room;
+    let has_slot = plan.ahead < bounds.slots;
     let wait = |time: Duration, reason| Decision::Wait {
         until: now + time,
         reason,
@@ -75,7 +75,7 @@
         let time = bounds
             .first_event
             .saturating_sub(plan.first_token + DISCONNECT_MARGIN);
-        if time.is_zero() || (is_harmless && has_slot && ahead.in_time == 0) {
+        if time.is_zero() || (is_harmless && has_slot && plan.has_room && ahead.in_time == 0) {
             return Decision::Place;
         }
         return wait(time, Reason::Late);
@@ -88,6 +88,9 @@
     if plan.loss_to_others > HARM_SHARE * TIMELY_SHARE * need.value {
         return wait(slack, Reason::Harm);
     }
+    if !plan.has_room {
+        return wait(slack, Reason::Room);
+    }
     if !has_slot || ahead.in_time > 0 {
         return wait(slack, Reason::Slot);
     }
--- a/crates/admission/src/queue.rs
+++ b/crates/admission/src/queue.rs
@@ -43,8 +43,10 @@
 /// Why a request waits.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Reason {
-    /// No slot, or no memory, is free.
+    /// No slot is free.
     Slot,
+    /// No engine has memory for it. Others may go before it, since they need less.
+    Room,
     /// Others would lose more than it gains.
     Harm,
     /// It can no longer be in time.
@@ -56,6 +58,7 @@
     pub fn name(self) -> &'static str {
         match self {
             Self::Slot => "slot",
+            Self::Room => "room",
             Self::Harm => "harm",
             Self::Late => "late",
         }
--- a/crates/admission/tests/queue.rs
+++ b/crates/admission/tests/queue.rs
@@ -111,6 +111,8 @@
     queue.wait(NOW, 1, rank(), Reason::Harm);
     queue.wait(NOW, 2, rank(), Reason::Late);
     queue.wait(NOW, 3, less_urgent, Reason::Slot);
+    // A prompt that needs much memory must not hold up those that need little.
+    queue.wait(NOW, 4, rank(), Reason::Room);
     let new = Rank {
         arrived: NOW + Duration::from_millis(1),
         ..rank()
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -297,7 +297,7 @@
         let plan = plan.ok_or_else(|| self.refusal_in_pause(now, state, Refusal::NoServer))?;
         if !plan.has_room && prompt.tokens + prompt.max_answer_tokens > engine.memory_tokens {
             if self.may_wait_for_room() && standing != Standing::Exempt {
-                return Ok(Turn::Wait(now + ROOM_CHECK_INTERVAL, Reason::Slot));
+                return Ok(Turn::Wait(now + ROOM_CHECK_INTERVAL, Reason::Room));
             }
             return Err(Refusal::NoRoom);
         }
--- a/crates/gateway/src/waiting.rs
+++ b/crates/gateway/src/waiting.rs
@@ -36,6 +36,7 @@
     node: &'a Node,
     service: String,
     route: String,
+    request: String,
     ticket: u64,
     since: Moment,
     woken: Receiver<()>,
@@ -52,6 +53,7 @@
         let mut state = node.state.borrow_mut();
         let waiting = &mut state.waiting;
         if waiting.queue(&exchange.service.name).len() >= limit {
+            log::info!(target: "wait", route = exchange.route.name.as_str(), limit; "no memory is left to wait in; the request is placed at once");
             return None;
         }
         let ticket = waiting.enter(sender);
@@ -62,6 +64,7 @@
             node,
             service: exchange.service.name.clone(),
             route: exchange.route.name.clone(),
+            request: exchange.metadata.id.clone().unwrap_or_default(),
             ticket,
             since: now,
             woken,
@@ -104,6 +107,7 @@
             .record_wait(&self.route, self.outcome, waited);
         log::info!(
             target: "wait",
+            request = self.request.as_str(),
             route = self.route.as_str(),
             waited_ms = waited.as_millis() as u64,
             plans = self.plans,
--- a/crates/route/tests/table.rs
+++ b/crates/route/tests/table.rs
@@ -82,6 +82,46 @@
     assert_eq!(route.service(1.0), Some("s2"));
 }
 
+/// Returns the levels of two routes with these priorities, for an organisation with `own` and for one
+/// without a priority.
+fn levels(priorities: [u32; 2], own: Option<u32>) -> [[u32; 2]; 2] {
+    let routes = priorities.map(|priority| Route {
+        priority,
+        ..route("short", "/a/")
+    });
+    let organisation = |priority| Organisation {
+        name: "org".to_owned(),
+        priority,
+    };
+    let keys = [("k1", own), ("k2", None)];
+    let keys = keys.map(|it| (it.0.to_owned(), Rc::new(organisation(it.1))));
+    let table = Table::new(
+        1,
+        routes.to_vec(),
+        Vec::new(),
+        Some(HashMap::from(keys)),
+        Limits::default(),
+    );
+    [own, None].map(|it| {
+        let organisation = organisation(it);
+        [0, 1].map(|it| table.level("s1", &routes[it], Some(&organisation)))
+    })
+}
+
+/// Nothing changes for services whose routes are equally urgent.
+#[test]
+fn level_equal_priorities_have_none() {
+    assert_eq!(levels([4, 4], None), [[0, 0], [0, 0]]);
+    assert_eq!(levels([4, 4], Some(4)), [[0, 0], [0, 0]]);
+}
+
+#[test]
+fn level_is_relative_to_the_most_urgent_and_organisations_go_first() {
+    assert_eq!(levels([1, 3], None), [[0, 2], [0, 2]]);
+    assert_eq!(levels([1, 3], Some(2)), [[1, 1], [0, 2]]);
+    assert_eq!(levels([1, 3], Some(0)), [[0, 0], [1, 3]]);
+}
+
 #[test]
 fn engine_prefill_time_grows_faster_than_the_prompt() {
     let engine = Engine {
