--- a/crates/admission/src/decision.rs
+++ b/crates/admission/src/decision.rs
@@ -26,9 +26,9 @@
 const HARMLESS_LOSS: f64 = 0.05;
 /// The share of the value of a request that it gains by being in time.
 const TIMELY_SHARE: f64 = 0.75;
-/// The latency of calls varies more than forecasts of first tokens. A call stops waiting when this
-/// multiple of the latency is left.
-const CALL_LATENCY_FACTOR: f64 = 2.0;
+/// A late call is sent at the latest when this multiple of the latency is left to its deadline, since it may
+/// then wait at a server.
+const LAST_START_LATENCIES: f64 = 4.0;
 
 /// What limits a decision besides the plan.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -37,6 +37,8 @@
     pub first_event: Duration,
     /// The slots of each engine that this instance may count on.
     pub slots: usize,
+    /// All slots of each engine, of which late requests may use any: by then, the others had their time.
+    pub all_slots: usize,
     /// The factor by which the request's priority has reduced its value.
     pub weight: f64,
 }
@@ -68,7 +70,10 @@
             room: plan.first_token.saturating_sub(need.initial_target),
         };
     }
-    let has_slot = plan.ahead < bounds.slots;
+    let has_slot = match plan.timeliness {
+        Timeliness::OnTime => plan.ahead < bounds.slots,
+        Timeliness::Late => plan.ahead < bounds.all_slots,
+    };
     let wait = |time: Duration, reason| Decision::Wait {
         until: now + time,
         reason,
@@ -100,21 +105,63 @@
     Decision::Place
 }
 
-/// Decides on a call to a plain service with `target` left until it is late. `has_slot` says whether a
-/// server has a free slot, `latency` how long servers take.
-pub fn decide_call(
-    now: Moment,
-    target: Duration,
-    latency: Duration,
-    has_slot: bool,
-    ahead: Ahead,
-) -> Decision {
-    let slack = target.saturating_sub(latency.mul_f64(CALL_LATENCY_FACTOR));
-    if slack.is_zero() || (has_slot && ahead.in_time == 0) {
+/// A call to a plain service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Call {
+    /// The time left to its target.
+    pub target: Duration,
+    /// The time left to its deadline.
+    pub deadline: Duration,
+    /// The time that servers take for an answer.
+    pub latency: Duration,
+    /// Whether a server has a free slot.
+    pub slot: Slot,
+}
+
+/// Whether a server of a plain service has a free slot.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Slot {
+    /// One does.
+    Free,
+    /// One does, but beyond the slots that this instance may count on.
+    BeyondShare,
+    /// None does.
+    Taken,
+}
+
+impl Call {
+    /// Returns whether it can no longer be in time.
+    pub fn is_late(&self) -> bool {
+        self.latency > self.target
+    }
+}
+
+/// Decides on a call to a plain service. Late calls give way to those that can be in time; at servers, which
+/// take calls as they come, they would make the others late too.
+pub fn decide_call(now: Moment, call: &Call, ahead: Ahead) -> Decision {
+    let reason = if call.is_late() {
+        Reason::Late
+    } else {
+        Reason::Slot
+    };
+    let has_slot = match call.slot {
+        Slot::Free => true,
+        Slot::BeyondShare => call.is_late(),
+        Slot::Taken => false,
+    };
+    let last_start = call.latency.mul_f64(LAST_START_LATENCIES);
+    let left = call.deadline.saturating_sub(last_start);
+    if left.is_zero() || (has_slot && ahead.in_time == 0) {
         return Decision::Place;
     }
+    let time = if call.is_late() {
+        left
+    } else {
+        // It is decided on again once it is late.
+        (call.target - call.latency).min(left) + Duration::from_millis(1)
+    };
     Decision::Wait {
-        until: now + slack,
-        reason: Reason::Slot,
+        until: now + time,
+        reason,
     }
 }
--- a/crates/admission/tests/play/play.rs
+++ b/crates/admission/tests/play/play.rs
@@ -268,6 +268,7 @@
         let bounds = Bounds {
             first_event,
             slots: SLOTS,
+            all_slots: SLOTS,
             weight: admission::weight(rank.level),
         };
         let queue = &mut self.instances[instance].queue;
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -6,6 +6,8 @@
 use admission::Decision;
 use admission::RetryTime;
 use admission::decision::Bounds;
+use admission::decision::Call;
+use admission::decision::Slot;
 use admission::queue::Ahead;
 use admission::queue::Reason;
 use domain::Moment;
@@ -251,16 +253,26 @@
         let server = chosen.server.clone();
         // A free server goes before full ones, so if this one is full, all are.
         let running = state.workload.queue(server.key()).map_or(0, |it| it.len());
-        let has_slot = server.slots == 0 || running < usable_slots(state, server.slots);
+        let slot = match running {
+            _ if server.slots == 0 => Slot::Free,
+            running if running < usable_slots(state, server.slots) => Slot::Free,
+            running if running < server.slots => Slot::BeyondShare,
+            _ => Slot::Taken,
+        };
+        let call = Call {
+            target: now.until(self.arrived + self.route.latency_target),
+            deadline: now.until(self.deadline()),
+            latency,
+            slot,
+        };
         let queue = state.waiting.queue(&self.service.name);
         if standing != Standing::Exempt {
-            let target = now.until(self.arrived + self.route.latency_target);
             let ahead = match standing {
+                _ if call.is_late() => queue.ahead_of_late(),
                 Standing::New => queue.ahead(now, &self.rank()),
                 _ => Ahead::default(),
             };
-            let decision = admission::decide_call(now, target, latency, has_slot, ahead);
-            if let Decision::Wait { until, reason } = decision {
+            if let Decision::Wait { until, reason } = admission::decide_call(now, &call, ahead) {
                 return Ok(Turn::Wait(until, reason));
             }
         }
@@ -304,6 +316,7 @@
         let bounds = Bounds {
             first_event: now.until(self.first_event_deadline()),
             slots: usable_slots(state, engine.slots),
+            all_slots: engine.slots,
             weight: admission::weight(self.level),
         };
         let queue = state.waiting.queue(&self.service.name);
--- a/crates/gateway/src/turns.rs
+++ b/crates/gateway/src/turns.rs
@@ -50,10 +50,18 @@
         self.wakers.remove(&ticket);
     }
 
-    /// Wakes the requests that are planned again first. Returns how many.
-    pub fn wake(&mut self, now: Moment, interval: Duration, limit: usize) -> usize {
-        let queues = self.queues.values().filter(|it| !it.is_empty());
-        let due = queues.flat_map(|it| it.due(now, interval, limit));
+    /// Wakes the requests that are planned again first, at most `limit` of each service for which
+    /// `is_chosen` holds. Returns how many.
+    pub fn wake(
+        &mut self,
+        now: Moment,
+        interval: Duration,
+        limit: usize,
+        is_chosen: impl Fn(&str) -> bool,
+    ) -> usize {
+        let queues = self.queues.iter();
+        let queues = queues.filter(|it| !it.1.is_empty() && is_chosen(it.0));
+        let due = queues.flat_map(|it| it.1.due(now, interval, limit));
         let woken = due.filter_map(|it| self.wakers.get(&it));
         // A channel that is full belongs to a request that is being planned.
         woken.filter(|it| it.try_send(()).is_ok()).count()
--- a/crates/gateway/src/waiting.rs
+++ b/crates/gateway/src/waiting.rs
@@ -13,6 +13,7 @@
 
 use crate::Node;
 use crate::exchange::Exchange;
+use crate::node::State;
 use crate::refusal::Refusal;
 use crate::target::Target;
 use crate::turns::Standing;
@@ -26,6 +27,8 @@
 /// The number of plans of waiting requests of a service within `TICK_INTERVAL`, the head of the queue
 /// first. A plan over 60 engines takes about 0.1 ms of a core, and an instance has 0.12 of one.
 const PLANS_PER_TICK: usize = 4;
+/// The same for a plain service, for which a plan only compares its few servers.
+const CALLS_PER_TICK: usize = 16;
 /// The memory that the waiting requests of a service may use is the process's divided by this.
 const MEMORY_DIVISOR: usize = 8;
 /// The memory that a waiting request uses besides its body: its connection, head and state, in bytes.
@@ -179,6 +182,7 @@
 pub async fn run(node: Rc<Node>) {
     let mut window = clock::now();
     let mut plans = 0;
+    let mut calls = 0;
     loop {
         if node.state.borrow().waiting.is_empty() && node.turns.1.recv().await.is_err() {
             return;
@@ -193,14 +197,24 @@
         if now.since(window) >= TICK_INTERVAL {
             window = now;
             plans = 0;
+            calls = 0;
         }
         let interval = if is_changed {
             CHANGE_INTERVAL
         } else {
             TICK_INTERVAL
         };
+        let mut state = node.state.borrow_mut();
+        let State { waiting, table, .. } = &mut *state;
+        let has_engine = |service: &str| {
+            let service = table.as_ref().and_then(|it| it.service(service));
+            service.is_some_and(|it| it.engine.is_some())
+        };
         let limit = PLANS_PER_TICK.saturating_sub(plans);
-        plans += node.state.borrow_mut().waiting.wake(now, interval, limit);
+        plans += waiting.wake(now, interval, limit, has_engine);
+        let limit = CALLS_PER_TICK.saturating_sub(calls);
+        calls += waiting.wake(now, interval, limit, |it| !has_engine(it));
+        drop(state);
         Timer::after(CHANGE_INTERVAL).await;
     }
 }
