--- a/crates/gateway/src/waiting.rs
+++ b/crates/gateway/src/waiting.rs
@@ -204,17 +204,40 @@
         } else {
             TICK_INTERVAL
         };
-        let mut state = node.state.borrow_mut();
-        let State { waiting, table, .. } = &mut *state;
-        let has_engine = |service: &str| {
-            let service = table.as_ref().and_then(|it| it.service(service));
-            service.is_some_and(|it| it.engine.is_some())
-        };
-        let limit = PLANS_PER_TICK.saturating_sub(plans);
-        plans += waiting.wake(now, interval, limit, has_engine);
-        let limit = CALLS_PER_TICK.saturating_sub(calls);
-        calls += waiting.wake(now, interval, limit, |it| !has_engine(it));
-        drop(state);
+        plans += wake(
+            &node,
+            now,
+            interval,
+            PLANS_PER_TICK.saturating_sub(plans),
+            Kind::Prompts,
+        );
+        calls += wake(
+            &node,
+            now,
+            interval,
+            CALLS_PER_TICK.saturating_sub(calls),
+            Kind::Calls,
+        );
         Timer::after(CHANGE_INTERVAL).await;
     }
 }
+
+/// The services whose requests are woken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Kind {
+    /// Those that run on engines.
+    Prompts,
+    /// Plain services.
+    Calls,
+}
+
+/// Wakes waiting requests, at most `limit` of each service of a kind. Returns how many.
+fn wake(node: &Node, now: Moment, interval: Duration, limit: usize, kind: Kind) -> usize {
+    let mut state = node.state.borrow_mut();
+    let State { waiting, table, .. } = &mut *state;
+    waiting.wake(now, interval, limit, |service| {
+        let service = table.as_ref().and_then(|it| it.service(service));
+        let has_engine = service.is_some_and(|it| it.engine.is_some());
+        has_engine == (kind == Kind::Prompts)
+    })
+}
