--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -267,10 +267,12 @@
         };
         let queue = state.waiting.queue(&self.service.name);
         if standing != Standing::Exempt {
-            let ahead = match standing {
-                _ if call.is_late() => queue.ahead_of_late(),
-                Standing::New => queue.ahead(now, &self.rank()),
-                _ => Ahead::default(),
+            // Any call can use any slot, so one that became free while this call was woken belongs to
+            // those ahead, which are woken again.
+            let ahead = if call.is_late() {
+                queue.ahead_of_late()
+            } else {
+                queue.ahead(now, &self.rank())
             };
             if let Decision::Wait { until, reason } = admission::decide_call(now, &call, ahead) {
                 return Ok(Turn::Wait(until, reason));
