--- a/crates/admission/src/decision.rs
+++ b/crates/admission/src/decision.rs
@@ -16,8 +16,8 @@
 /// fewer of the short ones are spared.
 const MARGIN_SHARE: f64 = 0.4;
 /// A request waits if others would lose more than this share of what it gains by being in time. It keeps
-/// that gain while it waits, so that even a small harm is worth avoiding. In played bursts, 1.0 was no
-/// better than placing at once. The gain counts before priorities, which already weigh the harm: otherwise
+/// that gain while it waits, so that even a small harm is worth avoiding. In played bursts, 1.0 was
+/// hardly better than placing at once. The gain counts before priorities, which already weigh the harm: otherwise
 /// the less urgent kinds were in time less often than if placed at once.
 const HARM_SHARE: f64 = 0.1;
 /// The time that a request which is already late keeps in hand until its caller disconnects.
