--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -8,19 +8,14 @@
 use h1::Framing;
 use h1::Request;
 use placement::Expectation;
-use placement::plain;
-use placement::plan;
-use placement::plan::Need;
 use route::Match;
 use route::Organisation;
 use route::Route;
 use route::Service;
 use route::Table;
-use routing::quarantine::Decision;
 use routing::quarantine::Fingerprint;
 
 use crate::Node;
-use crate::cold;
 use crate::node::State;
 use crate::port::Metadata;
 use crate::refusal::Refusal;
@@ -29,9 +24,6 @@
 /// Prompt tokens that add the value of one short request. As the users specify, the value grows by
 /// about one for each 10,000 tokens.
 const TOKENS_PER_VALUE: f64 = 10_000.0;
-/// Callers of streams disconnect after this time without an event, or after four times the target
-/// or eight times the pause target if that is longer, as the platform documents.
-const STREAM_SILENCE_LIMIT: Duration = Duration::from_secs(2);
 
 /// Who sent a request to this entry.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -82,6 +74,10 @@
     pub may_have_run: bool,
     /// Describes the work for the quarantine.
     pub fingerprint: Fingerprint,
+    /// The levels by which it is less urgent than the most urgent requests of its service.
+    pub level: u32,
+    /// Whether it comes back as a rejection told it to.
+    pub is_returned: bool,
 }
 
 /// How a server's answer is delimited, and what was left at its end.
@@ -146,6 +142,8 @@
     let route_deadline = arrived + route.time_limit;
     let timeout = metadata.timeout.unwrap_or(route.time_limit);
     Ok(Exchange {
+        level: table.level(&service.name, &route, organisation.as_deref()),
+        is_returned: false,
         fingerprint: Fingerprint {
             request: digest::seeded(name.as_bytes(), request_hash),
             parts: metadata.shared_parts.clone(),
@@ -203,71 +201,6 @@
         is_allowed
     }
 
-    /// Chooses the server, or the servers, for the next attempt.
-    pub fn place(&self, node: &Node) -> Result<Target, Refusal> {
-        let now = clock::now();
-        let mut state = node.state.borrow_mut();
-        let state = &mut *state;
-        let members = &state.members;
-        let decision = state
-            .quarantine
-            .admit(now, &self.fingerprint, |it| members.is_owner(it));
-        if let Decision::Test(digest) = decision {
-            log::info!(target: "quarantine", digest; "a request tests whether it still crashes servers");
-        }
-        if decision == Decision::Refuse {
-            return Err(Refusal::Quarantined);
-        }
-        cold::refresh_share(state, now);
-        cold::count_held(node, state, now, &self.service.name);
-        let mut random = rand::rng();
-        let servers = state.servers.usable(now, &self.service.name);
-        let request = self.cost_request();
-        let estimate = request.and_then(|it| state.costs.estimator.estimate(&it));
-        let (Some(engine), Some(prompt)) = (&self.service.engine, self.metadata.prompt) else {
-            let expected = estimate.map_or(Expectation::default(), |it| expectation(&it, 1.0));
-            let workload = &state.workload;
-            let chosen = plain::choose(now, servers, workload, expected, &self.tried, &mut random);
-            let server_state =
-                chosen.ok_or_else(|| self.refusal_in_pause(now, state, Refusal::NoServer))?;
-            let mut target = Target::plain(server_state.server.clone());
-            target.load.placed = workload.queue(server_state.key()).map_or(0, |it| it.len());
-            target.estimate = estimate;
-            return Ok(target);
-        };
-        let need = self.need(
-            now,
-            prompt.tokens,
-            prompt.max_answer_tokens,
-            estimate.map_or(prompt.expected_answer_tokens, |it| Some(it.mean as u64)),
-        );
-        let plan = plan::choose(
-            now,
-            engine,
-            servers,
-            &state.workload,
-            &need,
-            &self.tried,
-            &mut random,
-        );
-        let plan = plan.ok_or_else(|| self.refusal_in_pause(now, state, Refusal::NoServer))?;
-        if !plan.has_room && prompt.tokens + prompt.max_answer_tokens > engine.memory_tokens {
-            return Err(Refusal::NoRoom);
-        }
-        if now + plan.first_token > self.first_event_deadline() && self.attempts == 0 {
-            return Err(Refusal::TooLate);
-        }
-        let part_servers = plan.parts.iter().map(|it| {
-            let server_state = state.servers.get_mut(it.server)?;
-            Some(server_state.server.clone())
-        });
-        let part_servers: Option<Vec<_>> = part_servers.collect();
-        let target = Target::planned(plan, part_servers.unwrap_or_default());
-        let mut target = target.ok_or(Refusal::NoServer)?;
-        target.estimate = estimate;
-        Ok(target)
-    }
-
     /// Returns what decides on the cost of the request; `None` if that can't be told: a request without a
     /// prompt on an engine.
     pub fn cost_request(&self) -> Option<cost::Request<'_>> {
@@ -306,42 +239,10 @@
         left.map_or(refusal, Refusal::Paused)
     }
 
-    /// Returns whether the request should wait for engine memory rather than be refused.
-    pub fn may_wait_for_room(&self) -> bool {
-        clock::now() < self.arrived + self.route.latency_target
-    }
-
-    fn need(
-        &self,
-        now: Moment,
-        tokens: u64,
-        max_answer_tokens: u64,
-        expected_answer_tokens: Option<u64>,
-    ) -> Need {
-        let usual_answer_tokens = self
-            .service
-            .engine
-            .as_ref()
-            .map_or(0, |it| it.usual_answer_tokens);
-        Need {
-            prompt_tokens: tokens,
-            expected_answer_tokens: expected_answer_tokens
-                .unwrap_or(usual_answer_tokens)
-                .min(max_answer_tokens),
-            target: now.until(self.arrived + self.route.latency_target),
-            initial_target: self.route.latency_target,
-            pause: self.route.pause_target,
-            value: prompt_value(tokens),
-        }
-    }
-
-    /// Returns when the caller of a stream disconnects if it has received no event.
-    fn first_event_deadline(&self) -> Moment {
-        let pause = self.route.pause_target.unwrap_or_default();
-        let silence = STREAM_SILENCE_LIMIT
-            .max(self.route.latency_target * 4)
-            .max(pause * 8);
-        (self.arrived + silence).min(self.deadline())
+    /// Returns the value that plans weigh, which each level of priority halves.
+    pub fn value(&self) -> f64 {
+        let tokens = self.metadata.prompt.map_or(0, |it| it.tokens);
+        prompt_value(tokens) * admission::weight(self.level)
     }
 
     /// Logs how an attempt ended, and the forecast on which its placement was based.
@@ -402,6 +303,6 @@
 }
 
 /// Returns the value of a request to its caller; a short request has the value 1.
-pub fn prompt_value(tokens: u64) -> f64 {
+fn prompt_value(tokens: u64) -> f64 {
     1.0 + tokens as f64 / TOKENS_PER_VALUE
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod notice;
 pub mod observe;
 pub mod peers;
+pub mod placing;
 pub mod port;
 pub mod proxy;
 pub mod reachability;
@@ -44,6 +45,8 @@
 pub mod settings;
 pub mod signal;
 pub mod target;
+pub mod turns;
+pub mod waiting;
 pub mod watchdog;
 
 pub use domain::position;
--- a/crates/gateway/src/metrics/labels.rs
+++ b/crates/gateway/src/metrics/labels.rs
@@ -11,6 +11,15 @@
     pub outcome: &'static str,
 }
 
+/// The labels of requests that waited at this instance.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct WaitLabels {
+    /// The route.
+    pub route: String,
+    /// `placed`, `refused`, or `abandoned` if the caller left or the time limit passed.
+    pub outcome: &'static str,
+}
+
 /// The labels of metrics that are kept by route.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct RouteLabels {
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -36,6 +36,7 @@
 use crate::records::Cache;
 use crate::settings::Settings;
 use crate::signal::Signal;
+use crate::turns::Waiting;
 
 /// A gateway process.
 pub struct Node {
@@ -74,6 +75,8 @@
     pub suspicions: (Sender<()>, Receiver<()>),
     /// Set while this entry reaches no backend server.
     pub isolation: Signal,
+    /// Signals that requests wait and that the workload has changed.
+    pub turns: (Sender<()>, Receiver<()>),
     /// Closed when callers' idle connections have to be closed.
     close_sender: Sender<()>,
     close_receiver: Receiver<()>,
@@ -109,6 +112,8 @@
     pub reach: Reach,
     /// The retry budgets, by service.
     pub retry_budgets: HashMap<String, Budget>,
+    /// The requests that wait to be placed.
+    pub waiting: Waiting,
     /// Whether the process is stopping.
     pub is_stopping: bool,
 }
@@ -153,6 +158,7 @@
                 quarantine: Quarantine::default(),
                 reach: Reach::default(),
                 retry_budgets: HashMap::new(),
+                waiting: Waiting::default(),
                 is_stopping: false,
             }),
             connections: RefCell::default(),
@@ -167,6 +173,7 @@
             returns: async_channel::bounded(1),
             suspicions: async_channel::bounded(1),
             isolation: Signal::default(),
+            turns: async_channel::bounded(1),
             close_sender,
             close_receiver,
             settings: RefCell::new(Rc::new(settings)),
@@ -201,6 +208,15 @@
         }
     }
 
+    /// Signals that a request waits, or that the workload has changed, so that waiting requests are
+    /// planned again soon. Costs little while none waits.
+    pub fn notify_waiting(&self) {
+        if !self.state.borrow().waiting.is_empty() {
+            // The channel holds one signal. If one is already there, this one is not needed.
+            let _ = self.turns.0.try_send(());
+        }
+    }
+
     /// Closes callers' idle connections at once, and the others after their current request.
     pub fn close_callers(&self) {
         self.close_sender.close();
