--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -1,4 +1,5 @@
-//! Analysis of logs and metrics for `coriander-ctl`, in a library so that tests can call it.
+//! Analysis of logs, metrics and configurations for `coriander-ctl`, in a library so that tests can call it.
 
+pub mod check;
 pub mod evacuations;
 pub mod story;
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -7,6 +7,8 @@
 use anyhow::Context;
 use clap::Parser;
 use clap::Subcommand;
+use ctl::check::Files;
+use ctl::check::Format;
 
 mod cmd;
 mod publish;
@@ -87,6 +89,9 @@
         #[arg(long, required = true, num_args = 1..)]
         metrics: Vec<SocketAddr>,
     },
+    /// Work on the configuration of the users' platform.
+    #[command(subcommand)]
+    Config(Config),
     /// Start the graceful shutdown of an entry instance, which completes all running requests.
     Drain {
         /// The operators' address of the entry instance.
@@ -95,6 +100,25 @@
     },
 }
 
+#[derive(Debug, Subcommand)]
+enum Config {
+    /// Check a configuration before it is published. Exits 0 if it is good, 1 with warnings and 2 with
+    /// errors or if a file can't be read.
+    Check {
+        /// The configuration in JSON; `-` for standard input.
+        file: PathBuf,
+        /// The version in force, to compare with; `-` for standard input.
+        #[arg(long)]
+        against: Option<PathBuf>,
+        /// The names of all regions, to find home regions that do not exist.
+        #[arg(long, value_delimiter = ',')]
+        regions: Vec<String>,
+        /// Print the report as JSON.
+        #[arg(long)]
+        json: bool,
+    },
+}
+
 fn main() -> ExitCode {
     let arguments = Arguments::parse();
     match run(arguments.command) {
@@ -146,10 +170,41 @@
         Command::Explain { request, entry } => async_io::block_on(cmd::explain(entry, &request)),
         Command::Story { request, logs } => story(&request, &logs),
         Command::Evacuations { metrics } => async_io::block_on(cmd::evacuations(&metrics)),
+        Command::Config(config) => Ok(check(&config)),
         Command::Drain { entry } => async_io::block_on(cmd::drain(entry)),
     }
 }
 
+/// Prints the report on a configuration. A file that can't be read counts as an error, since the exit code 1
+/// would mean warnings.
+fn check(config: &Config) -> ExitCode {
+    let Config::Check {
+        file,
+        against,
+        regions,
+        json,
+    } = config;
+    let files = Files {
+        file,
+        against: against.as_deref(),
+        regions,
+    };
+    let format = match json {
+        true => Format::Json,
+        false => Format::Text,
+    };
+    match ctl::check::run(files, format, std::io::stdin()) {
+        Ok(outcome) => {
+            print!("{}", outcome.text);
+            ExitCode::from(outcome.code)
+        }
+        Err(error) => {
+            eprintln!("{error:#}");
+            ExitCode::from(REFUSED)
+        }
+    }
+}
+
 /// Prints the events and the cause of a request's end. Exits 2 if no log contains the request.
 fn story(request: &str, logs: &[PathBuf]) -> anyhow::Result<ExitCode> {
     let mut text = String::new();
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -28,9 +28,6 @@
 /// Prompt tokens that add the value of one short request. As the users specify, the value grows by
 /// about one for each 10,000 tokens.
 const TOKENS_PER_VALUE: f64 = 10_000.0;
-/// Callers of streams disconnect after this time without an event, or after four times the target
-/// or eight times the pause target if that is longer, as the platform documents.
-const STREAM_SILENCE_LIMIT: Duration = Duration::from_secs(2);
 
 /// A request that was admitted.
 pub struct Exchange {
@@ -285,11 +282,7 @@
 
     /// Returns when the caller of a stream disconnects if it has received no event.
     fn first_event_deadline(&self) -> Moment {
-        let pause = self.route.pause_target.unwrap_or_default();
-        let silence = STREAM_SILENCE_LIMIT
-            .max(self.route.latency_target * 4)
-            .max(pause * 8);
-        (self.arrived + silence).min(self.deadline())
+        (self.arrived + self.route.silence_limit()).min(self.deadline())
     }
 
     /// Logs how an attempt ended, and the forecast on which its placement was based.
--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -7,6 +7,10 @@
 use crate::Kind;
 use crate::Service;
 
+/// Callers of streams disconnect after this time without an event, or after four times the target
+/// or eight times the pause target if that is longer, as the platform documents.
+const STREAM_SILENCE_LIMIT: Duration = Duration::from_secs(2);
+
 /// One version of the route configuration.
 #[derive(Clone, Debug, Default)]
 pub struct Table {
@@ -171,6 +175,13 @@
 }
 
 impl Route {
+    /// Returns how long the caller of a stream waits for an event before it disconnects.
+    pub fn silence_limit(&self) -> Duration {
+        STREAM_SILENCE_LIMIT
+            .max(self.latency_target * 4)
+            .max(self.pause_target.unwrap_or_default() * 8)
+    }
+
     /// Selects the service of a request by weight. `point` lies between 0 and 1 and is the same for
     /// all attempts of the request, so they all go to one service.
     pub fn service(&self, point: f64) -> Option<&str> {
