--- a/crates/route/tests/table.rs
+++ b/crates/route/tests/table.rs
@@ -102,3 +102,20 @@
     assert_eq!(engine.pass_ms(0, 0).round(), 44.0);
     assert!(engine.pass_ms(16, 100_000) < 70.0);
 }
+
+/// Guards against requests that are given up before, or kept after, their callers disconnect.
+#[test]
+fn silence_limit_is_the_longest_of_three() {
+    let check = |target_ms, pause_ms: Option<u64>, expected_ms| {
+        let route = Route {
+            latency_target: Duration::from_millis(target_ms),
+            pause_target: pause_ms.map(Duration::from_millis),
+            ..route("r", "/")
+        };
+        assert_eq!(route.silence_limit(), Duration::from_millis(expected_ms));
+    };
+    check(250, None, 2_000);
+    check(250, Some(250), 2_000);
+    check(1_500, Some(600), 6_000);
+    check(600, Some(1_000), 8_000);
+}
