--- a/crates/gateway/src/placing.rs
+++ b/crates/gateway/src/placing.rs
@@ -30,9 +30,6 @@
 use crate::turns::Standing;
 use crate::turns::Turn;
 
-/// Callers of streams disconnect after this time without an event, or after four times the target
-/// or eight times the pause target if that is longer, as the platform documents.
-const STREAM_SILENCE_LIMIT: Duration = Duration::from_secs(2);
 /// The interval between two checks for free engine memory. Several requests end within it.
 const ROOM_CHECK_INTERVAL: Duration = Duration::from_millis(80);
 /// The time for which the latency of a plain server's answers counts.
@@ -244,11 +241,7 @@
 
     /// Returns when the caller of a stream disconnects if it has received no event.
     fn first_event_deadline(&self) -> Moment {
-        let pause = self.route.pause_target.unwrap_or_default();
-        let silence = STREAM_SILENCE_LIMIT
-            .max(self.route.latency_target * 4)
-            .max(pause * 8);
-        (self.arrived + silence).min(self.deadline())
+        (self.arrived + self.route.silence_limit()).min(self.deadline())
     }
 }
 
