--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,6 +1,5 @@
 //! One attempt to have a request answered by a backend server.
 
-use std::net::SocketAddr;
 use std::rc::Rc;
 
 use domain::Moment;
@@ -14,6 +13,7 @@
 use placement::Server;
 
 use crate::Node;
+use crate::checkup;
 use crate::crash;
 use crate::dial;
 use crate::dial::Reuse;
@@ -259,7 +259,9 @@
         }
         Verdict::Ran => Outcome::Answered(response, body),
         Verdict::NotRun { helper_address } => {
-            record_helper_failure(node, helper_address);
+            if let Some(address) = helper_address {
+                checkup::start(node, address);
+            }
             Outcome::NotRun
         }
         Verdict::OtherServer => Outcome::OtherServer,
@@ -341,24 +343,6 @@
     }
 }
 
-/// Records a failure of the helper at this address, which kept a server from running the request.
-fn record_helper_failure(node: &Node, helper_address: Option<SocketAddr>) {
-    let Some(address) = helper_address else {
-        return;
-    };
-    let now = clock::now();
-    let mut state = node.state.borrow_mut();
-    let key = state
-        .servers
-        .all()
-        .find(|it| it.server.address == address)
-        .map(|it| it.key());
-    if let Some(server_state) = key.and_then(|it| state.servers.get_mut(it)) {
-        server_state.health.on_failure(now);
-        log::info!(target: "server", server = server_state.server.id.as_str(); "a helper failed to prefill its part of a prompt");
-    }
-}
-
 /// Records that another server listens at this server's address, and gossips it to other entries.
 fn mark_replaced(node: &Node, server: &Server) {
     let now = clock::now();
--- /dev/null
+++ b/crates/gateway/src/checkup.rs
@@ -0,0 +1,74 @@
+//! Checks a server that kept another one from running a request.
+//!
+//! A server that prefills a part of a prompt may have crashed, may leave, or may be busy with the parts of
+//! others. Its failure is reported by the server that answers, without the reason. An idle server that is
+//! gone attracts the parts of every long prompt until the list of servers changes, so it is excluded at
+//! once, and asked for the reason.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use h1::Error;
+use h1::body::Decoder;
+use placement::Server;
+use web::stream::within;
+
+use crate::Node;
+use crate::dial;
+use crate::dial::Reuse;
+use crate::notice;
+
+/// The size limits of the head and of the body of the answer, in bytes.
+const RESPONSE_LIMIT: usize = 64 * 1024;
+
+/// Records that the server at this address kept another one from running a request, and starts the check.
+pub fn start(node: &Rc<Node>, address: SocketAddr) {
+    let now = clock::now();
+    let server = {
+        let state = node.state.borrow();
+        let mut servers = state.servers.all();
+        let found = servers.find(|it| it.server.address == address);
+        // While its circuit breaker is open, a check has just been made.
+        let due = found.filter(|it| it.health.is_usable(now));
+        due.map(|it| it.server.clone())
+    };
+    let Some(server) = server else {
+        return;
+    };
+    node.mark_unreachable(now, server.key());
+    log::info!(target: "server", server = server.id.as_str(); "a helper failed to prefill its part of a prompt; checking it");
+    let check = check(node.clone(), server);
+    node.executor.spawn(check).detach();
+}
+
+async fn check(node: Rc<Node>, server: Rc<Server>) {
+    let answered = within(dial::CONNECT_TIMEOUT, query(&node, &server)).await;
+    match answered {
+        Some(Ok(())) => {
+            let mut state = node.state.borrow_mut();
+            if let Some(server_state) = state.servers.get_mut(server.key()) {
+                server_state.health.on_success();
+            }
+        }
+        Some(Err(error)) => {
+            log::info!(target: "server", server = server.id.as_str(), error:% = error; "the helper does not answer the check");
+        }
+        None => {
+            log::info!(target: "server", server = server.id.as_str(); "the helper does not answer the check in time");
+        }
+    }
+}
+
+/// Asks the server for its status. Each of its answers says whether it leaves.
+async fn query(node: &Node, server: &Server) -> Result<(), Error> {
+    let mut head = node.protocol.status_query();
+    head.headers.push("Host", server.address.to_string());
+    let mut stream = dial::connect(node, server).await?;
+    stream.writer().write(&head.encode()).await?;
+    let response = stream.read_response(&head.method, RESPONSE_LIMIT).await?;
+    notice::record(node, server, &response, None);
+    let mut decoder = Decoder::new(response.framing);
+    stream.read_whole_body(&mut decoder, RESPONSE_LIMIT).await?;
+    dial::keep(node, server, stream, Reuse::of(&response));
+    Ok(())
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod attempt;
 pub mod backoff;
 pub mod calls;
+mod checkup;
 pub mod connections;
 pub mod crash;
 pub mod datagrams;
--- a/crates/gateway/src/port.rs
+++ b/crates/gateway/src/port.rs
@@ -131,6 +131,9 @@
     /// Returns the command that reserves memory at a server, or renews the reservation.
     fn reserve(&self, reservation: &Reservation<'_>) -> Command;
 
+    /// Returns the request that asks a server for its status, without the address.
+    fn status_query(&self) -> Request;
+
     /// Returns the command that releases a reservation.
     fn release(&self, id: &str) -> Command;
 
