--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,7 +1,6 @@
 //! One attempt to have a request answered by a backend server.
 
 use std::cell::Cell;
-use std::net::SocketAddr;
 use std::rc::Rc;
 
 use domain::Moment;
@@ -17,6 +16,7 @@
 use placement::reach::Failure;
 
 use crate::Node;
+use crate::checkup;
 use crate::cold;
 use crate::crash;
 use crate::dial;
@@ -333,7 +333,9 @@
         }
         Verdict::Ran => Outcome::Answered(response, body),
         Verdict::NotRun { helper_address } => {
-            record_helper_failure(node, helper_address);
+            if let Some(address) = helper_address {
+                checkup::start(node, address);
+            }
             Outcome::NotRun
         }
         Verdict::OtherServer => Outcome::OtherServer,
@@ -411,24 +413,6 @@
     }
 }
 
-/// Records a failure of the helper at this address, which kept a server from running the request.
-fn record_helper_failure(node: &Node, helper_address: Option<SocketAddr>) {
-    let Some(address) = helper_address else {
-        return;
-    };
-    let now = clock::now();
-    let mut state = node.state.borrow_mut();
-    let key = state
-        .servers
-        .all()
-        .find(|it| it.server.address == address)
-        .map(|it| it.key());
-    if let Some(server_state) = key.and_then(|it| state.servers.get_mut(it)) {
-        server_state.health.on_failure(now);
-        log::info!(target: "server", server = server_state.server.id.as_str(); "a helper failed to prefill its part of a prompt");
-    }
-}
-
 /// Records that another server listens at this server's address, and gossips it to other entries.
 fn mark_replaced(node: &Node, server: &Server) {
     let now = clock::now();
