--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -334,7 +334,7 @@
         Verdict::Ran => Outcome::Answered(response, body),
         Verdict::NotRun { helper_address } => {
             if let Some(address) = helper_address {
-                checkup::start(node, address);
+                checkup::start_at(node, address);
             }
             Outcome::NotRun
         }
--- a/crates/gateway/src/checkup.rs
+++ b/crates/gateway/src/checkup.rs
@@ -1,9 +1,9 @@
 //! Checks a server that kept another one from running a request.
 //!
 //! A server that prefills a part of a prompt may have crashed, may leave, or may be busy with the parts of
-//! others. Its failure is reported by the server that answers, without the reason. An idle server that is
-//! gone attracts the parts of every long prompt until the list of servers changes, so it is excluded at
-//! once, and asked for the reason.
+//! others. Its failure is reported by the server that answers, without the reason, or shows in a reservation
+//! that is not answered. An idle server that is gone attracts the parts of every long prompt until the list
+//! of servers changes, so it is excluded at once, and asked for the reason.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -22,19 +22,31 @@
 const RESPONSE_LIMIT: usize = 64 * 1024;
 
 /// Records that the server at this address kept another one from running a request, and starts the check.
-pub fn start(node: &Rc<Node>, address: SocketAddr) {
-    let now = clock::now();
+pub fn start_at(node: &Rc<Node>, address: SocketAddr) {
     let server = {
         let state = node.state.borrow();
         let mut servers = state.servers.all();
         let found = servers.find(|it| it.server.address == address);
+        found.map(|it| it.server.clone())
+    };
+    if let Some(server) = server {
+        start(node, server);
+    }
+}
+
+/// The same for a server that is known.
+pub fn start(node: &Rc<Node>, server: Rc<Server>) {
+    let now = clock::now();
+    let is_due = {
+        let state = node.state.borrow();
+        let server_state = state.servers.get(server.key());
         // While its circuit breaker is open, a check has just been made.
-        let due = found.filter(|it| it.health.is_usable(now));
-        due.map(|it| it.server.clone())
+        server_state.is_some_and(|it| it.health.is_usable(now))
     };
-    let Some(server) = server else {
+    // An instance that reaches no server learns nothing of a single one.
+    if !is_due || node.isolation.is_set() {
         return;
-    };
+    }
     node.mark_unreachable(now, server.key());
     log::info!(target: "server", server = server.id.as_str(); "a helper failed to prefill its part of a prompt; checking it");
     let check = check(node.clone(), server);
--- a/crates/gateway/src/reserve.rs
+++ b/crates/gateway/src/reserve.rs
@@ -18,6 +18,7 @@
 use web::stream::within;
 
 use crate::Node;
+use crate::checkup;
 use crate::dial;
 use crate::dial::Reuse;
 use crate::evacuation;
@@ -117,6 +118,7 @@
             }
             Err(error) => {
                 log::info!(target: "reserve", ticket = reservation.id.as_str(), server = reservation.server.id.as_str(), error:% = error; "the server did not answer the reservation");
+                checkup::start(node, reservation.server);
                 return Err(Failure::NoRoom);
             }
         }
--- a/crates/placement/src/plan.rs
+++ b/crates/placement/src/plan.rs
@@ -131,6 +131,8 @@
     decoding: usize,
     /// Whether a request with a tight pause limit decodes, or will decode, on it.
     has_tight_decoding: bool,
+    /// Whether its next request shows if it works again.
+    is_on_trial: bool,
     free_tokens: f64,
     /// Breaks ties between equal engines; greater for those that are cold.
     jitter: f64,
@@ -172,7 +174,8 @@
         .collect();
     let prefill_ms = engine.prefill_ms(need.prompt_tokens);
     let mut best: Option<Plan> = None;
-    for parts in part_counts(prefill_ms, candidates.len()) {
+    let trusted = candidates.iter().filter(|it| !it.is_on_trial).count();
+    for parts in part_counts(prefill_ms, trusted.max(1)) {
         let plan = plan_in_parts(now, engine, &candidates, need, prefill_ms, parts);
         let is_better = |plan: &Plan| best.as_ref().is_none_or(|it| plan.loss < it.loss);
         if let Some(plan) = plan.filter(is_better) {
@@ -211,8 +214,9 @@
             tight_engine_cost
         }
     };
-    let mut ranked: Vec<Ranked<'_>> = candidates
-        .iter()
+    // Nothing is learned of a helper, so that a server that is gone would get one part after the other.
+    let permitted = candidates.iter().filter(|it| !is_split || !it.is_on_trial);
+    let mut ranked: Vec<Ranked<'_>> = permitted
         .map(|it| {
             let interference = it.interference(now, engine, part_ms, part_tokens, is_split);
             let own = it.own_loss(engine, part_ms, need, is_split);
@@ -399,6 +403,7 @@
             pass_ms,
             decoding,
             has_tight_decoding: tasks.iter().any(is_tight),
+            is_on_trial: state.health.is_on_trial(),
             free_tokens: memory - held_tokens,
             jitter: random.random::<f64>() * 1e-3 + cold_cost,
         }
--- a/crates/routing/src/health.rs
+++ b/crates/routing/src/health.rs
@@ -39,9 +39,14 @@
         }
     }
 
+    /// Returns whether the next work is a trial.
+    pub fn is_on_trial(&self) -> bool {
+        self.state != State::Closed
+    }
+
     /// Records that work is sent. While the breaker isn't closed, that work is a trial.
     pub fn on_dispatch(&mut self, now: Moment) {
-        if self.state != State::Closed {
+        if self.is_on_trial() {
             self.state = State::Trial(now + LONGEST_OPEN);
         }
     }
