Resume or retry requests that their engine no longer serves

The watchdog looked at the engine as a whole and took it for a busy one, so the caller got nothing until its time limit.

Ruled out: a limit for the silence of a stream alone. With it (mutation), an engine that is slow for 3 s loses its streams.

Change: placement::stall compares a request with others at its engine. An attempt ends if two requests that were placed after its last event, or that the engine takes after it, have begun, and its silence exceeds a limit by the plan's figures. It is logged, counted in coriander_stalls and counts against the engine's health, but not as slowness of the engine or as lost reach. Silence begins when the last event was passed on, so slow readers lose nothing.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -178,7 +178,7 @@
         // With several engines, it is unknown which of them the first event waits for.
         registration.sent(sent_at, exchange.service.engine.as_ref());
     }
-    let watchdog = Watchdog::of(exchange, target);
+    let watchdog = Watchdog::of(exchange, target, sent_at);
     let response = send_and_receive(
         node,
         exchange,
@@ -187,13 +187,7 @@
         answer,
         Source::Server(&target.server, &registration),
     );
-    let stalled = async {
-        watchdog.expired(node, &registration.progress).await;
-        if !node.isolation.is_set() {
-            registration.overdue(clock::now());
-        }
-        Err(Error::Io(std::io::ErrorKind::TimedOut.into()))
-    };
+    let stalled = async { Err(watchdog.expired(node, &registration).await) };
     match future::or(response, stalled).await {
         Ok(Completion { outcome, reuse }) => {
             record_health(node, exchange, target, sent_at, &outcome);
--- a/crates/gateway/src/listener.rs
+++ b/crates/gateway/src/listener.rs
@@ -152,7 +152,7 @@
         Error::HeadTooLong(_) => Some(431),
         Error::BodyTooLong(_) => Some(413),
         Error::NoMemory(_) => Some(503),
-        Error::Closed | Error::Truncated | Error::Io(_) => None,
+        Error::Closed | Error::Truncated | Error::Stalled | Error::Io(_) => None,
     }
 }
 
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -29,6 +29,7 @@
 pub use self::labels::RelayLabels;
 pub use self::labels::RequestLabels;
 pub use self::labels::RouteLabels;
+pub use self::labels::StallLabels;
 pub use self::labels::StreamLabels;
 pub use self::labels::WaitLabels;
 
@@ -65,6 +66,8 @@
     pub retries: Counter,
     /// Retries that the retry budget did not permit.
     pub retries_denied: Counter,
+    /// Attempts that were given up since their engine served other requests but not them.
+    pub stalls: Family<StallLabels, Counter>,
     /// Requests in progress.
     pub running: Gauge,
     /// The version of the configuration in force.
@@ -128,6 +131,7 @@
             pauses: Counter::default(),
             retries: Counter::default(),
             retries_denied: Counter::default(),
+            stalls: Family::default(),
             running: Gauge::default(),
             config_version: Gauge::default(),
             servers: Gauge::default(),
@@ -230,6 +234,11 @@
         self.evacuated_running.remove(&labels);
     }
 
+    /// Counts a request that its engine no longer served.
+    pub fn record_stall(&self, stage: &'static str) {
+        self.stalls.get_or_create(&StallLabels { stage }).inc();
+    }
+
     /// Counts a probe of a backend server.
     pub fn record_probe(&self, is_open: bool) {
         let outcome = if is_open { "open" } else { "failed" };
@@ -332,6 +341,11 @@
             "Retries that the retry budget did not permit",
             self.retries_denied.clone(),
         );
+        registry.register(
+            "stalls",
+            "Requests that their engine no longer served",
+            self.stalls.clone(),
+        );
         registry.register("running", "Requests in progress", self.running.clone());
         registry.register(
             "config_version",
--- a/crates/gateway/src/metrics/labels.rs
+++ b/crates/gateway/src/metrics/labels.rs
@@ -54,6 +54,13 @@
     pub end: &'static str,
 }
 
+/// The labels of requests that their engine no longer served.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct StallLabels {
+    /// `begun` if an event had come, otherwise `not_begun`.
+    pub stage: &'static str,
+}
+
 /// The labels of placements that the bounds of cold servers held back.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct HoldLabels {
--- a/crates/gateway/src/registration.rs
+++ b/crates/gateway/src/registration.rs
@@ -8,6 +8,7 @@
 use placement::Expectation;
 use placement::JobId;
 use placement::slowdown::Meter;
+use placement::stall::Progress;
 use placement::workload::Change;
 use placement::workload::Placement;
 use placement::workload::Timeliness;
@@ -31,6 +32,8 @@
     server_id: String,
     /// When the last event arrived, or when the attempt began if there was none.
     pub progress: Cell<Moment>,
+    /// How far the answer has come.
+    stage: Cell<Progress>,
     /// Measures the server's slowdown by the events of this stream.
     meter: RefCell<Meter>,
 }
@@ -68,6 +71,7 @@
             server_key: target.server.key(),
             server_id: target.server.id.clone(),
             progress: Cell::new(now),
+            stage: Cell::new(Progress::NotBegun),
             meter: RefCell::default(),
         }
     }
@@ -91,6 +95,7 @@
     /// Records that events arrived, and measures the engine by them.
     pub fn progressed(&self, now: Moment, engine: Option<&Engine>) {
         self.progress.set(now);
+        self.stage.set(Progress::PassingOn);
         let pass_ms = {
             let mut state = self.node.state.borrow_mut();
             if let Some(server_state) = state.servers.get_mut(self.server_key) {
@@ -128,7 +133,16 @@
 
     /// Resumes the measurement once the events were passed on to the caller.
     pub fn passed_on(&self) {
-        self.meter.borrow_mut().resume(clock::now());
+        let now = clock::now();
+        if self.stage.get() == Progress::PassingOn {
+            self.stage.set(Progress::Awaiting(now));
+        }
+        self.meter.borrow_mut().resume(now);
+    }
+
+    /// Returns how far the answer has come.
+    pub fn stage(&self) -> Progress {
+        self.stage.get()
     }
 }
 
--- a/crates/gateway/src/watchdog.rs
+++ b/crates/gateway/src/watchdog.rs
@@ -1,20 +1,26 @@
 //! Detects a server that has been silent for so long that another one is more likely to answer.
 //!
-//! An engine may stop responding, and a plain server may drop single requests while it looks
-//! healthy. A request that may be retried is then sent to another server, if the retry budget
-//! permits. Any other request waits until its deadline, since silence does not prove that the
-//! request did not run.
+//! An engine may stop responding, or stop serving one request ([`placement::stall`]), and a plain
+//! server may drop single requests while it looks healthy. A request that may be retried is then sent
+//! to another server, if the retry budget permits. Any other request waits until its deadline, since
+//! silence does not prove that the request did not run.
 
-use std::cell::Cell;
 use std::time::Duration;
 
 use async_io::Timer;
 use domain::Moment;
+use h1::Error;
+use placement::stall::Attempt;
+use placement::stall::Observer;
+use placement::stall::Progress;
+use placement::stall::Stall;
 use placement::workload::Timeliness;
+use route::Engine;
 use route::Kind;
 
 use crate::Node;
 use crate::exchange::Exchange;
+use crate::registration::Registration;
 use crate::target::Target;
 
 /// The silence allowed to an engine beyond the time for its backlog. Callers disconnect after 2 s.
@@ -42,6 +48,12 @@
     server_id: String,
     service: String,
     mode: Mode,
+    /// The request's id, for logs.
+    request: String,
+    /// The engine's figures.
+    engine: Option<Engine>,
+    /// When the request was sent.
+    sent_at: Moment,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -56,7 +68,7 @@
 
 impl Watchdog {
     /// Returns the watchdog of an attempt.
-    pub fn of(exchange: &Exchange, target: &Target) -> Self {
+    pub fn of(exchange: &Exchange, target: &Target, sent_at: Moment) -> Self {
         // `attempts` already includes this attempt.
         let may_retry = exchange.attempts < exchange.route.attempts;
         let mode = match exchange.route.kind {
@@ -69,16 +81,21 @@
             server_id: target.server.id.clone(),
             service: exchange.service.name.clone(),
             mode,
+            request: exchange.metadata.id.as_deref().unwrap_or("-").to_owned(),
+            engine: exchange.service.engine.clone(),
+            sent_at,
         }
     }
 
-    /// Completes once the server has been silent for too long since `progress` and the retry budget
-    /// permits a retry.
-    pub async fn expired(&self, node: &Node, progress: &Cell<Moment>) {
+    /// Completes with the error of the attempt once the server has been silent for too long, or no
+    /// longer serves the request, and the retry budget permits a retry.
+    pub async fn expired(&self, node: &Node, registration: &Registration<'_>) -> Error {
         if self.mode == Mode::Never {
             return std::future::pending().await;
         }
+        let progress = &registration.progress;
         let started = progress.get();
+        let mut observer = self.observer(registration);
         loop {
             Timer::after(CHECK_INTERVAL).await;
             let now = clock::now();
@@ -90,11 +107,59 @@
             let silence = now.since(self.last_activity(node).max(progress.get()));
             if silence > limit && self.has_retry(node, now) {
                 log::info!(target: "server", quiet_ms = silence.as_millis() as u64, limit_ms = limit.as_millis() as u64, server = self.server_id.as_str(); "server silent for too long; sending the request to another server");
-                return;
+                if !node.isolation.is_set() {
+                    registration.overdue(clock::now());
+                }
+                return Error::Io(std::io::ErrorKind::TimedOut.into());
+            }
+            let stall = observer.as_mut().zip(self.engine.as_ref());
+            let stall = stall.and_then(|(observer, engine)| {
+                let workload = &node.state.borrow().workload;
+                observer.observe(now, engine, workload, registration.stage())
+            });
+            if let Some(stall) = stall.filter(|_| self.has_retry(node, now)) {
+                self.record_stall(node, &stall);
+                return Error::Stalled;
             }
         }
     }
 
+    /// Returns the observer for a stall; `None` at a plain service.
+    fn observer(&self, registration: &Registration<'_>) -> Option<Observer> {
+        let Mode::Engine(forecast) = self.mode else {
+            return None;
+        };
+        Some(Observer::new(Attempt {
+            job: registration.job,
+            engine_key: self.server_key,
+            sent_at: self.sent_at,
+            forecast,
+        }))
+    }
+
+    /// Logs and counts a request that its engine no longer serves.
+    fn record_stall(&self, node: &Node, stall: &Stall) {
+        let stage = match stall.progress {
+            Progress::NotBegun => "not_begun",
+            Progress::Awaiting(_) | Progress::PassingOn => "begun",
+        };
+        node.metrics.record_stall(stage);
+        let witnesses = stall.witnesses.iter();
+        let witnesses: Vec<String> = witnesses
+            .map(|it| format!("{:x}:{}", it.entry.0, it.number))
+            .collect();
+        log::info!(
+            target: "stall",
+            request = self.request.as_str(),
+            server = self.server_id.as_str(),
+            stage,
+            quiet_ms = stall.silence.as_millis() as u64,
+            limit_ms = stall.limit.as_millis() as u64,
+            begun_since = witnesses.join(",");
+            "the engine serves later requests but not this one; sending it to another engine"
+        );
+    }
+
     /// Returns when the server last sent anything. An engine that sends events of other requests
     /// is only busy, but a plain server may drop one request while it answers others.
     fn last_activity(&self, node: &Node) -> Moment {
--- a/crates/h1/src/error.rs
+++ b/crates/h1/src/error.rs
@@ -23,6 +23,9 @@
     /// The bodies in memory together are longer than the limit.
     #[error("the bodies in memory are longer than {0} bytes together: retry later")]
     NoMemory(usize),
+    /// The server serves other requests but not this one.
+    #[error("the server serves other requests but not this one: send it to another server")]
+    Stalled,
     /// The connection failed.
     #[error("the connection failed ({0}): open a new one")]
     Io(#[from] io::Error),
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod remaining;
 pub mod servers;
 pub mod slowdown;
+pub mod stall;
 pub mod workload;
 
 pub use budget::Budget;
--- a/crates/placement/src/workload.rs
+++ b/crates/placement/src/workload.rs
@@ -200,6 +200,11 @@
         self.queues.get(&server)
     }
 
+    /// Returns the placement of a request in progress.
+    pub fn placement(&self, job: JobId) -> Option<&Placement> {
+        self.jobs.get(&job).map(|it| &it.placement)
+    }
+
     /// Returns the slowdowns of engines.
     pub fn slowdowns(&self) -> &Slowdowns {
         &self.slowdowns
