--- a/crates/gateway/src/cold.rs
+++ b/crates/gateway/src/cold.rs
@@ -37,6 +37,7 @@
         let (live, expected) = (members.responding(), members.expected());
         let window = workload.window_mut();
         window.set_share(live, expected);
+        window.set_own(members.local().incarnation);
         // Others tell an entry outside the subset of their work only while it places work too.
         window.tick(now, audience.is_participant(now));
     }
--- a/crates/placement/src/cold.rs
+++ b/crates/placement/src/cold.rs
@@ -159,6 +159,10 @@
     share: f64,
     /// The number of entries that this one does not reach.
     missing: usize,
+    /// The number of entries that are expected.
+    expected: usize,
+    /// This entry, whose requests have a bound of their own; `None` if only the shared bound applies.
+    own: Option<Incarnation>,
     servers: HashMap<u64, VecDeque<Request>>,
 }
 
@@ -205,6 +209,12 @@
     pub fn set_share(&mut self, live: usize, expected: usize) {
         self.share = live as f64 / expected.max(live).max(1) as f64;
         self.missing = expected.saturating_sub(live);
+        self.expected = expected;
+    }
+
+    /// Bounds the requests of this entry by themselves, in addition to those of all that it reaches.
+    pub fn set_own(&mut self, own: Incarnation) {
+        self.own = Some(own);
     }
 
     /// Records that this entry or another one placed a request on a server.
@@ -229,15 +239,29 @@
     /// or zero if it gets one now.
     pub fn left(&self, now: Moment, server: u64, per_s: f64) -> Duration {
         let recent: Vec<&Request> = self.recent(now, server).collect();
-        let excess = (recent.len() + 1).checked_sub(self.bound(now, per_s));
-        let last = excess.and_then(|it| recent.get(it.checked_sub(1)?));
-        last.map_or(Duration::ZERO, |it| now.until(it.placed_at + WINDOW))
+        let own: Vec<&Request> = recent
+            .iter()
+            .copied()
+            .filter(|it| self.is_own(it))
+            .collect();
+        let until_free = |requests: &[&Request], bound: usize| {
+            let excess = (requests.len() + 1).checked_sub(bound);
+            let last = excess.and_then(|it| requests.get(it.checked_sub(1)?));
+            last.map_or(Duration::ZERO, |it| now.until(it.placed_at + WINDOW))
+        };
+        until_free(&recent, self.bound(now, per_s)).max(until_free(&own, self.own_bound(per_s)))
     }
 
     /// Returns whether an attempt that was placed on a cold server may still be sent to it. If entries that
     /// did not know of each other's placements placed too many together, the same of them go on all
     /// entries, so that not all withdraw.
     pub fn is_allowed(&self, now: Moment, server: u64, per_s: f64, attempt: Attempt) -> bool {
+        let others = self
+            .recent(now, server)
+            .take_while(|it| it.attempt != attempt);
+        if others.filter(|it| self.is_own(it)).count() >= self.own_bound(per_s) {
+            return false;
+        }
         let mut recent = self.recent(now, server);
         let mut ahead = 0;
         let own = recent
@@ -292,6 +316,17 @@
         requests.filter(move |it| it.is_recent(now))
     }
 
+    fn is_own(&self, request: &Request) -> bool {
+        self.own == Some(request.attempt.0)
+    }
+
+    /// Returns the requests that a cold server may get in a second from this entry alone. Entries that have
+    /// just lost each other, and don't know it yet, stay within the platform's bound by it.
+    fn own_bound(&self, per_s: f64) -> usize {
+        let part = per_s * EXCESS / self.expected.max(1) as f64;
+        (part as usize).clamp(1, MAX_REQUESTS)
+    }
+
     /// Returns the requests that a cold server may get in a second from this entry and those that it
     /// reaches. An entry that has counted for less than a second doesn't know what others placed before.
     fn bound(&self, now: Moment, per_s: f64) -> usize {
--- a/crates/placement/tests/cold.rs
+++ b/crates/placement/tests/cold.rs
@@ -53,6 +53,31 @@
     placed
 }
 
+/// Guards against groups of instances that have lost each other without knowing it, and each use the whole
+/// bound: together, all instances stay within that of the platform.
+#[test]
+fn bound_of_one_entry_is_its_part_of_that_of_the_platform() {
+    for (expected, own) in [(1, 18), (2, 13), (6, 4), (24, 1), (63, 1)] {
+        let mut window = window(expected, expected);
+        window.set_own(Incarnation(1));
+        assert_eq!(fill(&mut window, after(0)), own, "{expected} instances");
+        let other = (Incarnation(2), 1);
+        window.record_placed(after(1), KEY, other);
+        assert_eq!(window.left(after(1_050), KEY, PER_S), Duration::ZERO);
+    }
+}
+
+/// Guards against attempts that were placed together and are all sent.
+#[test]
+fn is_allowed_within_the_bound_of_the_entry() {
+    let mut window = window(6, 6);
+    window.set_own(Incarnation(1));
+    (0..6).for_each(|it| window.record_placed(after(0), KEY, attempt(it)));
+    let allowed = (0..6).map(|it| window.is_allowed(after(0), KEY, PER_S, attempt(it)));
+    let allowed: Vec<bool> = allowed.collect();
+    assert_eq!(allowed, [true, true, true, true, false, false]);
+}
+
 fn server(id: &str, started_ms: u64, sequence: u64, cold_left_ms: Option<u64>) -> Server {
     Server {
         id: id.to_owned(),
--- a/crates/placement/tests/fleet/fleet.rs
+++ b/crates/placement/tests/fleet/fleet.rs
@@ -167,6 +167,8 @@
         let counted_ms = if joined_ms == 0 { COUNTED_MS } else { 0 };
         let since = Moment::from_millis(1_000_000 + joined_ms - counted_ms);
         workload.window_mut().enable(since);
+        let own = Incarnation(self.instances.len() as u64);
+        workload.window_mut().set_own(own);
         self.instances.push(Instance {
             workload,
             is_alone,
