Count truncated responses as lower bounds of their costs

Cause: only requests that were served to their end were observed. Callers that disconnect and time limits truncate long responses more often than short ones, so estimates were too low where this is frequent. Resumed responses were not observed either.

Ruled out: taking the bound as the cost; the mean remains too low (mutation, 2 tests fail).

Change: a response of an engine that was truncated after it had begun counts as the part of the forecast distribution above its bound. Bounds below the estimated median change nothing, and those of an organisation weigh at most as much as its complete responses. The passes of a resumed response are added up, in the exchange, so that they are known also if the task of an attempt is dropped. Bounds that count are exchanged as negative costs: the schema stays the same, and entries that don't know bounds ignore them.

--- a/crates/cost/src/estimator.rs
+++ b/crates/cost/src/estimator.rs
@@ -76,6 +76,9 @@
     /// reported.
     pub fn observe(&mut self, observation: &Observation) -> Option<Shift> {
         let cost = observation.log_cost()?;
+        if observation.is_bound() {
+            return self.observe_bound(observation, cost);
+        }
         let request = observation.request();
         let hint = request.log_hint();
         let keys = Keys::of(&request);
@@ -89,8 +92,54 @@
         report(route)
     }
 
+    /// Returns whether an observation changes the estimates. A lower bound does not if it is below the
+    /// estimated median, or if its organisation has too few whole observations.
+    pub fn counts(&mut self, observation: &Observation) -> bool {
+        let Some(cost) = observation.log_cost() else {
+            return false;
+        };
+        !observation.is_bound() || self.bound_weight(&observation.request(), cost) > 0.0
+    }
+
+    /// Adds a lower bound.
+    fn observe_bound(&mut self, observation: &Observation, bound: f64) -> Option<Shift> {
+        let request = observation.request();
+        let weight = self.bound_weight(&request, bound);
+        if weight <= 0.0 {
+            return None;
+        }
+        let (hint, limit) = (request.log_hint(), observation.log_limit());
+        let keys = Keys::of(&request);
+        let organisation = self.group(keys.organisation);
+        organisation.observe_bound(weight, hint, bound, limit);
+        let weight = weight * (FAIR_OBSERVATIONS / organisation.weight()).min(1.0);
+        let service = self.group(keys.service);
+        service.observe_bound_bounded(weight, hint, bound, limit);
+        let route = self.group(keys.route);
+        route.observe_bound_bounded(weight, hint, bound, limit);
+        report(route)
+    }
+
+    /// Returns the weight of a lower bound in the group of its organisation; 0 if it changes nothing.
+    fn bound_weight(&mut self, request: &Request<'_>, bound: f64) -> f64 {
+        let forecast = self.distribution(request);
+        if forecast.is_none_or(|it| bound <= it.mean) {
+            return 0.0;
+        }
+        let organisation = self.groups.get(&Keys::of(request).organisation);
+        organisation.map_or(0.0, |it| it.bound_weight(request.log_hint(), bound))
+    }
+
     /// Returns what a request is expected to cost; `None` while too little is known of its service.
     pub fn estimate(&mut self, request: &Request<'_>) -> Option<Estimate> {
+        let forecast = self.distribution(request)?;
+        let mean = mean_cost(&forecast).min(request.limit);
+        let upper = forecast.upper().exp().min(request.limit).max(mean);
+        Some(Estimate { mean, upper })
+    }
+
+    /// Returns the distribution of the cost of a request; `None` while too little is known of its service.
+    fn distribution(&mut self, request: &Request<'_>) -> Option<Forecast> {
         let hint = request.log_hint();
         let keys = Keys::of(request);
         let service = self.forecast(keys.service, hint);
@@ -106,9 +155,7 @@
             let share = (narrower.weight / FULL_OBSERVATIONS).min(1.0);
             forecast = forecast.mixed(&narrower, share);
         }
-        let mean = mean_cost(&forecast).min(request.limit);
-        let upper = forecast.upper().exp().min(request.limit).max(mean);
-        Some(Estimate { mean, upper })
+        Some(forecast)
     }
 
     /// Returns the number of groups.
--- a/crates/cost/src/group.rs
+++ b/crates/cost/src/group.rs
@@ -6,6 +6,8 @@
 
 use std::collections::VecDeque;
 
+use crate::tail::Tail;
+
 /// The time constant of the decay, in observations: those more than 200 observations ago have less than
 /// 5 % of the weight, so that a change of behaviour is followed within 200 observations.
 const DECAY_OBSERVATIONS: f64 = 64.0;
@@ -32,6 +34,8 @@
 /// follow a change too slowly.
 const MIN_OUTLIER_BOUND: f64 = std::f64::consts::LN_2;
 
+/// The least weight with which a lower bound counts.
+const MIN_BOUND_WEIGHT: f64 = 0.01;
 /// The number of organisations of a route whose forecasts are compared.
 const ORGANISATION_LIMIT: usize = 9;
 
@@ -67,6 +71,8 @@
 #[derive(Clone, Copy, Debug, Default)]
 struct Moments {
     weight: f64,
+    /// The part of the weight that lower bounds have.
+    bounds: f64,
     hint: f64,
     cost: f64,
     hint_variance: f64,
@@ -127,9 +133,7 @@
         let forecast = self.forecast(hint);
         if forecast.weight >= MIN_WEIGHT {
             let below = if cost <= forecast.upper() { 1.0 } else { 0.0 };
-            let step = weight * DEVIATION_STEP * (UPPER_QUANTILE - below);
-            let (least, most) = DEVIATION_BOUNDS;
-            self.deviations = (self.deviations + step).clamp(least, most);
+            self.follow_quantile(weight, below);
         }
         self.all.add(weight, 0.0, cost);
         if let Some(hint) = hint {
@@ -143,10 +147,59 @@
         if overall.weight < MIN_WEIGHT {
             return self.observe(weight, hint, cost);
         }
-        let most = (OUTLIER_DEVIATIONS * overall.variance.sqrt()).max(MIN_OUTLIER_BOUND);
+        let most = self.outlier_bound();
         let cost = cost.clamp(overall.mean - most, overall.mean + most);
         self.observe(weight, hint, cost);
     }
+
+    /// Returns the weight that a lower bound may have besides the whole observations; 0 if it is below the
+    /// median or too little was observed.
+    pub(crate) fn bound_weight(&self, hint: Option<f64>, bound: f64) -> f64 {
+        match hint {
+            Some(hint) => self.hinted.bound_weight(hint, bound),
+            None => self.all.bound_weight(0.0, bound),
+        }
+    }
+
+    /// Adds a lower bound of a cost that is at most `limit`.
+    pub(crate) fn observe_bound(&mut self, weight: f64, hint: Option<f64>, bound: f64, limit: f64) {
+        let forecast = self.forecast(hint);
+        if forecast.weight >= MIN_WEIGHT && bound > forecast.mean {
+            let tail = Tail::above(forecast.mean, forecast.variance, bound);
+            // The probability that the cost is below the quantile although it exceeds the bound.
+            let below = (1.0 - (1.0 - UPPER_QUANTILE) / tail.share).max(0.0);
+            self.follow_quantile(weight, below);
+        }
+        self.all.add_bound(weight, 0.0, bound, limit);
+        if let Some(hint) = hint {
+            self.hinted.add_bound(weight, hint, bound, limit);
+        }
+    }
+
+    /// Adds a lower bound, bounded by the observations before it.
+    pub(crate) fn observe_bound_bounded(
+        &mut self,
+        weight: f64,
+        hint: Option<f64>,
+        bound: f64,
+        limit: f64,
+    ) {
+        let most = self.overall().mean + self.outlier_bound();
+        self.observe_bound(weight, hint, bound.min(most), limit.min(most));
+    }
+
+    /// Returns how far from the mean an observation counts.
+    fn outlier_bound(&self) -> f64 {
+        let deviation = self.overall().variance.sqrt();
+        (OUTLIER_DEVIATIONS * deviation).max(MIN_OUTLIER_BOUND)
+    }
+
+    /// Adapts the upper quantile to a cost that is below it with probability `below`.
+    fn follow_quantile(&mut self, weight: f64, below: f64) {
+        let step = weight * DEVIATION_STEP * (UPPER_QUANTILE - below);
+        let (least, most) = DEVIATION_BOUNDS;
+        self.deviations = (self.deviations + step).clamp(least, most);
+    }
 }
 
 impl Forecast {
@@ -176,7 +229,9 @@
 
 impl Moments {
     fn add(&mut self, weight: f64, hint: f64, cost: f64) {
-        self.weight = self.weight * (1.0 - weight / DECAY_OBSERVATIONS) + weight;
+        let kept = 1.0 - weight / DECAY_OBSERVATIONS;
+        self.weight = self.weight * kept + weight;
+        self.bounds *= kept;
         let share = weight / self.weight;
         let (from_hint, from_cost) = (hint - self.hint, cost - self.cost);
         self.hint += share * from_hint;
@@ -187,6 +242,33 @@
         self.cost_variance = decay(self.cost_variance, from_cost * from_cost);
     }
 
+    /// Adds a lower bound as the part of the forecast distribution above it.
+    fn add_bound(&mut self, weight: f64, hint: f64, bound: f64, limit: f64) {
+        let weight = weight.min(self.bound_weight(hint, bound));
+        if weight <= 0.0 {
+            return;
+        }
+        let forecast = self.forecast(hint, NORMAL_DEVIATIONS);
+        let tail = Tail::above(forecast.mean, forecast.variance, bound);
+        self.add(weight, hint, tail.mean.min(limit));
+        self.bounds += weight;
+        self.cost_variance += weight / self.weight * tail.variance;
+    }
+
+    /// Returns the weight that a lower bound may have, so that bounds together weigh at most as much as
+    /// whole observations; 0 if it is below the median or too little was observed.
+    fn bound_weight(&self, hint: f64, bound: f64) -> f64 {
+        let is_above = bound > self.forecast(hint, NORMAL_DEVIATIONS).mean;
+        if self.weight < MIN_WEIGHT || !is_above {
+            return 0.0;
+        }
+        let left = self.weight - 2.0 * self.bounds;
+        if left < MIN_BOUND_WEIGHT {
+            return 0.0;
+        }
+        (left / (1.0 + left / DECAY_OBSERVATIONS)).min(1.0)
+    }
+
     fn forecast(&self, hint: f64, deviations: f64) -> Forecast {
         let trust = self.hint_trust();
         let variance =
--- a/crates/cost/src/lib.rs
+++ b/crates/cost/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod exchange;
 pub mod group;
 pub mod observation;
+mod tail;
 
 pub use estimator::Estimate;
 pub use estimator::Estimator;
@@ -16,5 +17,6 @@
 pub use exchange::Batch;
 pub use exchange::Inbox;
 pub use exchange::Outbox;
+pub use observation::Extent;
 pub use observation::Observation;
 pub use observation::Request;
--- a/crates/cost/src/observation.rs
+++ b/crates/cost/src/observation.rs
@@ -19,7 +19,16 @@
     pub limit: f64,
 }
 
-/// A request that was served to its end, with what it cost.
+/// How much of an answer an observation covers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Extent {
+    /// The request was served to its end.
+    Whole,
+    /// The answer was truncated after it had begun: the cost is a lower bound.
+    Truncated,
+}
+
+/// A request that was served, with what it cost.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Observation {
     /// The service that ran it.
@@ -36,6 +45,8 @@
     pub limit: f32,
     /// The number of output tokens, or the service time in milliseconds.
     pub cost: f32,
+    /// Whether that is the whole cost.
+    pub extent: Extent,
 }
 
 impl Observation {
@@ -50,6 +61,16 @@
         }
     }
 
+    /// Returns whether the cost is a lower bound. An answer that reached its declared maximum is whole.
+    pub(crate) fn is_bound(&self) -> bool {
+        self.extent == Extent::Truncated && self.cost < self.limit
+    }
+
+    /// Returns the logarithm of the most that the request could cost.
+    pub(crate) fn log_limit(&self) -> f64 {
+        f64::from(self.limit).max(MIN_COST).ln()
+    }
+
     /// Returns the logarithm of the cost, bounded by what the request declared; `None` if the numbers
     /// can't be true.
     pub(crate) fn log_cost(&self) -> Option<f64> {
--- a/crates/cost/tests/estimator.rs
+++ b/crates/cost/tests/estimator.rs
@@ -2,6 +2,7 @@
 
 use cost::Estimate;
 use cost::Estimator;
+use cost::Extent;
 use cost::Observation;
 use cost::Request;
 use rand::RngExt;
@@ -29,6 +30,7 @@
         expected_tokens: hint as u32,
         limit: MAX_TOKENS,
         cost: cost as f32,
+        extent: Extent::Whole,
     }
 }
 
--- a/crates/cost/tests/exchange.rs
+++ b/crates/cost/tests/exchange.rs
@@ -1,6 +1,7 @@
 //! Observations reach other entries once, in batches of bounded size.
 
 use cost::Batch;
+use cost::Extent;
 use cost::Inbox;
 use cost::Observation;
 use cost::Outbox;
@@ -17,6 +18,7 @@
         expected_tokens: 0,
         limit: 4_000.0,
         cost: cost as f32,
+        extent: Extent::Whole,
     }
 }
 
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -118,6 +118,12 @@
         }
     }
 
+    /// Returns whether this entry counts the passes of an answer that is about to begin. Another entry that
+    /// serves it from its first event observes it itself.
+    fn counts_first_pass(self, exchange: &Exchange) -> bool {
+        matches!(self, Self::Server(..)) && exchange.last_event.is_none()
+    }
+
     /// Records that events were passed on to the caller.
     fn passed_on(self) {
         if let Self::Server(_, registration) = self {
@@ -161,7 +167,6 @@
     }
     exchange.attempts += 1;
     exchange.sent_at = Some(sent_at);
-    let had_begun = exchange.last_event.is_some();
     exchange.ending = Ending::default();
     let head = node.protocol.forward(
         &exchange.request,
@@ -193,9 +198,7 @@
             record_health(node, exchange, target, sent_at, &outcome);
             if has_run(exchange, &outcome) {
                 crash::record_end(node, exchange, &target.server);
-                if !had_begun {
-                    observe::record(node, exchange, target, sent_at);
-                }
+                observe::record(node, exchange, target, sent_at);
             }
             if matches!(outcome, Outcome::OtherServer) {
                 mark_replaced(node, &target.server);
@@ -351,6 +354,8 @@
     let framing = response.framing;
     let mut response = Some(response);
     let mut splitter = Splitter::after(exchange.last_event);
+    let earlier_passes = exchange.passes;
+    let is_counted = earlier_passes > 0 || source.counts_first_pass(exchange);
     let mut has_started = false;
     let mut bytes = Vec::new();
     loop {
@@ -358,6 +363,9 @@
         let has_more = stream.read_body(&mut decoder, &mut bytes).await?;
         let ready = splitter.push(&bytes)?;
         exchange.ending.event_count = splitter.event_count();
+        if is_counted {
+            exchange.passes = earlier_passes + splitter.new_event_count();
+        }
         let end = (!has_more).then(|| splitter.finish(framing));
         if end.is_some() {
             exchange.ending.partial_event_bytes = splitter.partial_event_len();
--- a/crates/gateway/src/costs.rs
+++ b/crates/gateway/src/costs.rs
@@ -30,10 +30,15 @@
         }
     }
 
-    /// Adds an observation of this entry.
-    pub fn record(&mut self, observation: Observation, random: &mut impl Rng) {
+    /// Adds an observation of this entry, and returns whether it changes the estimates. One that does not
+    /// is not sent either, so that callers who disconnect early don't displace other observations.
+    pub fn record(&mut self, observation: Observation, random: &mut impl Rng) -> bool {
+        if !self.estimator.counts(&observation) {
+            return false;
+        }
         self.observe(&observation);
         self.outbox.push(observation, random);
+        true
     }
 
     /// Adds the observations of another entry that were not received before, and returns their number.
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -16,6 +16,8 @@
     is_resumed: bool,
     /// The number of whole events.
     event_count: u64,
+    /// The number of those that the caller already had.
+    known_count: u64,
 }
 
 impl Splitter {
@@ -27,6 +29,7 @@
             last_id,
             is_resumed: last_id.is_some(),
             event_count: 0,
+            known_count: 0,
         }
     }
 
@@ -40,6 +43,11 @@
         self.event_count
     }
 
+    /// Returns the number of whole events in this stream that the caller did not have.
+    pub fn new_event_count(&self) -> u64 {
+        self.event_count - self.known_count
+    }
+
     /// Adds bytes and returns the events that they complete. Fails if the next event is too long.
     pub fn push(&mut self, bytes: &[u8]) -> Result<Vec<u8>, Error> {
         self.pending.extend_from_slice(bytes);
@@ -50,7 +58,7 @@
             start += length;
             self.event_count += 1;
             match event_id(event) {
-                Some(id) if self.last_id.is_some_and(|it| id <= it) => {}
+                Some(id) if self.last_id.is_some_and(|it| id <= it) => self.known_count += 1,
                 id => {
                     self.last_id = id.or(self.last_id);
                     out.extend_from_slice(event);
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -70,6 +70,11 @@
     pub timing: Timing,
     /// How the answer of the current or the last attempt was delimited, for logs.
     pub ending: Ending,
+    /// The passes that servers took for the answer so far, over all attempts. An answer that has begun at
+    /// another entry is counted there.
+    pub passes: u64,
+    /// Whether the cost of the request was observed.
+    pub is_observed: bool,
     /// Whether a server may have run the request.
     pub may_have_run: bool,
     /// Describes the work for the quarantine.
@@ -157,6 +162,8 @@
         server: String::new(),
         timing: Timing::default(),
         ending: Ending::default(),
+        passes: 0,
+        is_observed: false,
         may_have_run: false,
         request,
         body,
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -102,6 +102,8 @@
     pub cost_ratio: ForecastHistograms,
     /// Observations of costs, those of other entries included.
     pub cost_observations: Counter,
+    /// Observations by this entry that are lower bounds.
+    pub cost_bounds: Counter,
     /// Groups of requests whose costs are kept.
     pub cost_groups: Gauge,
     /// Connections opened to backend servers to find out whether they are reached.
@@ -149,6 +151,7 @@
             datagram_bytes: Family::default(),
             cost_ratio: Family::new_with_constructor(ratio_histogram),
             cost_observations: Counter::default(),
+            cost_bounds: Counter::default(),
             cost_groups: Gauge::default(),
             probes: Family::default(),
             isolations: Counter::default(),
@@ -427,6 +430,11 @@
             "Observations of costs",
             self.cost_observations.clone(),
         );
+        registry.register(
+            "cost_bounds",
+            "Observations of truncated answers",
+            self.cost_bounds.clone(),
+        );
         registry.register(
             "cost_groups",
             "Groups of requests whose costs are kept",
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use async_io::Timer;
+use cost::Extent;
 use domain::Moment;
 use futures_lite::future;
 use h1::Request;
@@ -21,6 +22,7 @@
 use crate::exchange::Exchange;
 use crate::exchange::Requester;
 use crate::held;
+use crate::observe;
 use crate::port::Metadata;
 use crate::proxy;
 use crate::reachability;
@@ -100,6 +102,11 @@
             future::or(attempts, disconnected),
         )
         .await;
+        let extent = match &ended {
+            Some(Some(Ok("delivered"))) => Extent::Whole,
+            _ => Extent::Truncated,
+        };
+        observe::record_rest(node, &mut self, extent);
         let route = self.route.clone();
         match ended {
             Some(Some(Ok(outcome))) => {
--- a/crates/gateway/tests/events.rs
+++ b/crates/gateway/tests/events.rs
@@ -65,6 +65,15 @@
     assert!(Splitter::after(Some(6)).finish(Framing::UntilClose).is_ok());
 }
 
+/// Guards against passes that count twice if a server repeats events of a resumed stream.
+#[test]
+fn new_event_count_leaves_out_events_that_the_caller_has() {
+    let mut splitter = Splitter::after(Some(3));
+    let text: String = (2..=6).map(event).collect();
+    splitter.push(text.as_bytes()).expect("events");
+    assert_eq!((splitter.event_count(), splitter.new_event_count()), (5, 3));
+}
+
 #[test]
 fn push_event_without_end_is_rejected() {
     let mut splitter = Splitter::after(None);
--- a/crates/placement/tests/cost_load.rs
+++ b/crates/placement/tests/cost_load.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use cost::Estimator;
+use cost::Extent;
 use cost::Observation;
 use domain::Moment;
 use domain::key::Incarnation;
@@ -206,6 +207,7 @@
             expected_tokens: hint as u32,
             limit: MAX_TOKENS as f32,
             cost: (passes * steps) as f32,
+            extent: Extent::Whole,
         };
         let estimate = match self.basis {
             Basis::Declared => None,
--- a/crates/placement/tests/plain_load.rs
+++ b/crates/placement/tests/plain_load.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use cost::Estimator;
+use cost::Extent;
 use cost::Observation;
 use domain::Moment;
 use domain::key::Incarnation;
@@ -202,6 +203,7 @@
             expected_tokens: 0,
             limit: 4_000.0,
             cost: 1.0,
+            extent: Extent::Whole,
         }
     }
 
--- a/crates/wire/src/costs.rs
+++ b/crates/wire/src/costs.rs
@@ -1,6 +1,10 @@
 //! Encoding and decoding of what requests have cost.
+//!
+//! The cost of a truncated answer, a lower bound, is sent as a negative number. Entries that do not know
+//! bounds ignore such observations, since no cost is negative.
 
 use cost::Batch;
+use cost::Extent;
 use cost::Observation;
 use domain::key::Incarnation;
 
@@ -35,10 +39,15 @@
     builder.set_prompt_tokens(it.prompt_tokens);
     builder.set_expected_tokens(it.expected_tokens);
     builder.set_limit(it.limit);
-    builder.set_cost(it.cost);
+    builder.set_cost(match it.extent {
+        Extent::Whole => it.cost,
+        Extent::Truncated => -it.cost,
+    });
 }
 
 fn read_observation(reader: observation::Reader<'_>) -> Result<Observation, Error> {
+    let cost = reader.get_cost();
+    let is_bound = cost < 0.0;
     Ok(Observation {
         service: reader.get_service()?.to_str()?.to_owned(),
         route: reader.get_route()?.to_str()?.to_owned(),
@@ -46,6 +55,11 @@
         prompt_tokens: reader.get_prompt_tokens(),
         expected_tokens: reader.get_expected_tokens(),
         limit: reader.get_limit(),
-        cost: reader.get_cost(),
+        cost: cost.abs(),
+        extent: if is_bound {
+            Extent::Truncated
+        } else {
+            Extent::Whole
+        },
     })
 }
--- a/crates/wire/tests/frames.rs
+++ b/crates/wire/tests/frames.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 
 use cost::Batch;
+use cost::Extent;
 use cost::Observation;
 use cost::Outbox;
 use domain::evacuation::Set;
@@ -188,11 +189,20 @@
         expected_tokens,
         limit: 4_000.0,
         cost: 1_360.5,
+        extent: Extent::Whole,
+    };
+    let truncated = Observation {
+        extent: Extent::Truncated,
+        ..observation("org2", 5_000, 0)
     };
     check_round_trip(Frame::Costs(Batch {
         entry: Incarnation(9),
         next: u64::MAX,
-        observations: vec![observation("org1", 5_000, 1_300), observation("", 0, 0)],
+        observations: vec![
+            observation("org1", 5_000, 1_300),
+            truncated,
+            observation("", 0, 0),
+        ],
     }));
 }
 
@@ -213,6 +223,7 @@
                     expected_tokens: u32::MAX,
                     limit: 1.1,
                     cost: 1.1,
+                    extent: Extent::Whole,
                 },
                 &mut random,
             );
