Tell stalled requests from silent engines by others' requests

Cause: an instance that has no other request at an engine takes it for silent as soon as it stops serving one request. Instances of a large deployment have few requests at each engine.

Change: if two later requests have begun, the end of the attempt counts as a stall, whichever rule ends it. It counts as evidence that the instance reaches no server if the engine has sent this instance nothing else.

Before: stalled_stream_is_resumed_by_evidence_of_another_instance fails.

--- a/crates/gateway/src/watchdog.rs
+++ b/crates/gateway/src/watchdog.rs
@@ -99,28 +99,36 @@
         loop {
             Timer::after(CHECK_INTERVAL).await;
             let now = clock::now();
-            let limit = if node.state.borrow().reach.is_silent() {
+            let hears_nothing = node.state.borrow().reach.is_silent();
+            let limit = if hears_nothing {
                 ISOLATED_SILENCE
             } else {
                 self.limit(node, now, progress.get() == started)
             };
             let silence = now.since(self.last_activity(node).max(progress.get()));
-            if silence > limit && self.has_retry(node, now) {
-                log::info!(target: "server", quiet_ms = silence.as_millis() as u64, limit_ms = limit.as_millis() as u64, server = self.server_id.as_str(); "server silent for too long; sending the request to another server");
-                if !node.isolation.is_set() {
-                    registration.overdue(clock::now());
-                }
-                return Error::Io(std::io::ErrorKind::TimedOut.into());
-            }
-            let stall = observer.as_mut().zip(self.engine.as_ref());
-            let stall = stall.and_then(|(observer, engine)| {
+            let observed = observer.as_mut().zip(self.engine.as_ref());
+            let stall = observed.and_then(|(observer, engine)| {
                 let workload = &node.state.borrow().workload;
                 observer.observe(now, engine, workload, registration.stage())
             });
-            if let Some(stall) = stall.filter(|_| self.has_retry(node, now)) {
+            let is_silent = silence > limit;
+            let is_over = is_silent || stall.as_ref().is_some_and(Stall::is_due);
+            if !is_over || !self.has_retry(node, now) {
+                continue;
+            }
+            if let Some(stall) = stall.filter(|_| !hears_nothing) {
                 self.record_stall(node, &stall);
+                if is_silent {
+                    // The engine serves requests of other entries, but this one may not reach it.
+                    return Error::Io(std::io::ErrorKind::TimedOut.into());
+                }
                 return Error::Stalled;
             }
+            log::info!(target: "server", quiet_ms = silence.as_millis() as u64, limit_ms = limit.as_millis() as u64, server = self.server_id.as_str(); "server silent for too long; sending the request to another server");
+            if !node.isolation.is_set() {
+                registration.overdue(clock::now());
+            }
+            return Error::Io(std::io::ErrorKind::TimedOut.into());
         }
     }
 
--- a/crates/placement/src/stall.rs
+++ b/crates/placement/src/stall.rs
@@ -66,6 +66,13 @@
     pub witnesses: Vec<JobId>,
 }
 
+impl Stall {
+    /// Returns whether the request has been silent for too long.
+    pub fn is_due(&self) -> bool {
+        self.silence > self.limit
+    }
+}
+
 /// Observes an attempt for a stall. Requests that have begun and ended between two observations are not
 /// seen, so it has to be called more often than answers end.
 #[derive(Clone, Debug)]
@@ -86,7 +93,8 @@
         }
     }
 
-    /// Returns the evidence if the engine no longer serves the request.
+    /// Returns the evidence that the engine serves others but not this request, whether or not the silence
+    /// is long enough.
     pub fn observe(
         &mut self,
         now: Moment,
@@ -104,13 +112,11 @@
             Progress::PassingOn => return None,
         };
         self.add_witnesses(workload, silent_since);
-        let limit = self.limit(now, engine, workload);
-        let silence = now.since(silent_since);
-        let is_stalled = silence > limit && self.witnesses.len() >= WITNESS_COUNT;
-        is_stalled.then(|| Stall {
+        let has_evidence = self.witnesses.len() >= WITNESS_COUNT;
+        has_evidence.then(|| Stall {
             progress,
-            silence,
-            limit,
+            silence: now.since(silent_since),
+            limit: self.limit(now, engine, workload),
             witnesses: self.witnesses.clone(),
         })
     }
--- a/crates/placement/tests/stall.rs
+++ b/crates/placement/tests/stall.rs
@@ -106,10 +106,12 @@
         self.apply(millis + 30, number, Change::Started);
     }
 
+    /// Returns the evidence if the request has been silent for too long.
     fn observe(&mut self, millis: u64) -> Option<Stall> {
         let engine = engine(SLOTS, MEMORY);
         self.observer
             .observe(at(millis), &engine, &self.workload, self.progress)
+            .filter(Stall::is_due)
     }
 }
 
