Weigh running requests by the probability that they are still on time

Cause: plans weighed each running request as if it were still on time. A stream that is late has nothing more to lose by another pause, but long prompts were spread over all engines so as to spare it, and made the streams of all engines late.

Change: each task of placement::Workload keeps the probability that it is still on time. It is 0 if the first token came after its deadline. Each placement that lengthens the next pass of its engine reduces it by the probability that this pass exceeds the pause limit. The workload follows the passes of engines for that: what arrives during a pass is prefilled in the next one. It needs the engine of each server, which the gateway sets; without it, a task counts as on time and plans are as before. Candidate moved out of plan.rs.

Long prefill went to full engines, whose late streams kept their slots several times longer. So a second for which a slot is taken longer has a loss now, which grows with the fourth power of the share of slots that are taken.

Ruled out: see "Tried and not kept" in docs/design/overload.md.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -31,6 +31,7 @@
 use crate::port::Record;
 use crate::port::Snapshot;
 use crate::position;
+use crate::prospects;
 use crate::records;
 
 /// The wait time of a long poll for a change of the configuration. A connection that stalls
@@ -417,6 +418,7 @@
     state.records.store_routes(record, next);
     state.table = Some(Rc::new(table));
     cold::adopt(&mut state, clock::now());
+    prospects::adopt(&mut state);
     state.members.set_config_next(version);
     let phase = state.phase();
     state.members.set_phase(phase);
@@ -487,6 +489,7 @@
         }
         Scope::Changed => records.store_servers(now, from, changes.next, changed),
     }
+    prospects::adopt(state);
     let usable = state.servers.all().filter(|it| !it.server.is_leaving);
     node.metrics.servers.set(usable.count() as i64);
     let phase = state.phase();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod peers;
 pub mod placing;
 pub mod port;
+pub mod prospects;
 pub mod proxy;
 pub mod reachability;
 pub mod records;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -59,6 +59,10 @@
     pub waited: DurationHistograms,
     /// Streams of servers that ended without an error of the connection.
     pub streams: Family<StreamLabels, Counter>,
+    /// Streams of all entries that run at engines.
+    pub streams_running: Gauge,
+    /// The expected number of these that are still on time.
+    pub streams_on_time: Gauge,
     /// Responses by which a server asked for a pause.
     pub pauses: Counter,
     /// Retries sent after the first attempt.
@@ -125,6 +129,8 @@
             waits: Family::default(),
             waited: Family::new_with_constructor(duration_histogram),
             streams: Family::default(),
+            streams_running: Gauge::default(),
+            streams_on_time: Gauge::default(),
             pauses: Counter::default(),
             retries: Counter::default(),
             retries_denied: Counter::default(),
@@ -321,6 +327,16 @@
             "Streams of servers that ended",
             self.streams.clone(),
         );
+        registry.register(
+            "streams_running",
+            "Streams of all entries that run at engines",
+            self.streams_running.clone(),
+        );
+        registry.register(
+            "streams_on_time",
+            "Expected number of running streams that are on time",
+            self.streams_on_time.clone(),
+        );
         registry.register(
             "pauses",
             "Responses by which a server asked for a pause",
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -114,6 +114,8 @@
     pub retry_budgets: HashMap<String, Budget>,
     /// The requests that wait to be placed.
     pub waiting: Waiting,
+    /// Whether few running streams are expected to be on time.
+    pub has_few_on_time: bool,
     /// Whether the process is stopping.
     pub is_stopping: bool,
 }
@@ -159,6 +161,7 @@
                 reach: Reach::default(),
                 retry_budgets: HashMap::new(),
                 waiting: Waiting::default(),
+                has_few_on_time: false,
                 is_stopping: false,
             }),
             connections: RefCell::default(),
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -22,6 +22,7 @@
 use crate::follow;
 use crate::metrics::Direction;
 use crate::node::State;
+use crate::prospects;
 
 /// The interval between two ticks of the membership.
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
@@ -79,6 +80,7 @@
                 evacuation::expire(&node, now);
                 datagrams::refresh_audience(&node, now);
                 cold::observe(&node, now);
+                prospects::observe(&node);
                 node.state.borrow_mut().members.tick(now, &mut rand::rng())
             }
         };
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod ends;
 pub mod evacuation;
 pub mod expectation;
+mod lateness;
 pub mod plain;
 pub mod plan;
 pub mod rates;
--- a/crates/placement/src/plan.rs
+++ b/crates/placement/src/plan.rs
@@ -11,38 +11,37 @@
 
 use domain::Moment;
 use rand::Rng;
-use rand::RngExt;
 use route::Engine;
 
 use crate::Workload;
-use crate::remaining::Pace;
 use crate::servers::State;
 use crate::workload::Part;
 use crate::workload::Queue;
-use crate::workload::Task;
 use crate::workload::Timeliness;
 
+mod candidate;
 mod need;
 
-use self::need::FIRST_TOKEN_SPREAD;
-use self::need::LATE_LOSS;
+use self::candidate::Candidate;
+use self::candidate::FREE_BACKLOG_MS;
+pub use self::candidate::Load;
+use self::candidate::MEMORY_LOSS;
+use self::candidate::TIGHT_PAUSE;
+use self::candidate::TRANSIT_MS;
 pub use self::need::Need;
-use self::need::PAUSE_SPREAD;
-use self::need::late_probability;
 
-/// Pause limits up to this length are tight: prefilling a prompt of usual length on the same engine
-/// makes such a request late.
-const TIGHT_PAUSE: Duration = Duration::from_millis(400);
 /// The loss in decoding a tight request on an engine that has none yet, in the value of a short
 /// request: long prefill harms nobody on engines without tight requests. The loss grows with the
 /// share of engines that already have some, up to the sum of both constants.
 const TIGHT_ENGINE_BASE_COST: f64 = 0.05;
 const TIGHT_ENGINE_SHARE_COST: f64 = 0.5;
-/// Engines with a prefill backlog below this serve a short request in time, in milliseconds.
-const FREE_BACKLOG_MS: f64 = 120.0;
 /// The loss of a second in which no engine is free for short requests, in the value of a short
 /// request: those that arrive meanwhile are late.
 const NO_FREE_ENGINE_LOSS_PER_S: f64 = 30.0;
+/// The loss of a second for which a slot is taken, in the value of a short request, while all slots are: a
+/// short request takes one for two to three seconds. It falls with this power of the share that is taken.
+const SLOT_LOSS_PER_S: f64 = 1.0;
+const SLOT_LOSS_EXPONENT: i32 = 4;
 /// The minimum gain of each further engine, in the value of a short request. Parts without a gain
 /// only add messages between engines.
 const PART_COST: f64 = 0.01;
@@ -51,31 +50,12 @@
 const RESERVATION_COST: f64 = 0.1;
 /// The smallest reservation, in tokens.
 const MIN_RESERVATION: f64 = 4_096.0;
-/// The loss of a prompt that doesn't fit into the engine's free memory, in the value of a short
-/// request: the engine evicts its newest request and prefills it again.
-const MEMORY_LOSS: f64 = 5.0;
-/// The time that a request takes to an engine and its first token back, in milliseconds.
-const TRANSIT_MS: f64 = 15.0;
-/// The share of a pass that a request which arrives during it waits for its end. It is more than half,
-/// since more requests arrive during long passes.
-const RESIDUAL_SHARE: f64 = 0.8;
-/// Prefill that takes longer than forecast by up to this many passes is not unusual.
-const OVERDUE_PASSES: f64 = 1.0;
-/// The time that late prefill still takes, as a share of the time that it is late.
-const OVERDUE_SHARE: f64 = 0.5;
-/// The share of an engine's memory that plans use. The rest is for answers that are longer than
-/// expected.
-const USABLE_MEMORY_SHARE: f64 = 0.92;
 /// The platform's limit of engines that prefill one prompt in addition to the first one.
 const HELPER_LIMIT: usize = 16;
 /// Prompts that one engine prefills faster than this are not split, in milliseconds: about a pass
 /// of an idle engine.
 const MIN_SPLIT_MS: f64 = 60.0;
 
-/// The loss in using a cold engine, in the value of a short request: more than what breaks ties, so that
-/// an equal engine which is warm goes first.
-const COLD_COST: f64 = 2e-3;
-
 /// The engines for a request, and the forecast for it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Plan {
@@ -99,43 +79,6 @@
     pub load: Load,
 }
 
-/// The load of an engine when it was chosen, for logs.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Load {
-    /// Requests that were decoding on it.
-    pub decoding: usize,
-    /// Requests that were placed on it.
-    pub placed: usize,
-    /// The length of its passes without prefill, in milliseconds.
-    pub pass_ms: f64,
-    /// Its prefill backlog, in milliseconds.
-    pub backlog_ms: f64,
-}
-
-/// An engine that a plan may use.
-#[derive(Clone, Copy, Debug)]
-struct Candidate<'a> {
-    key: u64,
-    queue: Option<&'a Queue>,
-    slowdown: f64,
-    /// The wait until it begins the prefill of a request that is on time, in milliseconds.
-    wait_ms: f64,
-    /// The same wait for a request that is late.
-    late_wait_ms: f64,
-    /// The requests ahead of one that is on time, and of one that is late.
-    ahead: [usize; 2],
-    /// Its prefill backlog, in milliseconds, without requests that are late.
-    backlog_ms: f64,
-    /// The length of a pass without prefill, in milliseconds.
-    pass_ms: f64,
-    decoding: usize,
-    /// Whether a request with a tight pause limit decodes, or will decode, on it.
-    has_tight_decoding: bool,
-    free_tokens: f64,
-    /// Breaks ties between equal engines; greater for those that are cold.
-    jitter: f64,
-}
-
 /// An engine and the expected losses if it takes a part.
 #[derive(Clone, Copy, Debug)]
 struct Ranked<'a> {
@@ -204,6 +147,7 @@
     let is_split = parts > 1;
     let part_tokens = need.prompt_tokens as f64 / parts as f64;
     let tight_engine_cost = tight_engine_cost(candidates, need);
+    let slot_loss_per_s = slot_loss_per_s(engine, candidates);
     let tight_cost = |it: &Candidate<'_>| {
         if it.has_tight_decoding {
             0.0
@@ -214,7 +158,8 @@
     let mut ranked: Vec<Ranked<'_>> = candidates
         .iter()
         .map(|it| {
-            let interference = it.interference(now, engine, part_ms, part_tokens, is_split);
+            let interference =
+                it.interference(now, engine, part_ms, part_tokens, is_split, slot_loss_per_s);
             let own = it.own_loss(engine, part_ms, need, is_split);
             Ranked {
                 engine: it,
@@ -291,6 +236,14 @@
     TIGHT_ENGINE_BASE_COST + TIGHT_ENGINE_SHARE_COST * share
 }
 
+/// Returns the loss of a second for which a slot is taken longer.
+fn slot_loss_per_s(engine: &Engine, candidates: &[Candidate<'_>]) -> f64 {
+    let placed = candidates.iter().map(|it| it.queue.map_or(0, Queue::len));
+    let taken: usize = placed.map(|it| it.min(engine.slots)).sum();
+    let share = taken as f64 / (engine.slots * candidates.len()).max(1) as f64;
+    SLOT_LOSS_PER_S * share.powi(SLOT_LOSS_EXPONENT)
+}
+
 /// Returns the loss of short requests that arrive while the engines of a plan prefill, if no other
 /// engine is free for them.
 fn no_free_engine_loss(
@@ -338,145 +291,3 @@
     }
     Allocation { tokens, is_enough }
 }
-
-impl<'a> Candidate<'a> {
-    fn new(
-        now: Moment,
-        engine: &Engine,
-        state: &State,
-        workload: &'a Workload,
-        random: &mut impl Rng,
-    ) -> Self {
-        let key = state.key();
-        let queue = workload.queue(key);
-        let (decoding, _) = queue.map_or((0, 0), Queue::decoding);
-        let slowdown = workload.slowdowns().factor(now, key);
-        let pace = Pace {
-            pass_ms: queue.map_or(0.0, |it| it.pass_ms(engine)),
-            slowdown,
-        };
-        let pass_ms = pace.pass_ms * slowdown;
-        let memory = engine.memory_tokens as f64 * USABLE_MEMORY_SHARE;
-        let tight_ms = TIGHT_PAUSE.as_secs_f64() * 1e3;
-        let is_tight = |it: &Task| !it.is_helper && it.pause_ms.is_some_and(|it| it <= tight_ms);
-        let tasks = queue.map(Queue::tasks).unwrap_or_default();
-        let backlog_ms =
-            |timeliness| queue.map_or(0.0, |it| it.backlog_ms(now, timeliness)) * slowdown;
-        let joining_ms = queue.map_or(0.0, |it| it.joining_pass_ms(engine)) * slowdown;
-        let overdue_ms = queue.map_or(0.0, |it| it.overdue_ms(now)) - joining_ms * OVERDUE_PASSES;
-        let overdue_ms = overdue_ms.max(0.0) * OVERDUE_SHARE;
-        let ahead = |timeliness| queue.map_or(0, |it| it.ahead_of(timeliness).count());
-        let excess = |timeliness| (ahead(timeliness) + 1).saturating_sub(engine.slots);
-        let passes_until_free =
-            |slots| queue.map_or(0.0, |it| it.passes_until_free(now, engine, pace, slots));
-        let excesses = [Timeliness::OnTime, Timeliness::Late].map(excess);
-        let passes = passes_until_free(excesses[0]);
-        // Most engines have no late requests, so that both are equal.
-        let late_passes = if excesses[0] == excesses[1] {
-            passes
-        } else {
-            passes_until_free(excesses[1])
-        };
-        let wait_ms = |timeliness, passes: f64| {
-            pass_ms * RESIDUAL_SHARE
-                + backlog_ms(timeliness)
-                + overdue_ms
-                + joining_ms
-                + pass_ms * passes
-        };
-        let cold_cost = if state.is_cold(now) { COLD_COST } else { 0.0 };
-        let held_tokens = queue.map_or(0.0, |it| {
-            it.tokens() as f64 + it.excess_tokens(now, engine, pace)
-        });
-        Self {
-            key,
-            queue,
-            slowdown,
-            wait_ms: wait_ms(Timeliness::OnTime, passes),
-            late_wait_ms: wait_ms(Timeliness::Late, late_passes),
-            ahead: [ahead(Timeliness::OnTime), ahead(Timeliness::Late)],
-            backlog_ms: backlog_ms(Timeliness::OnTime),
-            pass_ms,
-            decoding,
-            has_tight_decoding: tasks.iter().any(is_tight),
-            free_tokens: memory - held_tokens,
-            jitter: random.random::<f64>() * 1e-3 + cold_cost,
-        }
-    }
-
-    /// Returns whether a short request would be on time on this engine.
-    fn is_free(&self, engine: &Engine) -> bool {
-        let placed = self.queue.map_or(0, Queue::len);
-        self.backlog_ms < FREE_BACKLOG_MS && placed < engine.slots
-    }
-
-    fn load(&self) -> Load {
-        Load {
-            decoding: self.decoding,
-            placed: self.queue.map_or(0, Queue::len),
-            pass_ms: self.pass_ms,
-            backlog_ms: self.backlog_ms,
-        }
-    }
-
-    /// Returns the loss of the requests on this engine if it prefills for `part_ms` more.
-    fn interference(
-        &self,
-        now: Moment,
-        engine: &Engine,
-        part_ms: f64,
-        part_tokens: f64,
-        is_split: bool,
-    ) -> f64 {
-        let part_ms = part_ms * self.slowdown;
-        // A pass prefills a limited number of tokens.
-        let pass_share =
-            (engine.prefill_chunk * u64::from(engine.steps_per_pass)) as f64 / part_tokens.max(1.0);
-        let before = self.pass_ms + self.backlog_ms;
-        let after = before + part_ms * pass_share.min(1.0);
-        let wait = self.wait_ms;
-        let tasks = self.queue.map(Queue::tasks).unwrap_or_default();
-        let losses = tasks.iter().map(|task| {
-            let added = match task.pause_ms {
-                Some(limit) if task.is_decoding => {
-                    late_probability(after, limit, PAUSE_SPREAD)
-                        - late_probability(before, limit, PAUSE_SPREAD)
-                }
-                // Engines prefill parts for other engines before their own waiting requests.
-                _ if task.is_prefilling() && is_split => {
-                    let limit = now.until(task.target_at).as_secs_f64() * 1e3;
-                    late_probability(wait + part_ms, limit, FIRST_TOKEN_SPREAD)
-                        - late_probability(wait, limit, FIRST_TOKEN_SPREAD)
-                }
-                _ => 0.0,
-            };
-            LATE_LOSS * task.value * added
-        });
-        losses.sum()
-    }
-
-    /// Returns the milliseconds of a pass once the request decodes on this engine too.
-    fn decoding_pass_ms(&self, engine: &Engine, need: &Need) -> f64 {
-        self.slowdown * engine.pass_ms(self.decoding + 1, need.prompt_tokens)
-    }
-
-    /// Returns the loss of the request itself on this engine.
-    fn own_loss(&self, engine: &Engine, part_ms: f64, need: &Need, is_split: bool) -> f64 {
-        let pass_ms = self.decoding_pass_ms(engine, need);
-        let work_ms = part_ms * self.slowdown + TRANSIT_MS;
-        let forecast = need.forecast(self.wait_ms + work_ms, self.late_wait_ms + work_ms);
-        let loss = need.first_token_loss(forecast.first_token_ms) + need.pause_loss(pass_ms);
-        if is_split {
-            return loss;
-        }
-        loss + self.memory_loss((need.prompt_tokens + need.expected_answer_tokens) as f64)
-    }
-
-    fn memory_loss(&self, tokens: f64) -> f64 {
-        if self.free_tokens < tokens {
-            MEMORY_LOSS
-        } else {
-            0.0
-        }
-    }
-}
--- a/crates/placement/src/plan/need.rs
+++ b/crates/placement/src/plan/need.rs
@@ -2,18 +2,17 @@
 
 use std::time::Duration;
 
+use crate::lateness::LATE_LOSS;
+use crate::lateness::PAUSE_SPREAD;
+use crate::lateness::late_probability;
 use crate::workload::Timeliness;
 
-/// The share of a request's value that is lost if it is late, as the users specify.
-pub(super) const LATE_LOSS: f64 = 0.75;
 /// The relative error of first-token forecasts, as a share of the target. A request whose forecast
 /// equals its target is late half of the time.
 pub(super) const FIRST_TOKEN_SPREAD: f64 = 0.15;
 /// A request counts as on time while its forecast is below this multiple of its target. Beyond it,
 /// nine of ten requests are late.
 const ON_TIME_MARGIN: f64 = 1.3;
-/// The relative error of pause forecasts, as a share of the limit.
-pub(super) const PAUSE_SPREAD: f64 = 0.1;
 /// The loss of waiting for the length of the full target, in the value of a short request. It
 /// breaks ties in favour of the earlier answer.
 const WAIT_COST: f64 = 0.05;
@@ -75,11 +74,3 @@
             + WAIT_COST * first_token_ms / (self.initial_target.as_secs_f64() * 1e3).max(1.0)
     }
 }
-
-/// Returns the probability that a time with the forecast `ms` exceeds `limit_ms`, if the error of
-/// forecasts is the share `spread` of the limit.
-pub(super) fn late_probability(ms: f64, limit_ms: f64, spread: f64) -> f64 {
-    let limit_ms = limit_ms.max(1.0);
-    let distance = (ms - limit_ms) / (spread * limit_ms);
-    1.0 / (1.0 + (-distance).exp())
-}
--- a/crates/placement/src/workload.rs
+++ b/crates/placement/src/workload.rs
@@ -1,16 +1,20 @@
 //! The workload: the requests that all entries have placed on the backend servers.
 
 use std::collections::HashMap;
+use std::rc::Rc;
 use std::time::Duration;
 
 use domain::Moment;
 use domain::key::Incarnation;
+use route::Engine;
 
 use crate::cold::Window;
 use crate::expectation::Expectation;
 use crate::rates::Rates;
 use crate::slowdown::Slowdowns;
 
+mod passes;
+mod prospect;
 mod queue;
 
 use self::queue::MIXED_PREFILL_FACTOR;
@@ -120,6 +124,8 @@
     slowdowns: Slowdowns,
     rates: Rates,
     window: Window,
+    /// The engines that servers run, as far as they are known.
+    engines: HashMap<u64, Rc<Engine>>,
 }
 
 #[derive(Clone, Debug)]
@@ -133,8 +139,20 @@
     /// Applies an update of this entry or of another one.
     pub fn apply(&mut self, now: Moment, update: &Update) {
         match &update.change {
-            Change::Placed(placement) => self.place(now, update.job, placement),
-            Change::Started => self.start(now, update.job),
+            Change::Placed(placement) => {
+                if !self.jobs.contains_key(&update.job) {
+                    self.lengthen_passes(now, placement);
+                }
+                self.place(now, update.job, placement);
+            }
+            Change::Started => {
+                let known = self.jobs.get(&update.job);
+                let is_first = known.is_some_and(|it| !it.is_started);
+                self.start(now, update.job);
+                if is_first {
+                    self.record_first_token(now, update.job);
+                }
+            }
             Change::Slowed(factor) => self.slow(now, update.job, (*factor).into()),
             Change::Limited { server, per_s } => {
                 self.rates.record_report(now, *server, (*per_s).into());
@@ -182,7 +200,12 @@
             self.end(now, job);
         }
         for update in &snapshot.placed {
-            self.apply(now, update);
+            let is_started = snapshot.started.contains(&update.job.number);
+            match &update.change {
+                // When its first token came, and how long the passes were before, is not known.
+                Change::Placed(placement) if is_started => self.place(now, update.job, placement),
+                _ => self.apply(now, update),
+            }
         }
         for number in &snapshot.started {
             let job = JobId {
@@ -256,6 +279,7 @@
         if self.jobs.contains_key(&job) {
             return;
         }
+        let is_engine = |server| self.engines.contains_key(&server);
         let (passes, service_ms) = (placement.passes.work(), placement.service_ms.work());
         for (index, part) in placement.parts.iter().enumerate() {
             self.rates.record_placed(now, part.server);
@@ -281,6 +305,7 @@
                 passes,
                 service_ms,
                 started: None,
+                on_time: is_engine(part.server).then_some(1.0),
             });
         }
         self.jobs.insert(
--- a/crates/placement/src/workload/queue.rs
+++ b/crates/placement/src/workload/queue.rs
@@ -5,6 +5,7 @@
 
 use super::JobId;
 use super::Timeliness;
+use super::passes::Passes;
 use crate::ends::Ends;
 use crate::ends::Place;
 use crate::expectation::Work;
@@ -22,6 +23,7 @@
     /// The prefill that has been done, in milliseconds.
     pub(super) prefilled_ms: f64,
     pub(super) ends: Ends,
+    pub(super) passes: Passes,
 }
 
 /// The work of one server on one request.
@@ -53,6 +55,9 @@
     pub service_ms: Option<Work>,
     /// When the answer began; `None` before.
     pub started: Option<Started>,
+    /// The probability that the response is still on time, once it has begun; `None` if it is not known, and
+    /// then the response counts as on time.
+    pub on_time: Option<f64>,
     /// Its place in the order of the server.
     pub place: Place,
 }
@@ -96,6 +101,12 @@
         (total - done).max(0.0)
     }
 
+    /// Returns the milliseconds of prefill in the pass that further prefill joins. `pass_ms` is the length of
+    /// a pass without prefill.
+    pub fn joining_prefill_ms(&self, now: Moment, pass_ms: f64) -> f64 {
+        self.passes.joining_ms(now, pass_ms)
+    }
+
     /// Returns the milliseconds by which the pending prefill takes longer than forecast so far.
     pub fn overdue_ms(&self, now: Moment) -> f64 {
         let total = pending_prefill_ms(self.tasks.iter());
