Weigh passes that outlast the silence after which callers disconnect

Cause: a pass longer than that loses the whole value of the streams on its engine, but counted like one that makes them late; a stream that was late already counted as having nothing to lose.

Change: a pass that exceeds 2 s, or eight times the pause limit if that is longer, loses what is left of each stream: all of one that is on time, a quarter of one that is late.

--- a/crates/placement/src/lateness.rs
+++ b/crates/placement/src/lateness.rs
@@ -4,6 +4,10 @@
 pub(crate) const LATE_LOSS: f64 = 0.75;
 /// The relative error of pause forecasts, as a share of the limit.
 pub(crate) const PAUSE_SPREAD: f64 = 0.1;
+/// The silence after which callers disconnect, as a multiple of the pause limit, and the least, in
+/// milliseconds. Routes with longer first-token limits have a longer one, which placements do not state.
+const SILENCE_FACTOR: f64 = 8.0;
+const SHORTEST_SILENCE_MS: f64 = 2_000.0;
 /// The largest exponent that is evaluated. Beyond it, a probability is 0 or 1.
 const MAX_EXPONENT: f64 = 300.0;
 
@@ -44,6 +48,16 @@
     /// Returns the share of its value that a response loses. `on_time` is the probability that it is on time
     /// if the pass stays as it was.
     pub(crate) fn loss(self, pause_ms: f64, on_time: f64) -> f64 {
-        LATE_LOSS * on_time * (1.0 - self.in_time(pause_ms))
+        // The value that is left, as long as the caller does not disconnect.
+        let before = 1.0 - LATE_LOSS * (1.0 - on_time);
+        let after = 1.0 - LATE_LOSS * (1.0 - on_time * self.in_time(pause_ms));
+        let silence_ms = silence_ms(pause_ms);
+        let gone = |ms| late_probability(ms, silence_ms, PAUSE_SPREAD);
+        before * (1.0 - gone(self.before_ms)) - after * (1.0 - gone(self.after_ms))
     }
 }
+
+/// Returns the silence after which the caller of a stream disconnects, in milliseconds.
+fn silence_ms(pause_ms: f64) -> f64 {
+    (pause_ms * SILENCE_FACTOR).max(SHORTEST_SILENCE_MS)
+}
--- a/crates/placement/tests/prospect.rs
+++ b/crates/placement/tests/prospect.rs
@@ -5,17 +5,22 @@
 mod engines;
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use domain::key::Incarnation;
 use placement::Expectation;
 use placement::JobId;
 use placement::Update;
 use placement::Workload;
+use placement::plan;
+use placement::plan::Need;
 use placement::workload::Change;
 use placement::workload::Part;
 use placement::workload::Placement;
 use placement::workload::Snapshot;
 use placement::workload::Timeliness;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
 
 use engines::at;
 
@@ -161,3 +166,47 @@
     assert!(queue.tasks().iter().all(|it| it.on_time.is_none()));
     assert_eq!(workload.on_time(), (0, 0.0));
 }
+
+/// Returns what others lose by a prompt of this length on an engine whose ten streams were late from the
+/// beginning, with this pause limit.
+fn loss_to_late_streams(prompt_tokens: u64, pause_ms: u32) -> f64 {
+    let servers = engines::servers(1, 12);
+    let engine = engines::engine(12, 197_200);
+    let server = servers.all().next().expect("a server").key();
+    let mut workload = Workload::default();
+    workload.set_engines([(server, Rc::new(engine.clone()))].into());
+    for number in 0..10 {
+        let mut update = placed(number, pause_ms, 20.0);
+        if let Change::Placed(placement) = &mut update.change {
+            placement.parts[0].server = server;
+        }
+        workload.apply(at(0), &update);
+        update.change = Change::Started;
+        workload.apply(at(400), &update);
+    }
+    let target = Duration::from_secs(6);
+    let need = Need {
+        prompt_tokens,
+        expected_answer_tokens: 1_300,
+        target,
+        initial_target: target,
+        pause: Some(Duration::from_secs(1)),
+        value: 1.0 + prompt_tokens as f64 / 1e4,
+    };
+    let usable = servers.usable(at(500), "llm");
+    let mut random = StdRng::seed_from_u64(1);
+    let plan = plan::choose(at(500), &engine, usable, &workload, &need, &[], &mut random);
+    plan.expect("a plan").loss_to_others
+}
+
+/// Guards against prefill that goes to engines of late streams until their callers disconnect: after 2 s
+/// with the tighter limit, after 8 s with the other one. Ten streams of the value 1.5 keep a quarter of it,
+/// and at least nine of ten callers leave in a pass of 2.6 s.
+#[test]
+fn pass_beyond_the_silence_limit_loses_late_streams() {
+    let lost = |tokens| loss_to_late_streams(tokens, 250) - loss_to_late_streams(tokens, 1_000);
+    let (within, beyond) = (lost(60_000), lost(190_000));
+    assert!(within.abs() < 0.01, "{within}");
+    let kept = 10.0 * 1.5 * 0.25;
+    assert!((0.9 * kept..=kept).contains(&beyond), "{beyond}");
+}
