--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -32,6 +32,7 @@
 use crate::port::Record;
 use crate::port::Snapshot;
 use crate::position;
+use crate::prospects;
 use crate::records;
 
 /// The wait time of a long poll for a change of the configuration. A connection that stalls
@@ -419,6 +420,7 @@
     state.table = Some(Rc::new(table));
     cold::adopt(&mut state, clock::now());
     homes::check(node, &state);
+    prospects::adopt(&mut state);
     state.members.set_config_next(version);
     let phase = state.phase();
     state.members.set_phase(phase);
@@ -489,6 +491,7 @@
         }
         Scope::Changed => records.store_servers(now, from, changes.next, changed),
     }
+    prospects::adopt(state);
     let usable = state.servers.all().filter(|it| !it.server.is_leaving);
     node.metrics.servers.set(usable.count() as i64);
     let phase = state.phase();
