Say in the schema that negative costs are lower bounds

Cause: truncated answers are exchanged as negative costs, which only the code of crates/wire said. Change: a comment; the generated code is the same.

--- a/crates/wire/schema/peer.capnp
+++ b/crates/wire/schema/peer.capnp
@@ -59,7 +59,8 @@
   promptTokens @3 :UInt32;
   # The number of answer tokens that the caller expected; 0 if it gave none.
   expectedTokens @4 :UInt32;
-  # The number of answer tokens, or the time of service in milliseconds for plain services.
+  # The number of answer tokens, or the time of service in milliseconds for plain services. A negative value
+  # is a lower bound: the answer was truncated. Entries that don't know bounds ignore it.
   cost @5 :Float32;
   # The most that the request could cost by what it declared, in the unit of the cost.
   limit @6 :Float32;
