Reject late requests that cost more than they gain

Change: a late prompt is placed if harmless, waits until the end if it gains more than others lose, and is rejected at once otherwise, unless it was returned or sent before. A request stops waiting for others once its plan is no better than when it began to. Plans count the pauses of streams that are still prefilled.

--- a/crates/admission/src/decision.rs
+++ b/crates/admission/src/decision.rs
@@ -26,6 +26,8 @@
 const HARMLESS_LOSS: f64 = 0.05;
 /// The share of the value of a request that it gains by being in time.
 const TIMELY_SHARE: f64 = 0.75;
+/// The share of its value that a late request still gains.
+const LATE_SHARE: f64 = 1.0 - TIMELY_SHARE;
 /// A late call is sent at the latest when this multiple of the latency is left to its deadline, since it may
 /// then wait at a server.
 const LAST_START_LATENCIES: f64 = 4.0;
@@ -41,6 +43,10 @@
     pub all_slots: usize,
     /// The factor by which the request's priority has reduced its value.
     pub weight: f64,
+    /// Whether it was retried as instructed, or sent before, so that it is not rejected for being late.
+    pub is_last_chance: bool,
+    /// The loss of its plan when it began to wait because others would lose too much.
+    pub harm_loss: Option<f64>,
 }
 
 /// What happens to a request.
@@ -55,7 +61,8 @@
         /// What it waits for.
         reason: Reason,
     },
-    /// It can't be served before its caller disconnects. Room is expected after this time.
+    /// It is late and not worth what others would lose by it, or its caller would disconnect before it is
+    /// served. Room is expected after this time.
     Reject {
         /// The time after which a new request would be in time.
         room: Duration,
@@ -65,10 +72,11 @@
 /// Decides on a prompt with this best plan. `ahead` is what waits ahead of it and has not been planned
 /// again since the last change.
 pub fn decide(now: Moment, need: &Need, plan: &Plan, ahead: Ahead, bounds: Bounds) -> Decision {
+    let rejected = Decision::Reject {
+        room: plan.first_token.saturating_sub(need.initial_target),
+    };
     if plan.first_token > bounds.first_event {
-        return Decision::Reject {
-            room: plan.first_token.saturating_sub(need.initial_target),
-        };
+        return rejected;
     }
     let has_slot = match plan.timeliness {
         Timeliness::OnTime => plan.ahead < bounds.slots,
@@ -79,11 +87,20 @@
         reason,
     };
     if plan.timeliness == Timeliness::Late {
-        let is_harmless = plan.loss_to_others <= HARMLESS_LOSS;
+        let is_unopposed = has_slot && plan.has_room && ahead.in_time == 0;
+        let is_harmless = is_unopposed && plan.loss_to_others <= HARMLESS_LOSS;
+        // Others that wait for the slot or the memory lose more than a late request gains.
+        let is_worth = is_unopposed && plan.loss_to_others <= LATE_SHARE * need.value;
         let time = bounds
             .first_event
             .saturating_sub(plan.first_token + DISCONNECT_MARGIN);
-        if time.is_zero() || (is_harmless && has_slot && plan.has_room && ahead.in_time == 0) {
+        if is_harmless {
+            return Decision::Place;
+        }
+        if !is_worth && !bounds.is_last_chance {
+            return rejected;
+        }
+        if time.is_zero() {
             return Decision::Place;
         }
         return wait(time, Reason::Late);
@@ -93,7 +110,10 @@
     if slack.is_zero() {
         return Decision::Place;
     }
-    if plan.loss_to_others > HARM_SHARE * TIMELY_SHARE * need.value / bounds.weight {
+    let harm_limit = HARM_SHARE * TIMELY_SHARE * need.value / bounds.weight;
+    // While the load rises, each plan is worse than the one before, for the request or for others.
+    let is_improving = bounds.harm_loss.is_none_or(|it| plan.loss < it);
+    if plan.loss_to_others > harm_limit && is_improving {
         return wait(slack, Reason::Harm);
     }
     if !plan.has_room {
--- a/crates/admission/src/returns.rs
+++ b/crates/admission/src/returns.rs
@@ -34,6 +34,13 @@
         }
     }
 
+    /// Removes a rejection: the request has come back elsewhere.
+    pub fn forget(&mut self, digest: u64) {
+        if self.told.remove(&digest).is_some() {
+            self.order.retain(|it| *it != digest);
+        }
+    }
+
     /// Returns whether a request comes back at the time that it was told. Each rejection counts once.
     pub fn take(&mut self, now: Moment, digest: u64) -> bool {
         let Some(told) = self.told.remove(&digest) else {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -1,5 +1,6 @@
 //! One request of a caller, from admission to its answer.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -78,6 +79,8 @@
     pub level: u32,
     /// Whether it comes back as a rejection told it to.
     pub is_returned: bool,
+    /// The loss of its plan when it began to wait because others would lose too much.
+    pub harm_loss: Cell<Option<f64>>,
 }
 
 /// How a server's answer is delimited, and what was left at its end.
@@ -144,6 +147,7 @@
     Ok(Exchange {
         level: table.level(&service.name, &route, organisation.as_deref()),
         is_returned: false,
+        harm_loss: Cell::default(),
         fingerprint: Fingerprint {
             request: digest::seeded(name.as_bytes(), request_hash),
             parts: metadata.shared_parts.clone(),
--- a/crates/gateway/src/placing.rs
+++ b/crates/gateway/src/placing.rs
@@ -162,6 +162,8 @@
             slots: usable_slots(state, engine.slots),
             all_slots: engine.slots,
             weight: admission::weight(self.level),
+            is_last_chance: self.is_returned || standing == Standing::Exempt,
+            harm_loss: self.harm_loss.get(),
         };
         let queue = state.waiting.queue(&self.service.name);
         let ahead = match (plan.timeliness, standing) {
@@ -174,6 +176,9 @@
                 return Err(Refusal::TooLate(room));
             }
             Decision::Wait { until, reason } if standing != Standing::Exempt => {
+                if reason == Reason::Harm && self.harm_loss.get().is_none() {
+                    self.harm_loss.set(Some(plan.loss));
+                }
                 return Ok(Turn::Wait(until, reason));
             }
             _ => {}
--- a/crates/placement/src/plan.rs
+++ b/crates/placement/src/plan.rs
@@ -438,7 +438,8 @@
         let tasks = self.queue.map(Queue::tasks).unwrap_or_default();
         let losses = tasks.iter().map(|task| {
             let added = match task.pause_ms {
-                Some(limit) if task.is_decoding => {
+                // Streams that wait for their first token decode by the time of an unsplit prefill.
+                Some(limit) if task.is_decoding || (!task.is_helper && !is_split) => {
                     late_probability(after, limit, PAUSE_SPREAD)
                         - late_probability(before, limit, PAUSE_SPREAD)
                 }
