Recognise returned requests at every instance

Cause: callers connect to a random instance, and a rejection was known only where it was made. Change: each rejection with a retry delay is sent as `Work.rejected` to the instances that are notified of placements. Where the request comes back, the rejection is withdrawn in the same way (`returnMs` of 0), so that a second return counts as new everywhere. A lost update leaves a new request.

Considered: a token for the caller to send back, which callers do not do.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -39,6 +39,7 @@
 pub mod records;
 pub mod refusal;
 pub mod registration;
+pub mod rejections;
 pub mod relay;
 pub mod reserve;
 pub mod run;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -55,6 +55,8 @@
     pub waiting: Gauge,
     /// Requests that have waited at this instance.
     pub waits: Family<WaitLabels, Counter>,
+    /// Rejected requests that came back as told.
+    pub returned: Counter,
     /// The time that they waited.
     pub waited: DurationHistograms,
     /// Streams of servers that ended without an error of the connection.
@@ -123,6 +125,7 @@
             first_token: Family::new_with_constructor(duration_histogram),
             waiting: Gauge::default(),
             waits: Family::default(),
+            returned: Counter::default(),
             waited: Family::new_with_constructor(duration_histogram),
             streams: Family::default(),
             pauses: Counter::default(),
@@ -311,6 +314,11 @@
         );
         registry.register("waiting", "Requests that wait now", self.waiting.clone());
         registry.register("waits", "Requests that have waited", self.waits.clone());
+        registry.register(
+            "returned",
+            "Rejected requests that came back as told",
+            self.returned.clone(),
+        );
         registry.register(
             "waited_seconds",
             "Time that requests waited",
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -22,6 +22,7 @@
 use crate::follow;
 use crate::metrics::Direction;
 use crate::node::State;
+use crate::rejections;
 
 /// The interval between two ticks of the membership.
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
@@ -118,6 +119,7 @@
         Ok(Frame::Updates(updates)) => {
             for update in &updates {
                 state.workload.apply(now, update);
+                rejections::apply(&mut state, now, update);
             }
             drop(state);
             let is_end = |it: &Update| matches!(it.change, Change::Started | Change::Ended);
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -25,6 +25,7 @@
 use crate::proxy;
 use crate::reachability;
 use crate::refusal::Refusal;
+use crate::rejections;
 use crate::relay::Answer;
 use crate::relay::Disposition;
 use crate::relay::State;
@@ -75,10 +76,7 @@
         }
     };
     let digest = exchange.fingerprint.request;
-    exchange.is_returned = {
-        let mut state = node.state.borrow_mut();
-        state.waiting.returns.take(arrived, digest)
-    };
+    exchange.is_returned = rejections::take(node, arrived, digest);
     exchange.serve(node, caller, answer).await
 }
 
@@ -111,9 +109,8 @@
                     let retry_after = self.retry_time(node, refusal);
                     let retry_after = retry_after.map(|it| it.delay(rand::rng().random()));
                     if let Some(delay) = retry_after {
-                        let mut state = node.state.borrow_mut();
                         let digest = self.fingerprint.request;
-                        state.waiting.returns.record(clock::now(), digest, delay);
+                        rejections::record(node, clock::now(), digest, delay);
                     }
                     return refuse(
                         node,
--- a/crates/placement/src/workload.rs
+++ b/crates/placement/src/workload.rs
@@ -69,6 +69,13 @@
     },
     /// It ended or was cancelled.
     Ended,
+    /// A request was rejected and told to come back, which changes no work. The attempt has no meaning.
+    Rejected {
+        /// The digest of the request.
+        digest: u64,
+        /// The time after which it comes back, in milliseconds; 0 once it has.
+        return_ms: u32,
+    },
 }
 
 /// The requirements of a request and the servers that work on it.
@@ -140,6 +147,7 @@
                 self.rates.record_report(now, *server, (*per_s).into());
             }
             Change::Ended => self.end(now, update.job),
+            Change::Rejected { .. } => {}
         }
     }
 
--- a/crates/wire/src/update.rs
+++ b/crates/wire/src/update.rs
@@ -27,6 +27,11 @@
             group.set_per_s(*per_s);
         }
         Change::Ended => builder.set_ended(()),
+        Change::Rejected { digest, return_ms } => {
+            let mut group = builder.init_rejected();
+            group.set_digest(*digest);
+            group.set_return_ms(*return_ms);
+        }
         Change::Placed(placement) => {
             let mut group = builder.init_placed();
             group.set_target_ms(placement.target_ms);
@@ -89,6 +94,10 @@
             per_s: group.get_per_s(),
         },
         work::Ended(()) => Change::Ended,
+        work::Rejected(group) => Change::Rejected {
+            digest: group.get_digest(),
+            return_ms: group.get_return_ms(),
+        },
         work::Placed(group) => {
             let parts = group.get_parts()?.iter().map(|it| Part {
                 server: it.get_server(),
--- a/crates/wire/tests/frames.rs
+++ b/crates/wire/tests/frames.rs
@@ -81,6 +81,13 @@
             },
         ),
         update(2, Change::Ended),
+        update(
+            4,
+            Change::Rejected {
+                digest: u64::MAX,
+                return_ms: 750,
+            },
+        ),
     ]));
 }
 
