--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -1,5 +1,6 @@
 //! One request of a caller, from admission to its answer.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -87,6 +88,8 @@
     pub is_returned: bool,
     /// The regions in which it may be served, and the version of the configuration that says so.
     homes: (Homes, u64),
+    /// The loss of its plan when it began to wait because others would lose too much.
+    pub harm_loss: Cell<Option<f64>>,
 }
 
 /// How a server's answer is delimited, and what was left at its end.
@@ -154,6 +157,7 @@
         level: table.level(&service.name, &route, organisation.as_deref()),
         is_returned: false,
         homes: (route.homes_of(organisation.as_deref()), table.version()),
+        harm_loss: Cell::default(),
         fingerprint: Fingerprint {
             request: digest::seeded(name.as_bytes(), request_hash),
             parts: metadata.shared_parts.clone(),
