Raise the share of a cold server's bound a second after instances meet

Cause: instances that find each other again use the larger share at once, although they don't know what the others placed in the second before. With up to 32 instances the bound of each instance covers this; with more, two groups could place 36 in a second.

Change: the lowest share of the last second counts. A smaller share counts at once, as before.

--- a/crates/placement/src/cold.rs
+++ b/crates/placement/src/cold.rs
@@ -155,17 +155,32 @@
     counted_since: Option<Moment>,
     /// When this process was last known to run.
     last_tick: Moment,
-    /// The part of each bound that this entry and those that it reaches use.
-    share: f64,
-    /// The number of entries that this one does not reach.
-    missing: usize,
-    /// The number of entries that are expected.
-    expected: usize,
+    /// The entries that this one reaches.
+    reached: Reached,
+    /// Those that it reached before, and until when, for as long as requests of that time count.
+    formerly_reached: VecDeque<(Moment, Reached)>,
     /// This entry, whose requests have a bound of their own; `None` if only the shared bound applies.
     own: Option<Incarnation>,
     servers: HashMap<u64, VecDeque<Request>>,
 }
 
+/// The number of live entries among those expected.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct Reached {
+    live: usize,
+    expected: usize,
+}
+
+impl Reached {
+    /// Returns the requests that a cold server which can take `per_s` requests a second may get in a second
+    /// from these entries, without bounds.
+    fn bound(self, per_s: f64) -> f64 {
+        let share = self.live as f64 / self.expected.max(self.live).max(1) as f64;
+        let missing = self.expected.saturating_sub(self.live);
+        (per_s * share).min(per_s * EXCESS - missing as f64)
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Request {
     attempt: Attempt,
@@ -205,11 +220,20 @@
         self.counted_since.is_some()
     }
 
-    /// Sets the number of live entries among those expected.
+    /// Sets the number of live entries among those expected. A larger share counts once this entry has heard
+    /// for a second what the others place.
     pub fn set_share(&mut self, live: usize, expected: usize) {
-        self.share = live as f64 / expected.max(live).max(1) as f64;
-        self.missing = expected.saturating_sub(live);
-        self.expected = expected;
+        let reached = Reached { live, expected };
+        if reached == self.reached {
+            return;
+        }
+        let now = self.last_tick;
+        let former = &mut self.formerly_reached;
+        former.retain(|it| now.since(it.0) < WINDOW);
+        if self.reached != Reached::default() {
+            former.push_back((now, self.reached));
+        }
+        self.reached = reached;
     }
 
     /// Bounds the requests of this entry by themselves, in addition to those of all that it reaches.
@@ -323,7 +347,7 @@
     /// Returns the requests that a cold server may get in a second from this entry alone. Entries that have
     /// just lost each other, and don't know it yet, stay within the platform's bound by it.
     fn own_bound(&self, per_s: f64) -> usize {
-        let part = per_s * EXCESS / self.expected.max(1) as f64;
+        let part = per_s * EXCESS / self.reached.expected.max(1) as f64;
         (part as usize).clamp(1, MAX_REQUESTS)
     }
 
@@ -334,7 +358,10 @@
         if !is_complete {
             return 1;
         }
-        let remaining = per_s * EXCESS - self.missing as f64;
-        ((per_s * self.share).min(remaining) as usize).clamp(1, MAX_REQUESTS)
+        let former = self.formerly_reached.iter();
+        let former = former.filter(|it| now.since(it.0) < WINDOW).map(|it| it.1);
+        let bounds = former.chain([self.reached]).map(|it| it.bound(per_s));
+        let lowest = bounds.fold(f64::INFINITY, f64::min);
+        (lowest as usize).clamp(1, MAX_REQUESTS)
     }
 }
--- a/crates/placement/tests/cold.rs
+++ b/crates/placement/tests/cold.rs
@@ -1,5 +1,8 @@
 //! Servers are cold for as long as they say, and get no more than their bound meanwhile.
 
+#[path = "window/window.rs"]
+mod window;
+
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -22,61 +25,14 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use route::ColdStart;
+use window::KEY;
+use window::PER_S;
+use window::after;
+use window::attempt;
+use window::fill;
+use window::window;
 
 const COLD_S: Duration = Duration::from_secs(3);
-const PER_S: f64 = 18.0;
-const KEY: u64 = 7;
-
-fn after(millis: u64) -> Moment {
-    Moment::from_millis(1_000_000 + millis)
-}
-
-fn attempt(number: u64) -> (Incarnation, u64) {
-    (Incarnation(1), number)
-}
-
-/// Returns a window of an entry that has counted for a while and reaches `live` of the `expected` ones.
-fn window(live: usize, expected: usize) -> Window {
-    let mut window = Window::default();
-    window.enable(Moment::from_millis(1));
-    window.set_share(live, expected);
-    window
-}
-
-/// Places requests at one moment until the bound is reached, and returns their number.
-fn fill(window: &mut Window, now: Moment) -> u64 {
-    let mut placed = 0;
-    while window.left(now, KEY, PER_S).is_zero() {
-        window.record_placed(now, KEY, attempt(now.as_micros() + placed));
-        placed += 1;
-    }
-    placed
-}
-
-/// Guards against groups of instances that have lost each other without knowing it, and each use the whole
-/// bound: together, all instances stay within that of the platform.
-#[test]
-fn bound_of_one_entry_is_its_part_of_that_of_the_platform() {
-    for (expected, own) in [(1, 18), (2, 13), (6, 4), (24, 1), (63, 1)] {
-        let mut window = window(expected, expected);
-        window.set_own(Incarnation(1));
-        assert_eq!(fill(&mut window, after(0)), own, "{expected} instances");
-        let other = (Incarnation(2), 1);
-        window.record_placed(after(1), KEY, other);
-        assert_eq!(window.left(after(1_050), KEY, PER_S), Duration::ZERO);
-    }
-}
-
-/// Guards against attempts that were placed together and are all sent.
-#[test]
-fn is_allowed_within_the_bound_of_the_entry() {
-    let mut window = window(6, 6);
-    window.set_own(Incarnation(1));
-    (0..6).for_each(|it| window.record_placed(after(0), KEY, attempt(it)));
-    let allowed = (0..6).map(|it| window.is_allowed(after(0), KEY, PER_S, attempt(it)));
-    let allowed: Vec<bool> = allowed.collect();
-    assert_eq!(allowed, [true, true, true, true, false, false]);
-}
 
 fn server(id: &str, started_ms: u64, sequence: u64, cold_left_ms: Option<u64>) -> Server {
     Server {
