Bound the socket buffers of connections, and write without waiting

Cause: the kernel keeps up to 4 MiB for a peer that reads slowly and up to 32 MiB of what was not read, and each connection keeps a zeroed read buffer of 16 KiB, 4,100 times at the smallest instance. A message could only be written as one copy, and only by waiting.

Ruled out: setting the limit of unsent bytes only once a write blocks. Then the kernel takes a response of 147 KB whole, nobody notices that the caller reads nothing, and the kernel ends the connection after the timeout for acknowledgements (4 of 8 tests of slow readers failed).

Change: at most 64 KiB are queued beyond what the peer has room for; all connections read through one buffer; `write_parts` and `try_write` take several slices; the timeout for acknowledgements and the receive buffer can be set; a connection can be reset on close.

Checked: tests of h1 and gateway.

--- a/crates/h1/src/body.rs
+++ b/crates/h1/src/body.rs
@@ -123,6 +123,15 @@
         self.state == State::Done
     }
 
+    /// Returns the number of bytes that remain, if the length of the body was declared.
+    pub fn remaining(&self) -> Option<u64> {
+        match self.state {
+            State::Length(remaining) => Some(remaining),
+            State::Done => Some(0),
+            _ => None,
+        }
+    }
+
     /// Records an orderly close of the connection. Fails if the body is incomplete.
     pub fn end(&mut self) -> Result<(), Error> {
         match self.state {
--- a/crates/h1/src/stream.rs
+++ b/crates/h1/src/stream.rs
@@ -1,7 +1,11 @@
 //! TCP connection with a read buffer for HTTP messages.
 
+use std::cell::Cell;
+use std::cell::RefCell;
 use std::io;
+use std::io::IoSlice;
 use std::io::Read;
+use std::io::Write;
 use std::net::SocketAddr;
 use std::net::TcpStream;
 use std::rc::Rc;
@@ -21,11 +25,25 @@
 const READ_SIZE: usize = 16 * 1024;
 /// The number of reads after which a connection that always has more to read yields to other tasks.
 const READS_PER_TURN: u32 = 16;
+/// The number of bytes that the kernel keeps beyond those that the peer has room for. It would otherwise
+/// keep up to 4 MiB for a peer that reads slowly.
+const UNSENT_LIMIT: u32 = 64 * 1024;
+
+/// The capacity that an empty read buffer keeps while nothing is expected, in bytes. Thousands of connections
+/// may be open at the same time.
+const IDLE_CAPACITY: usize = 2 * 1024;
+
+thread_local! {
+    /// Where all connections read to, so that none keeps a buffer of this size.
+    static SCRATCH: RefCell<Vec<u8>> = RefCell::new(vec![0; READ_SIZE]);
+}
 
 /// A connection with a read buffer.
 #[derive(Debug)]
 pub struct Stream {
     socket: Rc<Async<TcpStream>>,
+    /// The time after which the connection fails if the peer acknowledges nothing.
+    ack_timeout: Rc<Cell<Duration>>,
     buffer: Vec<u8>,
     /// The number of reads since other tasks could run.
     reads: u32,
@@ -35,6 +53,7 @@
 #[derive(Clone, Debug)]
 pub struct Writer {
     socket: Rc<Async<TcpStream>>,
+    ack_timeout: Rc<Cell<Duration>>,
 }
 
 impl Writer {
@@ -42,6 +61,45 @@
     pub async fn write(&self, bytes: &[u8]) -> Result<(), Error> {
         Ok((&*self.socket).write_all(bytes).await?)
     }
+
+    /// Writes all parts, together as far as the connection takes them.
+    pub async fn write_parts(&self, mut parts: &mut [IoSlice<'_>]) -> Result<(), Error> {
+        loop {
+            self.try_write(&mut parts)?;
+            if parts.is_empty() {
+                return Ok(());
+            }
+            self.writable().await?;
+        }
+    }
+
+    /// Writes what the connection takes without waiting, and removes it from `parts`.
+    pub fn try_write(&self, parts: &mut &mut [IoSlice<'_>]) -> Result<(), Error> {
+        IoSlice::advance_slices(parts, 0);
+        while !parts.is_empty() {
+            match (&mut self.socket.get_ref()).write_vectored(parts) {
+                Ok(0) => return Err(Error::Io(io::ErrorKind::WriteZero.into())),
+                Ok(length) => IoSlice::advance_slices(parts, length),
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(()),
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                Err(error) => return Err(Error::Io(error)),
+            }
+        }
+        Ok(())
+    }
+
+    /// Completes once the connection takes more bytes, or has failed.
+    pub async fn writable(&self) -> Result<(), Error> {
+        Ok(self.socket.writable().await?)
+    }
+
+    /// Sets the time after which the connection fails if the peer acknowledges nothing or reads nothing.
+    pub fn set_ack_timeout(&self, timeout: Duration) {
+        if self.ack_timeout.replace(timeout) != timeout {
+            // Fails only for a connection that has already ended.
+            let _ = SockRef::from(self.socket.get_ref()).set_tcp_user_timeout(Some(timeout));
+        }
+    }
 }
 
 impl Stream {
@@ -57,6 +115,7 @@
         let options = SockRef::from(socket.get_ref());
         options.set_tcp_nodelay(true)?;
         options.set_tcp_user_timeout(Some(ack_timeout))?;
+        options.set_tcp_notsent_lowat(UNSENT_LIMIT)?;
         let interval = (ack_timeout / 3).max(Duration::from_secs(1));
         let keepalive = TcpKeepalive::new()
             .with_time(interval)
@@ -64,11 +123,25 @@
         options.set_tcp_keepalive(&keepalive.with_retries(2))?;
         Ok(Self {
             socket: Rc::new(socket),
+            ack_timeout: Rc::new(Cell::new(ack_timeout)),
             buffer: Vec::new(),
             reads: 0,
         })
     }
 
+    /// Bounds what the kernel keeps of bytes that were received but not read. It would otherwise keep up to
+    /// 32 MiB.
+    pub fn limit_received(&self, bytes: usize) -> Result<(), Error> {
+        // The kernel doubles the value to account for its own data.
+        Ok(SockRef::from(self.socket.get_ref()).set_recv_buffer_size(bytes / 2)?)
+    }
+
+    /// Discards what the peer has not read yet when the connection is closed. The peer sees a reset.
+    pub fn discard_on_close(&self) {
+        // Fails only for a connection that has already ended.
+        let _ = SockRef::from(self.socket.get_ref()).set_linger(Some(Duration::ZERO));
+    }
+
     /// Returns the number of bytes in the read buffer.
     pub fn buffered_len(&self) -> usize {
         self.buffer.len()
@@ -83,11 +156,7 @@
             futures_lite::future::yield_now().await;
         }
         loop {
-            let start = self.buffer.len();
-            self.buffer.resize(start + READ_SIZE, 0);
-            let result = (&mut self.socket.get_ref()).read(&mut self.buffer[start..]);
-            self.buffer.truncate(start + *result.as_ref().unwrap_or(&0));
-            match result {
+            match self.read_ready() {
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
                     self.reads = 0;
                     self.socket.readable().await?;
@@ -98,9 +167,21 @@
         }
     }
 
+    /// Reads what is there into the buffer.
+    fn read_ready(&mut self) -> io::Result<usize> {
+        SCRATCH.with_borrow_mut(|scratch| {
+            let length = (&mut self.socket.get_ref()).read(scratch)?;
+            self.buffer.extend_from_slice(&scratch[..length]);
+            Ok(length)
+        })
+    }
+
     /// Completes once the connection ends or fails. Bytes that arrive until then are kept, up to
     /// `limit` of them.
     pub async fn closed(&mut self, limit: usize) {
+        if self.buffer.is_empty() && self.buffer.capacity() > IDLE_CAPACITY {
+            self.buffer = Vec::new();
+        }
         while self.buffer.len() < limit {
             match self.fill().await {
                 Ok(0) | Err(_) => return,
@@ -211,6 +292,7 @@
     pub fn writer(&self) -> Writer {
         Writer {
             socket: self.socket.clone(),
+            ack_timeout: self.ack_timeout.clone(),
         }
     }
 
