Buffer streams for slow callers, within one bound for all buffers

Cause: a stream was read from its server only as fast as its caller read, so that a slow caller occupied a slot and lost a response that its server cut off. A caller that read nothing for 5 s was taken by the kernel for one that is gone. Bodies that were still being read were not counted, each attempt copied its body, and the bounds of bodies and answers did not know of each other.

Change: `outbox` keeps up to 256 KiB of a stream that the caller's connection does not take, and servers are read at their own pace until then. `held` has one account for each connection, for bodies, answers and streams; beyond 7/8 of 3/8 of the memory, the connection that uses the most is closed. The head, the last events and the end of a stream are written together. A stop of reading is not counted by the watchdog. A caller may read nothing for the route's time limit once its response is complete or has more than 16 KiB.

Ruled out: raising that timeout for all responses, since requests of callers that are gone would run on; closing whoever grows when memory is exhausted.

--- a/crates/ctl/src/story.rs
+++ b/crates/ctl/src/story.rs
@@ -127,6 +127,7 @@
             "isolated" => "the instance reached no server, and the request was relayed to it",
             "paused" => "every server of the service had asked for a pause",
             "no_room" => "no engines had enough free memory for the prompt",
+            "no_memory" => "the memory for buffers was used up, and this connection used the most",
             "too_late" => "the caller would have disconnected before the first event",
             "not_run" => "every server that was tried reported that it did not run the request",
             "failed" => "a server may have run the request, but gave no usable response",
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,6 +1,7 @@
 //! One attempt to have a request answered by a backend server.
 
 use std::cell::Cell;
+use std::io::IoSlice;
 use std::rc::Rc;
 
 use domain::Moment;
@@ -26,6 +27,7 @@
 use crate::exchange::Ending;
 use crate::exchange::Exchange;
 use crate::held;
+use crate::held::Kind;
 use crate::notice;
 use crate::observe;
 use crate::port::Forwarding;
@@ -40,8 +42,8 @@
 
 /// The size limit of a response head, in bytes.
 const RESPONSE_HEAD_LIMIT: usize = 64 * 1024;
-/// Answers of servers may take up the process's memory divided by this.
-const ANSWER_MEMORY_DIVISOR: usize = 4;
+/// The last activity of a server that is not read.
+const NEVER_SILENT: Moment = Moment::from_micros(u64::MAX);
 
 /// How an attempt ended.
 #[derive(Debug)]
@@ -118,6 +120,23 @@
         }
     }
 
+    /// Records that the server is not read until the caller reads, so that its silence shows nothing.
+    fn stopped(self) {
+        self.progress().set(NEVER_SILENT);
+    }
+
+    /// Records that the server is read again.
+    fn resumed(self) {
+        self.progress().set(clock::now());
+    }
+
+    fn progress(&self) -> &Cell<Moment> {
+        match self {
+            Self::Server(_, registration) => &registration.progress,
+            Self::Peer(progress) => progress,
+        }
+    }
+
     /// Records that events were passed on to the caller.
     fn passed_on(self) {
         if let Self::Server(_, registration) = self {
@@ -290,17 +309,18 @@
     answer: &mut Answer,
     source: Source<'_>,
 ) -> Result<Completion, Error> {
-    if !exchange.body.is_empty() || exchange.request.framing != Framing::Empty {
-        head.framing = Framing::Length(exchange.body.len() as u64);
+    let body = exchange.body.clone();
+    if !body.bytes.is_empty() || exchange.request.framing != Framing::Empty {
+        head.framing = Framing::Length(body.bytes.len() as u64);
     }
-    let mut bytes = head.encode();
-    bytes.extend_from_slice(&exchange.body);
+    let bytes = head.encode();
     let writer = stream.writer();
     // A server may respond before it has read the body. A task writes the rest of the body, so that
     // the server does not take other bytes for it. Reading the response does not wait for the task.
-    let writing = node
-        .executor
-        .spawn(async move { writer.write(&bytes).await });
+    let writing = node.executor.spawn(async move {
+        let mut parts = [IoSlice::new(&bytes), IoSlice::new(&body.bytes)];
+        writer.write_parts(&mut parts).await
+    });
     let response = stream
         .read_response(&head.method, RESPONSE_HEAD_LIMIT)
         .await?;
@@ -322,8 +342,10 @@
         return Ok(completion);
     }
     let mut decoder = Decoder::new(response.framing);
-    let limit = node.settings().memory_limit / ANSWER_MEMORY_DIVISOR;
-    let body = node.answers.read(stream, &mut decoder, limit).await?;
+    let account = answer.outbox().account();
+    let limit = held::ANSWER_LIMIT;
+    let body = account.read(Kind::Answer, stream, &mut decoder, limit, usize::MAX);
+    let body = body.await?;
     let reuse = Reuse::of(&response).filter(|_| writing.is_finished());
     let outcome = match verdict {
         Verdict::Ran if answer.state() != State::NotBegun => {
@@ -358,6 +380,7 @@
     let mut response = Some(response);
     let mut splitter = Splitter::after(exchange.last_event);
     let mut has_started = false;
+    let unsent = answer.outbox().account().charge(Kind::Stream);
     let mut bytes = Vec::new();
     loop {
         bytes.clear();
@@ -376,33 +399,37 @@
             has_started = true;
         }
         let is_complete = matches!(end, Some(Ok(())));
+        unsent.set(ready.len() + splitter.partial_event_len());
+        if !answer.outbox().has_room(ready.len()) {
+            node.metrics.buffer_stops.inc();
+            unsent.set(ready.len() + splitter.partial_event_len() + dial::RECEIVED_LIMIT);
+            source.stopped();
+            answer.outbox().room(ready.len()).await;
+            source.resumed();
+        }
         let is_first = answer.state() == State::NotBegun;
-        let sent = match response.take().filter(|_| is_first) {
-            Some(response) if !ready.is_empty() || is_complete => {
-                let elapsed = clock::now().since(exchange.arrived);
-                node.metrics
-                    .record_first_event(&exchange.route.name, elapsed);
-                answer.begin_stream(response, &ready).await
-            }
-            Some(unsent) => {
-                response = Some(unsent);
-                Ok(())
-            }
-            None if ready.is_empty() => Ok(()),
-            None => answer.send_events(&ready).await,
+        let head = response.take_if(|_| is_first && (is_complete || !ready.is_empty()));
+        if head.is_some() {
+            let elapsed = clock::now().since(exchange.arrived);
+            node.metrics
+                .record_first_event(&exchange.route.name, elapsed);
+        }
+        let sent = if is_complete {
+            answer.end_stream(head, &ready)
+        } else if ready.is_empty() {
+            Ok(())
+        } else {
+            answer.send_events(head, &ready)
         };
         source.passed_on();
         exchange.last_event = splitter.last_id();
-        let ended = match sent {
-            Ok(()) if is_complete => answer.end_stream(b"").await,
-            sent => sent,
-        };
-        if ended.is_err() {
+        if sent.is_err() {
             return Ok(Completion {
                 outcome: Outcome::CallerLeft,
                 reuse: None,
             });
         }
+        unsent.set(splitter.partial_event_len());
         end.transpose()?;
         if !has_more {
             return Ok(Completion {
--- a/crates/gateway/src/dial.rs
+++ b/crates/gateway/src/dial.rs
@@ -20,6 +20,9 @@
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// The time after which a connection fails if the server acknowledges nothing.
 pub const ACK_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// The memory that the kernel uses for what a server sent and was not read yet, in bytes. This is the
+/// kernel's initial size; it would grow with the server's rate.
+pub const RECEIVED_LIMIT: usize = 128 * 1024;
 
 /// Returns a connection to a server, from the pool if there is an idle one. Fails at once while this
 /// entry is isolated.
@@ -62,7 +65,9 @@
 async fn open(address: SocketAddr) -> Result<Stream, Error> {
     let connect = Stream::connect(address, ACK_TIMEOUT);
     let connected = within(CONNECT_TIMEOUT, connect).await;
-    connected.unwrap_or(Err(Error::Io(ErrorKind::TimedOut.into())))
+    let stream = connected.unwrap_or(Err(Error::Io(ErrorKind::TimedOut.into())))?;
+    stream.limit_received(RECEIVED_LIMIT)?;
+    Ok(stream)
 }
 
 /// States that a connection can be reused.
--- a/crates/gateway/src/endpoints.rs
+++ b/crates/gateway/src/endpoints.rs
@@ -14,7 +14,9 @@
 
 use crate::Node;
 use crate::evacuation;
+use crate::held::Kind;
 use crate::logs;
+use crate::metrics::BufferLabels;
 
 /// The time after which a connection fails if the client acknowledges nothing.
 const ACK_TIMEOUT: Duration = Duration::from_secs(5);
@@ -105,6 +107,11 @@
 pub fn metrics(node: &Node, _: &Request) -> Reply {
     node.metrics.running.set(node.running_requests.get() as i64);
     evacuation::record_running(node);
+    for kind in Kind::ALL {
+        let labels = BufferLabels { kind: kind.name() };
+        let gauge = node.metrics.buffered_bytes.get_or_create(&labels);
+        gauge.set(node.memory.used(kind) as i64);
+    }
     let dropped = logs::dropped();
     let counted = node.metrics.log_lines_dropped.get();
     let dropped_since = dropped.saturating_sub(counted);
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -16,6 +16,7 @@
 use routing::quarantine::Fingerprint;
 
 use crate::Node;
+use crate::held::Body;
 use crate::node::State;
 use crate::port::Metadata;
 use crate::refusal::Refusal;
@@ -39,7 +40,7 @@
     /// The head as the caller sent it.
     pub request: Request,
     /// The body.
-    pub body: Vec<u8>,
+    pub body: Rc<Body>,
     /// The request's metadata, read from its head.
     pub metadata: Metadata,
     /// The route that the request matched.
@@ -117,7 +118,7 @@
 pub fn admit(
     table: &Table,
     request: Request,
-    body: Vec<u8>,
+    body: Body,
     metadata: Metadata,
     requester: Requester,
     arrived: Moment,
@@ -138,7 +139,7 @@
         return Err(Box::new((Refusal::NoServer, metadata)));
     };
     let name = organisation.as_ref().map_or("", |it| it.name.as_str());
-    let request_hash = digest::seeded(&body, digest::fast(request.target.as_bytes()));
+    let request_hash = digest::seeded(&body.bytes, digest::fast(request.target.as_bytes()));
     let route_deadline = arrived + route.time_limit;
     let timeout = metadata.timeout.unwrap_or(route.time_limit);
     Ok(Exchange {
@@ -159,7 +160,7 @@
         ending: Ending::default(),
         may_have_run: false,
         request,
-        body,
+        body: Rc::new(body),
         metadata,
         route,
         service,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod node;
 pub mod notice;
 pub mod observe;
+pub mod outbox;
 pub mod peers;
 pub mod placing;
 pub mod port;
--- a/crates/gateway/src/listener.rs
+++ b/crates/gateway/src/listener.rs
@@ -18,6 +18,10 @@
 
 use crate::Node;
 use crate::exchange::Requester;
+use crate::held::Account;
+use crate::held::Body;
+use crate::held::Kind;
+use crate::outbox::Outbox;
 use crate::relay::Answer;
 use crate::relay::Disposition;
 use crate::serve;
@@ -28,8 +32,6 @@
 const LINGER_TIME: Duration = Duration::from_millis(500);
 /// The timeout for reading a body; no caller's own time limit is longer.
 const BODY_TIMEOUT: Duration = Duration::from_secs(15);
-/// Callers' bodies may take up the process's memory divided by this.
-const BODY_MEMORY_DIVISOR: usize = 4;
 
 /// Accepts callers, or other entries that relay requests, until the task is cancelled, which also closes
 /// the listener.
@@ -49,13 +51,15 @@
             return;
         }
     };
+    let account = node.memory.open();
     while wait_for_request(&node, &mut stream).await {
         node.running_requests.set(node.running_requests.get() + 1);
-        let disposition = serve_request(&node, &mut stream, requester).await;
+        let disposition = serve_request(&node, &mut stream, &account, requester).await;
         node.running_requests.set(node.running_requests.get() - 1);
-        if disposition == Disposition::Close {
-            stream.linger(LINGER_TIME).await;
-            return;
+        match disposition {
+            Disposition::Keep if !account.is_closing() => {}
+            Disposition::Keep | Disposition::Close => return stream.linger(LINGER_TIME).await,
+            Disposition::Discard => return stream.discard_on_close(),
         }
     }
 }
@@ -82,51 +86,48 @@
 }
 
 /// Reads one request and answers it.
-async fn serve_request(node: &Rc<Node>, stream: &mut Stream, requester: Requester) -> Disposition {
+async fn serve_request(
+    node: &Rc<Node>,
+    stream: &mut Stream,
+    account: &Rc<Account>,
+    requester: Requester,
+) -> Disposition {
     let arrived = clock::now();
     let limits = current_limits(node);
     let request = within(limits.head_timeout, stream.read_request(limits.head_bytes)).await;
     let request = match request {
         Some(Ok(request)) => request,
-        Some(Err(error)) => return refuse_unread(node, stream, status_of(&error), &error).await,
-        None => {
-            let answer = Answer::new(stream.writer(), false);
-            return answer.refuse(node, 408, None, None).await;
-        }
+        Some(Err(error)) => return refuse_unread(node, stream, account, &error).await,
+        None => return refuse(node, stream, account, 408).await,
     };
-    let body = match read_body(node, stream, &request, &limits).await {
+    let body = match read_body(node, stream, account, &request, &limits).await {
         Ok(body) => body,
         Err(disposition) => return disposition,
     };
-    let size = body.len();
-    node.body_bytes.set(node.body_bytes.get() + size);
-    let disposition = serve::run(node, stream, request, body, requester, arrived).await;
-    node.body_bytes.set(node.body_bytes.get() - size);
-    disposition
+    let outbox = Outbox::new(stream.writer(), account.clone(), ACK_TIMEOUT);
+    serve::run(node, stream, outbox, request, body, requester, arrived).await
 }
 
 async fn read_body(
     node: &Rc<Node>,
     stream: &mut Stream,
+    account: &Rc<Account>,
     request: &Request,
     limits: &Limits,
-) -> Result<Vec<u8>, Disposition> {
-    let refuse = |status| {
-        let answer = Answer::new(stream.writer(), false);
-        async move { answer.refuse(node, status, None, None).await }
-    };
+) -> Result<Body, Disposition> {
     let declared = match request.framing {
-        Framing::Empty => return Ok(Vec::new()),
+        Framing::Empty => return Ok(account.empty_body(Kind::Request)),
         Framing::Length(length) => usize::try_from(length).unwrap_or(usize::MAX),
         Framing::Chunked | Framing::UntilClose => 0,
     };
     if declared > limits.body_bytes {
-        return Err(refuse(413).await);
+        return Err(refuse(node, stream, account, 413).await);
     }
-    let max_bytes = node.settings().memory_limit / BODY_MEMORY_DIVISOR;
-    if node.body_bytes.get() + declared > max_bytes {
-        log::warn!(target: "front", held = node.body_bytes.get(), most = max_bytes; "request refused: callers' bodies take up all of their memory");
-        return Err(refuse(503).await);
+    let kind_limit = node.settings().body_limit();
+    let held = node.memory.used(Kind::Request);
+    if held + declared > kind_limit {
+        log::warn!(target: "front", held, most = kind_limit; "request refused: callers' bodies take up all of their memory");
+        return Err(refuse(node, stream, account, 503).await);
     }
     if request.headers.has_token("expect", "100-continue") {
         let interim = b"HTTP/1.1 100 Continue\r\n\r\n";
@@ -135,13 +136,20 @@
         }
     }
     let mut decoder = Decoder::new(request.framing);
-    let whole = stream.read_whole_body(&mut decoder, limits.body_bytes);
-    match within(BODY_TIMEOUT, whole).await {
+    let whole = async {
+        let limit = limits.body_bytes;
+        let read = account.read(Kind::Request, stream, &mut decoder, limit, kind_limit);
+        read.await
+    };
+    let closing = async {
+        let held = account.closing().await;
+        node.record_closing(held, None);
+        Err(Error::NoMemory(node.memory.limit()))
+    };
+    match within(BODY_TIMEOUT, future::or(whole, closing)).await {
         Some(Ok(body)) => Ok(body),
-        Some(Err(error)) => Err(refuse_unread(node, stream, status_of(&error), &error).await),
-        None => Err(Answer::new(stream.writer(), false)
-            .refuse(node, 408, None, None)
-            .await),
+        Some(Err(error)) => Err(refuse_unread(node, stream, account, &error).await),
+        None => Err(refuse(node, stream, account, 408).await),
     }
 }
 
@@ -159,13 +167,19 @@
 async fn refuse_unread(
     node: &Node,
     stream: &Stream,
-    status: Option<u16>,
+    account: &Rc<Account>,
     error: &Error,
 ) -> Disposition {
-    let Some(status) = status else {
+    let Some(status) = status_of(error) else {
         return Disposition::Close;
     };
     log::info!(target: "front", status, error:% = error; "request refused: it can't be read");
-    let answer = Answer::new(stream.writer(), false);
+    refuse(node, stream, account, status).await
+}
+
+/// Refuses a request that was not read to its end, and closes the connection.
+async fn refuse(node: &Node, stream: &Stream, account: &Rc<Account>, status: u16) -> Disposition {
+    let outbox = Outbox::new(stream.writer(), account.clone(), ACK_TIMEOUT);
+    let answer = Answer::new(Rc::new(outbox), false);
     answer.refuse(node, status, None, None).await
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -16,6 +16,7 @@
 mod labels;
 
 pub use self::labels::Basis;
+pub use self::labels::BufferLabels;
 pub use self::labels::CallLabels;
 pub use self::labels::CallOutcome;
 pub use self::labels::DataCentreLabels;
@@ -111,6 +112,12 @@
     pub relayed: Family<RelayLabels, Counter>,
     /// Requests that other entries relayed to this one.
     pub relays_received: Counter,
+    /// The bytes kept for callers and servers.
+    pub buffered_bytes: Family<BufferLabels, Gauge>,
+    /// Stops in reading a stream because its caller reads too slowly.
+    pub buffer_stops: Counter,
+    /// Connections closed because they buffered the most.
+    pub buffer_closes: Counter,
     /// Log lines dropped over the budget of their part, with a full queue or after a failed write.
     pub log_lines_dropped: Counter,
 }
@@ -151,6 +158,9 @@
             isolated: Gauge::default(),
             relayed: Family::default(),
             relays_received: Counter::default(),
+            buffered_bytes: Family::default(),
+            buffer_stops: Counter::default(),
+            buffer_closes: Counter::default(),
             log_lines_dropped: Counter::default(),
         };
         metrics.register();
@@ -443,6 +453,21 @@
             "Requests that other entries relayed to this one",
             self.relays_received.clone(),
         );
+        registry.register(
+            "buffered_bytes",
+            "Bytes kept for callers and servers",
+            self.buffered_bytes.clone(),
+        );
+        registry.register(
+            "buffer_stops",
+            "Stops in reading a stream because its caller reads too slowly",
+            self.buffer_stops.clone(),
+        );
+        registry.register(
+            "buffer_closes",
+            "Connections closed because they buffered the most",
+            self.buffer_closes.clone(),
+        );
         registry.register(
             "log_lines_dropped",
             "Log lines dropped",
--- a/crates/gateway/src/metrics/labels.rs
+++ b/crates/gateway/src/metrics/labels.rs
@@ -20,6 +20,13 @@
     pub outcome: &'static str,
 }
 
+/// The labels of bytes that are kept.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct BufferLabels {
+    /// `request`, `answer` or `stream`.
+    pub kind: &'static str,
+}
+
 /// The labels of metrics that are kept by route.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct RouteLabels {
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -30,6 +30,7 @@
 use crate::costs::Costs;
 use crate::faults::Faults;
 use crate::held;
+use crate::held::Kind;
 use crate::metrics::Metrics;
 use crate::port::Decoder;
 use crate::port::Protocol;
@@ -59,10 +60,8 @@
     pub datagrams: Async<UdpSocket>,
     /// The number of requests in progress.
     pub running_requests: Cell<usize>,
-    /// The size of callers' bodies in memory, in bytes.
-    pub body_bytes: Cell<usize>,
-    /// The memory that the bodies of servers' answers use.
-    pub answers: held::Memory,
+    /// The memory that callers' bodies, servers' answers and streams use.
+    pub memory: held::Memory,
     next_number: Cell<u64>,
     /// The channel for announcements of later configurations by peers.
     pub config_hints: (Sender<Hint>, Receiver<Hint>),
@@ -140,6 +139,8 @@
             relay_address: settings.relay_address,
         };
         let (close_sender, close_receiver) = async_channel::bounded(1);
+        let memory = held::Memory::default();
+        memory.set_limit(settings.buffer_limit());
         Rc::new(Self {
             protocol,
             decoder,
@@ -165,8 +166,7 @@
             metrics: Metrics::default(),
             datagrams,
             running_requests: Cell::new(0),
-            body_bytes: Cell::new(0),
-            answers: held::Memory::default(),
+            memory,
             next_number: Cell::new(0),
             config_hints: async_channel::bounded(1),
             gaps: async_channel::bounded(1),
@@ -187,9 +187,26 @@
 
     /// Puts changed settings in force. Bound addresses only change with a restart.
     pub fn adopt_settings(&self, settings: Settings) {
+        self.memory.set_limit(settings.buffer_limit());
         *self.settings.borrow_mut() = Rc::new(settings);
     }
 
+    /// Logs and counts a connection that is closed because it uses the most of the memory for buffers.
+    pub fn record_closing(&self, bytes: usize, request: Option<&str>) {
+        self.metrics.buffer_closes.inc();
+        let used = |kind| self.memory.used(kind);
+        log::warn!(
+            target: "buffers",
+            request = request.unwrap_or("-"),
+            bytes,
+            limit = self.memory.limit(),
+            requests = used(Kind::Request),
+            answers = used(Kind::Answer),
+            streams = used(Kind::Stream);
+            "the memory for buffers is used up; closing the connection that buffers the most"
+        );
+    }
+
     /// Returns a unique job id.
     pub fn next_job(&self) -> JobId {
         let number = self.next_number.get();
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -31,6 +31,8 @@
     Isolated,
     /// No engines have enough memory for the prompt.
     NoRoom,
+    /// The memory for buffers is used up, and the caller's connection uses the most of it.
+    NoMemory,
     /// The caller would disconnect before the first event. A request that arrives after this time is
     /// expected to be in time.
     TooLate(Duration),
@@ -57,6 +59,7 @@
             | Self::NoServer
             | Self::Paused(_)
             | Self::NoRoom
+            | Self::NoMemory
             | Self::TooLate(_)
             | Self::NotRun => 503,
         }
@@ -73,6 +76,7 @@
             Self::Paused(_) => "paused",
             Self::Isolated => "isolated",
             Self::NoRoom => "no_room",
+            Self::NoMemory => "no_memory",
             Self::TooLate(_) => "too_late",
             Self::NotRun => "not_run",
             Self::Failed => "failed",
@@ -86,7 +90,9 @@
             Self::Unconfigured => (UNCONFIGURED_RETRY, UNCONFIGURED_RETRY),
             Self::Paused(left) => (left, NO_SERVER_RETRY),
             Self::TooLate(room) => (room, Duration::ZERO),
-            Self::NoServer | Self::NoRoom | Self::NotRun => (NO_SERVER_RETRY, NO_SERVER_RETRY),
+            Self::NoServer | Self::NoRoom | Self::NoMemory | Self::NotRun => {
+                (NO_SERVER_RETRY, NO_SERVER_RETRY)
+            }
             _ => return None,
         };
         Some(RetryTime { earliest, spread })
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -1,19 +1,21 @@
 //! Writes the answer to a caller, either whole or as a stream of events from one or more servers.
 
+use std::io::IoSlice;
+use std::rc::Rc;
 use std::time::Duration;
 
 use h1::Error;
 use h1::Framing;
 use h1::Response;
 use h1::body;
-use h1::stream::Writer;
 
 use crate::Node;
+use crate::outbox::Outbox;
 
 /// Writes an answer to a caller.
 #[derive(Debug)]
 pub struct Answer {
-    writer: Writer,
+    outbox: Rc<Outbox>,
     is_persistent: bool,
     state: State,
 }
@@ -25,6 +27,8 @@
     Keep,
     /// It is to be closed.
     Close,
+    /// It is to be closed at once, and what the caller has not read is discarded.
+    Discard,
 }
 
 /// How much of an answer was sent.
@@ -32,18 +36,18 @@
 pub enum State {
     /// Nothing was sent.
     NotBegun,
-    /// The head and possibly some events were sent.
+    /// The head and possibly some events were sent, or are kept until the caller reads them.
     Begun,
-    /// The whole answer was sent.
+    /// The whole answer was sent, or is kept until the caller reads it.
     Complete,
 }
 
 impl Answer {
     /// Returns an answer of which nothing was sent. `is_persistent` says whether the connection
     /// stays open after it.
-    pub fn new(writer: Writer, is_persistent: bool) -> Self {
+    pub fn new(outbox: Rc<Outbox>, is_persistent: bool) -> Self {
         Self {
-            writer,
+            outbox,
             is_persistent,
             state: State::NotBegun,
         }
@@ -54,6 +58,16 @@
         self.state
     }
 
+    /// Returns what the caller's connection has not taken yet.
+    pub fn outbox(&self) -> &Rc<Outbox> {
+        &self.outbox
+    }
+
+    /// Closes the connection after the answer.
+    pub fn close_after(&mut self) {
+        self.is_persistent = false;
+    }
+
     /// Returns whether the connection stays open. It is closed after an incomplete answer.
     pub fn disposition(&self) -> Disposition {
         if self.is_persistent && self.state == State::Complete {
@@ -70,46 +84,44 @@
         if response.framing != Framing::Empty {
             response.framing = Framing::Length(body.len() as u64);
         }
-        let mut bytes = response.encode();
-        bytes.extend_from_slice(body);
+        let head = response.encode();
         self.state = State::Begun;
-        self.writer.write(&bytes).await?;
+        let mut parts = [IoSlice::new(&head), IoSlice::new(body)];
+        self.outbox.write(&mut parts).await?;
         self.state = State::Complete;
         Ok(())
     }
 
-    /// Sends the head of a stream and its first events.
-    pub async fn begin_stream(
-        &mut self,
-        mut response: Response,
-        events: &[u8],
-    ) -> Result<(), Error> {
-        response.headers.strip_hop_by_hop();
-        response.is_persistent = self.is_persistent;
-        response.framing = Framing::Chunked;
-        let mut bytes = response.encode();
-        body::encode_chunk(events, &mut bytes);
-        self.state = State::Begun;
-        self.writer.write(&bytes).await
-    }
-
-    /// Sends further events.
-    pub async fn send_events(&mut self, events: &[u8]) -> Result<(), Error> {
-        let mut bytes = Vec::with_capacity(events.len() + 16);
-        body::encode_chunk(events, &mut bytes);
-        self.writer.write(&bytes).await
+    /// Sends the head of a stream, if it was not sent before, and events.
+    pub fn send_events(&mut self, head: Option<Response>, events: &[u8]) -> Result<(), Error> {
+        let bytes = self.encode_events(head, events);
+        self.outbox.send(&bytes)
     }
 
     /// Sends the last events of a stream and ends it.
-    pub async fn end_stream(&mut self, events: &[u8]) -> Result<(), Error> {
-        let mut bytes = Vec::with_capacity(events.len() + 16);
-        body::encode_chunk(events, &mut bytes);
+    pub fn end_stream(&mut self, head: Option<Response>, events: &[u8]) -> Result<(), Error> {
+        let mut bytes = self.encode_events(head, events);
         bytes.extend_from_slice(body::LAST_CHUNK);
-        self.writer.write(&bytes).await?;
+        self.outbox.send(&bytes)?;
         self.state = State::Complete;
         Ok(())
     }
 
+    fn encode_events(&mut self, head: Option<Response>, events: &[u8]) -> Vec<u8> {
+        let mut bytes = match head {
+            Some(mut response) => {
+                response.headers.strip_hop_by_hop();
+                response.is_persistent = self.is_persistent;
+                response.framing = Framing::Chunked;
+                self.state = State::Begun;
+                response.encode()
+            }
+            None => Vec::with_capacity(events.len() + 24),
+        };
+        body::encode_chunk(events, &mut bytes);
+        bytes
+    }
+
     /// Sends an answer that the gateway generates itself.
     pub async fn refuse(
         mut self,
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -21,6 +21,7 @@
 use crate::exchange::Exchange;
 use crate::exchange::Requester;
 use crate::held;
+use crate::outbox::Outbox;
 use crate::port::Metadata;
 use crate::proxy;
 use crate::reachability;
@@ -41,12 +42,23 @@
 /// The number of servers to which a request could not be sent before it is refused.
 const CONNECT_LIMIT: usize = 4;
 
+/// How the work on a request ended.
+enum End {
+    /// No further attempt is made, and the caller's connection has taken the answer.
+    Attempted(Result<&'static str, Refusal>),
+    /// The caller disconnected.
+    CallerLeft,
+    /// The caller's connection buffers the most, this number of bytes, and has to be closed.
+    Closing(usize),
+}
+
 /// Serves one request and returns whether the caller's connection stays open.
 pub async fn run(
     node: &Rc<Node>,
     caller: &mut Stream,
+    outbox: Outbox,
     request: Request,
-    body: Vec<u8>,
+    body: held::Body,
     requester: Requester,
     arrived: Moment,
 ) -> Disposition {
@@ -55,7 +67,7 @@
     }
     let meta = node.protocol.metadata(&request);
     let is_persistent = request.is_persistent && !node.state.borrow().is_stopping;
-    let answer = Answer::new(caller.writer(), is_persistent);
+    let answer = Answer::new(Rc::new(outbox), is_persistent);
     let table = {
         let state = node.state.borrow();
         state.table.clone().filter(|_| state.can_serve())
@@ -90,23 +102,33 @@
         mut answer: Answer,
     ) -> Disposition {
         let deadline = self.route_deadline;
-        let attempts = async { Some(self.attempt_all(node, &mut answer).await) };
+        let outbox = answer.outbox().clone();
+        outbox.set_stall_limit(self.route.time_limit);
+        let attempts = async {
+            let ended = self.attempt_all(node, &mut answer).await;
+            outbox.emptied().await;
+            outbox.allow_stall();
+            End::Attempted(ended)
+        };
         let disconnected = async {
             caller.closed(PIPELINE_LIMIT).await;
-            None
+            End::CallerLeft
         };
-        let ended = within(
-            clock::now().until(deadline),
-            future::or(attempts, disconnected),
-        )
-        .await;
+        let unwritable = async {
+            outbox.flush().await;
+            End::CallerLeft
+        };
+        let closing = async { End::Closing(outbox.account().closing().await) };
+        let left = future::or(disconnected, future::or(unwritable, closing));
+        let ended = within(clock::now().until(deadline), future::or(attempts, left)).await;
         let route = self.route.clone();
         match ended {
-            Some(Some(Ok(outcome))) => {
+            Some(End::Attempted(Ok(outcome))) => {
                 node.metrics.record_end(&route.name, outcome);
                 answer.disposition()
             }
-            Some(Some(Err(refusal))) => {
+            Some(End::Closing(bytes)) => self.close(node, answer, bytes).await,
+            Some(End::Attempted(Err(refusal))) => {
                 if answer.state() == State::NotBegun {
                     let retry_after = self.retry_time(node, refusal);
                     let retry_after = retry_after.map(|it| it.delay(rand::rng().random()));
@@ -129,7 +151,7 @@
                 self.record_end(node, "cut_short");
                 answer.disposition()
             }
-            Some(None) => {
+            Some(End::CallerLeft) => {
                 self.record_end(node, "caller_left");
                 Disposition::Close
             }
@@ -147,11 +169,35 @@
             }
             None => {
                 self.record_end(node, "cut_by_time_limit");
-                Disposition::Close
+                if outbox.is_empty() {
+                    Disposition::Close
+                } else {
+                    Disposition::Discard
+                }
             }
         }
     }
 
+    /// Ends a request whose connection buffers the most. If nothing was sent, the caller is told whether the
+    /// request may have run.
+    async fn close(&self, node: &Node, mut answer: Answer, bytes: usize) -> Disposition {
+        node.record_closing(bytes, self.metadata.id.as_deref());
+        if answer.state() != State::NotBegun {
+            self.record_end(node, "closed_for_memory");
+            return Disposition::Discard;
+        }
+        answer.close_after();
+        let refusal = match self.sent_at {
+            Some(_) => Refusal::Failed,
+            None => Refusal::NoMemory,
+        };
+        let retry_after = refusal.retry_time();
+        let retry_after = retry_after.map(|it| it.delay(rand::rng().random()));
+        let (metadata, route) = (&self.metadata, &self.route.name);
+        let arrived = self.arrived;
+        refuse(node, answer, refusal, retry_after, metadata, route, arrived).await
+    }
+
     /// Sends the request to one server after the other, until one answers or no further attempt
     /// is allowed.
     async fn attempt_all(
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -5,6 +5,14 @@
 
 use placement::budget::Policy;
 
+/// The parts that the process's memory is divided into.
+const MEMORY_PARTS: usize = 8;
+/// The parts for all that is kept for callers and servers. Waiting requests may use another part, and the rest
+/// is for the process itself and the kernel.
+const BUFFER_PARTS: usize = 3;
+/// The parts among them for the bodies of callers' requests.
+const BODY_PARTS: usize = 2;
+
 /// The settings of a gateway process.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
@@ -42,3 +50,15 @@
     /// The log level.
     pub log_level: log::LevelFilter,
 }
+
+impl Settings {
+    /// Returns the memory that all that is kept for callers and servers may use, in bytes.
+    pub fn buffer_limit(&self) -> usize {
+        self.memory_limit / MEMORY_PARTS * BUFFER_PARTS
+    }
+
+    /// Returns the memory that the bodies of callers' requests may use, in bytes.
+    pub fn body_limit(&self) -> usize {
+        self.memory_limit / MEMORY_PARTS * BODY_PARTS
+    }
+}
