--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -19,6 +19,7 @@
 use routing::quarantine::Fingerprint;
 
 use crate::Node;
+use crate::held::Body;
 use crate::node::State;
 use crate::port::Metadata;
 use crate::refusal::Refusal;
@@ -42,7 +43,7 @@
     /// The head as the caller sent it.
     pub request: Request,
     /// The body.
-    pub body: Vec<u8>,
+    pub body: Rc<Body>,
     /// The request's metadata, read from its head.
     pub metadata: Metadata,
     /// The route that the request matched.
@@ -129,7 +130,7 @@
 pub fn admit(
     table: &Table,
     request: Request,
-    body: Vec<u8>,
+    body: Body,
     metadata: Metadata,
     requester: Requester,
     arrived: Moment,
@@ -150,7 +151,7 @@
         return Err(Box::new((Refusal::NoServer, metadata)));
     };
     let name = organisation.as_ref().map_or("", |it| it.name.as_str());
-    let request_hash = digest::seeded(&body, digest::fast(request.target.as_bytes()));
+    let request_hash = digest::seeded(&body.bytes, digest::fast(request.target.as_bytes()));
     let route_deadline = arrived + route.time_limit;
     let timeout = metadata.timeout.unwrap_or(route.time_limit);
     Ok(Exchange {
@@ -175,7 +176,7 @@
         is_observed: false,
         may_have_run: false,
         request,
-        body,
+        body: Rc::new(body),
         metadata,
         route,
         service,
