Allow stalls the longest pass of all engines that hold the request's memory

The limit on the silence of a stream that has begun counted the work of the engine that answers only. Ruled out: counting such streams never as stalled, which would leave them to the time limit as before. Change: the limit is twice the longest pass of the answering engine and of those that hold tokens.

--- a/crates/placement/src/stall.rs
+++ b/crates/placement/src/stall.rs
@@ -148,14 +148,20 @@
         if self.progress == Progress::NotBegun {
             return MIN_SILENCE + self.attempt.forecast.mul_f64(FORECAST_FACTOR);
         }
-        let key = self.attempt.engine_key;
-        let pass_ms = workload
-            .queue(key)
-            .map_or(0.0, |it| it.longest_pass_ms(engine));
-        let slowdown = workload.slowdowns().factor(now, key);
-        MIN_SILENCE.max(Duration::from_secs_f64(
-            PASS_FACTOR * pass_ms * slowdown / 1e3,
-        ))
+        let pass_ms = |key: u64| {
+            let pass_ms = workload
+                .queue(key)
+                .map_or(0.0, |it| it.longest_pass_ms(engine));
+            pass_ms * workload.slowdowns().factor(now, key)
+        };
+        let own = workload.placement(self.attempt.job);
+        // Engines that hold a part of the memory take part in each pass of the request.
+        let holding = own.iter().flat_map(|it| it.parts.iter().skip(1));
+        let holding = holding.filter(|it| it.tokens > 0).map(|it| it.server);
+        let longest_ms = holding
+            .map(pass_ms)
+            .fold(pass_ms(self.attempt.engine_key), f64::max);
+        MIN_SILENCE.max(Duration::from_secs_f64(PASS_FACTOR * longest_ms / 1e3))
     }
 }
 
--- a/crates/placement/tests/stall.rs
+++ b/crates/placement/tests/stall.rs
@@ -183,6 +183,31 @@
     assert_eq!(play.observe(limit + 1), None);
 }
 
+/// Guards against streams that lose their place because an engine which holds a part of their memory, and takes
+/// part in each of their passes, has a long prompt to prefill.
+#[test]
+fn observe_allows_twice_the_longest_pass_of_an_engine_that_holds_memory() {
+    let mut own = usual();
+    own.parts.push(Part {
+        server: OTHER_ENGINE,
+        ..own.parts[0]
+    });
+    let mut play = Play::new(own);
+    play.apply(50, OWN, Change::Started);
+    play.progress = Progress::Awaiting(at(100));
+    play.serve(200, 2, usual());
+    play.serve(300, 3, usual());
+    let mut long = placement(1_000.0, Timeliness::OnTime, 20.0);
+    long.parts[0].server = OTHER_ENGINE;
+    play.apply(400, 4, Change::Placed(long));
+    let queue = play.workload.queue(OTHER_ENGINE).expect("a queue");
+    let pass_ms = queue.longest_pass_ms(&engine(SLOTS, MEMORY));
+    assert!(pass_ms > 1_100.0, "{pass_ms}");
+    let limit = 100 + (2.0 * pass_ms) as u64;
+    assert_eq!(play.observe(limit), None);
+    assert!(play.observe(limit + 1).is_some());
+}
+
 /// Guards against evidence that is lost because short answers end before the silence is long enough.
 #[test]
 fn observe_witnesses_that_ended_still_count() {
