Give callers the pause of the servers in their home regions as the retry delay

Cause: if all servers in the home regions of a request asked for a pause while servers elsewhere took work, the request was refused as one without a server in its home regions. The caller was told to come back after 0.6 to 1.2 s, whatever the pause. Ruled out: the times of pauses, which `Servers::pause_of_all` already restricts to the home regions. Change: the pause is looked up first.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -272,15 +272,17 @@
     pub fn refusal_in_pause(&self, now: Moment, state: &State, refusal: Refusal) -> Refusal {
         let scope = self.scope(state);
         let servers = &state.servers;
+        if let Some(left) = servers.pause_of_all(now, scope.clone(), &state.workload) {
+            return Refusal::Paused(left);
+        }
         if refusal == Refusal::NoServer
             && !scope.homes.is_any()
-            && servers.usable(now, scope.clone()).next().is_none()
+            && servers.usable(now, scope).next().is_none()
             && servers.usable(now, &self.service.name).next().is_some()
         {
             return Refusal::NoHomeServer;
         }
-        let left = servers.pause_of_all(now, scope, &state.workload);
-        left.map_or(refusal, Refusal::Paused)
+        refusal
     }
 
     /// Returns the value that plans weigh, which each level of priority halves.
