--- a/crates/gateway/src/checkup.rs
+++ b/crates/gateway/src/checkup.rs
@@ -17,6 +17,7 @@
 use crate::dial;
 use crate::dial::Reuse;
 use crate::notice;
+use crate::reachability;
 
 /// The size limits of the head and of the body of the answer, in bytes.
 const RESPONSE_LIMIT: usize = 64 * 1024;
@@ -55,6 +56,11 @@
 
 async fn check(node: Rc<Node>, server: Rc<Server>) {
     let answered = within(dial::CONNECT_TIMEOUT, query(&node, &server)).await;
+    let is_answered = matches!(answered, Some(Ok(())));
+    // An instance that turns out to reach no server has learned nothing of this one.
+    if !is_answered && reachability::is_isolated(&node).await {
+        return;
+    }
     let mut state = node.state.borrow_mut();
     match answered {
         Some(Ok(())) => {
