Name the modules of the probability to be on time after it, and bound times of other entries

Cause: 'prospects' is no term of the field. A prefill time of another entry that is no number, or too large, ended the process: Duration::from_secs_f64 panics. Change: the modules are called on_time; impossible times count as zero. Figures: apply_impossible_prefill_does_not_panic fails before and passes now.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -25,6 +25,7 @@
 use crate::metrics::CallLabels;
 use crate::metrics::CallOutcome;
 use crate::metrics::DeltaLabels;
+use crate::on_time;
 use crate::port::Changes;
 use crate::port::Error;
 use crate::port::List;
@@ -32,7 +33,6 @@
 use crate::port::Record;
 use crate::port::Snapshot;
 use crate::position;
-use crate::prospects;
 use crate::records;
 
 /// The wait time of a long poll for a change of the configuration. A connection that stalls
@@ -420,7 +420,7 @@
     state.table = Some(Rc::new(table));
     cold::adopt(&mut state, clock::now());
     homes::check(node, &state);
-    prospects::adopt(&mut state);
+    on_time::adopt(&mut state);
     state.members.set_config_next(version);
     let phase = state.phase();
     state.members.set_phase(phase);
@@ -491,7 +491,7 @@
         }
         Scope::Changed => records.store_servers(now, from, changes.next, changed),
     }
-    prospects::adopt(state);
+    on_time::adopt(state);
     let usable = state.servers.all().filter(|it| !it.server.is_leaving);
     node.metrics.servers.set(usable.count() as i64);
     let phase = state.phase();
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -22,7 +22,7 @@
 use crate::follow;
 use crate::metrics::Direction;
 use crate::node::State;
-use crate::prospects;
+use crate::on_time;
 use crate::rejections;
 
 /// The interval between two ticks of the membership.
@@ -81,7 +81,7 @@
                 evacuation::expire(&node, now);
                 datagrams::refresh_audience(&node, now);
                 cold::observe(&node, now);
-                prospects::observe(&node);
+                on_time::observe(&node);
                 node.state.borrow_mut().members.tick(now, &mut rand::rng())
             }
         };
--- a/crates/placement/src/workload.rs
+++ b/crates/placement/src/workload.rs
@@ -13,8 +13,8 @@
 use crate::rates::Rates;
 use crate::slowdown::Slowdowns;
 
+mod on_time;
 mod passes;
-mod prospect;
 mod queue;
 
 use self::queue::MIXED_PREFILL_FACTOR;
--- a/crates/placement/src/workload/passes.rs
+++ b/crates/placement/src/workload/passes.rs
@@ -59,6 +59,7 @@
     }
 }
 
+/// Returns zero for times that can't be true, which may come with the placements of other entries.
 fn millis(ms: f64) -> Duration {
-    Duration::from_secs_f64(ms / 1e3)
+    Duration::try_from_secs_f64(ms / 1e3).unwrap_or_default()
 }
--- a/crates/placement/tests/prospect.rs
+++ b/crates/placement/tests/on_time.rs
@@ -210,3 +210,15 @@
     let kept = 10.0 * 1.5 * 0.25;
     assert!((0.9 * kept..=kept).contains(&beyond), "{beyond}");
 }
+
+/// Guards against a process that ends because another entry sent a time that can't be true.
+#[test]
+fn apply_impossible_prefill_does_not_panic() {
+    for prefill_ms in [f32::NAN, f32::INFINITY, f32::MAX, -1e9] {
+        let mut workload = workload();
+        run(&mut workload, 1, 250, 100);
+        workload.apply(at(110), &placed(2, 250, prefill_ms));
+        workload.apply(at(2_000), &placed(3, 250, 20.0));
+        check(&workload, 1, 0.0..=1.0);
+    }
+}
--- a/crates/placement/tests/overload.rs
+++ b/crates/placement/tests/overload.rs
@@ -34,7 +34,7 @@
 
 /// Checks that total worth is not lower, and returns the shares in time before and after.
 fn check(name: &str, engines: usize, load: &Load) -> [[f64; 3]; 2] {
-    let plays = [Basis::Equal, Basis::Prospects].map(|it| play(it, engines, load));
+    let plays = [Basis::Equal, Basis::OnTime].map(|it| play(it, engines, load));
     let [before, after] = plays.each_ref().map(|it| prompts::in_time(it));
     let worth = plays.each_ref().map(|it| prompts::worth(it));
     let lost = plays.each_ref().map(|it| prompts::lost(it));
--- a/crates/placement/tests/prompts/prompts.rs
+++ b/crates/placement/tests/prompts/prompts.rs
@@ -99,7 +99,7 @@
     /// All count as on time.
     Equal,
     /// Each counts by the probability that it is still on time.
-    Prospects,
+    OnTime,
 }
 
 /// A request of a caller.
@@ -160,7 +160,7 @@
         let mut engine = engines::engine(SLOTS, MEMORY_TOKENS);
         engine.steps_per_pass = STEPS_PER_PASS;
         let mut workload = Workload::default();
-        if basis == Basis::Prospects {
+        if basis == Basis::OnTime {
             let shared = Rc::new(engine.clone());
             let engines = running.keys().map(|it| (*it, shared.clone()));
             workload.set_engines(engines.collect::<HashMap<_, _>>());
