--- a/crates/placement/tests/homes.rs
+++ b/crates/placement/tests/homes.rs
@@ -1,5 +1,9 @@
 //! Servers outside the home regions of a request are chosen for no part of it.
 
+#[allow(dead_code)]
+#[path = "engines/engines.rs"]
+mod engines;
+
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::rc::Rc;
@@ -18,7 +22,6 @@
 use placement::servers::Scope;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
-use route::Engine;
 
 const NOW: Moment = Moment::from_millis(10_000);
 /// Two data centres in each of two regions, and one whose region is not known.
@@ -81,18 +84,7 @@
 /// Returns the data centres of all parts of prompts of this size, in repeated choices, and the largest
 /// number of parts.
 fn chosen_for_prompts(servers: &Servers, homes: &[&str], tokens: u64) -> (Vec<String>, usize) {
-    let engine = Engine {
-        slots: 16,
-        memory_tokens: 232_000,
-        steps_per_pass: 43,
-        step_ms: 1.02,
-        sequence_ms: 0.002_26,
-        context_ms_per_k: 0.004_31,
-        prefill_tokens_per_ms: 206.0,
-        pairs_ms_per_m: 0.138,
-        prefill_chunk: 2_048,
-        usual_answer_tokens: 1_303,
-    };
+    let engine = engines::engine(16, 232_000);
     let need = Need {
         prompt_tokens: tokens,
         expected_answer_tokens: 1_303,
