Keep the connection of a silent server until another one answers

What callers saw: streams that ended without being complete, and 502 for repeatable calls, while their server was healthy, had been silent for about a second and would have gone on.

Cause: the watchdog closed the connection of a silent server as soon as the retry budget was not empty, before it was certain that another server would answer. If the retry was then denied (the other streams of the same engine had spent the budget), found no server, was refused or failed, the answer was lost.

Ruled out: a change of the configuration alone.

Change: an attempt whose server is silent ends as before for routing and health, but its connection is kept and read. Whichever server sends something first continues the answer; the others are dropped. If no further attempt is possible, the request waits for the silent ones, as it does where it may not be repeated. What has arrived of a response is kept in gateway::reception, so that receiving can be interrupted and go on.

The log line of a request that was cut names the reason, and coriander_silences counts how silences end.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -328,8 +328,9 @@
         );
     }
 
-    /// Logs and counts a request whose caller did not get the whole answer.
-    pub fn record_end(&self, node: &Node, outcome: &'static str) {
+    /// Logs and counts a request whose caller did not get the whole answer. `reason` says why no further attempt
+    /// was made.
+    pub fn record_end(&self, node: &Node, outcome: &'static str, reason: &'static str) {
         node.metrics.record_end(&self.route.name, outcome);
         log::info!(
             target: "request",
@@ -339,6 +340,7 @@
             attempts = self.attempts,
             longest_pause_ms = self.timing.longest_pause.as_millis() as u64,
             elapsed_ms = clock::now().since(self.arrived).as_millis() as u64,
+            reason,
             outcome;
             "request ended without a whole answer"
         );
--- a/crates/gateway/src/held.rs
+++ b/crates/gateway/src/held.rs
@@ -187,6 +187,20 @@
         kind_limit: usize,
     ) -> Result<Body, Error> {
         let mut body = self.empty_body(kind);
+        let read = self.read_into(&mut body, stream, decoder, limit, kind_limit);
+        read.await?;
+        Ok(body)
+    }
+
+    /// Reads the rest of a body. No byte is lost if the future is dropped before it completes.
+    pub async fn read_into(
+        &self,
+        body: &mut Body,
+        stream: &mut Stream,
+        decoder: &mut Decoder,
+        limit: usize,
+        kind_limit: usize,
+    ) -> Result<(), Error> {
         let mut has_more = true;
         while has_more {
             reserve(&mut body.bytes, decoder);
@@ -195,13 +209,13 @@
             if body.bytes.len() > limit {
                 return Err(Error::BodyTooLong(limit));
             }
-            if self.shared.used[kind as usize].get() > kind_limit {
+            if self.shared.used[body.charge.kind as usize].get() > kind_limit {
                 return Err(Error::NoMemory(kind_limit));
             }
         }
         body.bytes.shrink_to_fit();
         body.charge.set(body.bytes.capacity());
-        Ok(body)
+        Ok(())
     }
 
     /// Returns whether the connection has to be closed.
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -26,6 +26,7 @@
 pub use self::labels::RelayLabels;
 pub use self::labels::RequestLabels;
 pub use self::labels::RouteLabels;
+pub use self::labels::SilenceLabels;
 pub use self::labels::StallLabels;
 pub use self::labels::StreamLabels;
 pub use self::labels::WaitLabels;
@@ -71,6 +72,8 @@
     pub retries_denied: Counter,
     /// Attempts that were given up since their engine served other requests but not them.
     pub stalls: Family<StallLabels, Counter>,
+    /// Silences of servers that began, ended, or ended with the connection.
+    pub silences: Family<SilenceLabels, Counter>,
     /// Requests in progress.
     pub running: Gauge,
     /// The version of the configuration in force.
@@ -148,6 +151,7 @@
             retries: Counter::default(),
             retries_denied: Counter::default(),
             stalls: Family::default(),
+            silences: Family::default(),
             running: Gauge::default(),
             config_version: Gauge::default(),
             servers: Gauge::default(),
@@ -244,6 +248,11 @@
             "Requests that their engine no longer served",
             self.stalls.clone(),
         );
+        registry.register(
+            "silences",
+            "Silences of servers after which another one was tried",
+            self.silences.clone(),
+        );
         registry.register("running", "Requests in progress", self.running.clone());
         registry.register(
             "config_version",
--- a/crates/gateway/src/metrics/labels.rs
+++ b/crates/gateway/src/metrics/labels.rs
@@ -68,6 +68,13 @@
     pub stage: &'static str,
 }
 
+/// The labels of silences of servers.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct SilenceLabels {
+    /// `begun`, `ended` if the server went on before another one answered, `lost` if its connection failed.
+    pub stage: &'static str,
+}
+
 /// The labels of placements that the bounds of cold servers held back.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct HoldLabels {
--- a/crates/gateway/src/metrics/record.rs
+++ b/crates/gateway/src/metrics/record.rs
@@ -16,6 +16,7 @@
 use super::RelayLabels;
 use super::RequestLabels;
 use super::RouteLabels;
+use super::SilenceLabels;
 use super::StallLabels;
 use super::StreamLabels;
 use super::WaitLabels;
@@ -89,6 +90,11 @@
         self.stalls.get_or_create(&StallLabels { stage }).inc();
     }
 
+    /// Counts a stage of a silence after which another server was tried.
+    pub fn record_silence(&self, stage: &'static str) {
+        self.silences.get_or_create(&SilenceLabels { stage }).inc();
+    }
+
     /// Counts a probe of a backend server.
     pub fn record_probe(&self, is_open: bool) {
         let outcome = if is_open { "open" } else { "failed" };
--- a/crates/gateway/src/outbox.rs
+++ b/crates/gateway/src/outbox.rs
@@ -77,6 +77,11 @@
         self.writer.set_ack_timeout(self.stall_limit.get());
     }
 
+    /// Returns the number of bytes that were sent so far.
+    pub fn sent(&self) -> usize {
+        self.sent.get()
+    }
+
     /// Returns the number of bytes that the connection has not taken yet.
     pub fn len(&self) -> usize {
         self.pending.borrow().len()
@@ -116,6 +121,8 @@
 
     /// Writes all parts without keeping a copy, and completes once the connection has taken them.
     pub async fn write(&self, mut parts: &mut [IoSlice<'_>]) -> Result<(), Error> {
+        let length: usize = parts.iter().map(|it| it.len()).sum();
+        self.sent.set(self.sent.get() + length);
         loop {
             self.writer.try_write(&mut parts)?;
             if parts.is_empty() {
--- a/crates/gateway/src/proxy.rs
+++ b/crates/gateway/src/proxy.rs
@@ -18,12 +18,13 @@
 
 use crate::Node;
 use crate::attempt;
-use crate::attempt::Completion;
-use crate::attempt::Source;
 use crate::dial;
 use crate::exchange::Ending;
 use crate::exchange::Exchange;
 use crate::exchange::Requester;
+use crate::reception::Completion;
+use crate::reception::Reception;
+use crate::reception::Source;
 use crate::refusal::Refusal;
 use crate::relay::Answer;
 
@@ -82,7 +83,7 @@
                 let passed_on = answer.send_whole(response, &body.bytes).await;
                 return Outcome::Ended(passed_on.map_or("caller_left", |()| "answered"));
             }
-            attempt::Outcome::Broken => {
+            attempt::Outcome::Broken | attempt::Outcome::Silent => {
                 exchange.may_have_run = true;
                 if !exchange.route.kind.is_retryable() || !exchange.take_retry(node) {
                     return Outcome::Refused(Refusal::Failed);
@@ -110,7 +111,7 @@
     let Some(address) = peer.relay_address else {
         return attempt::Outcome::Unreached;
     };
-    let mut stream = match dial::connect_to_peer(node, address).await {
+    let stream = match dial::connect_to_peer(node, address).await {
         Ok(stream) => stream,
         Err(error) => {
             log::info!(target: "relay", peer = peer.name.as_str(), error:% = error; "can't connect to the other instance");
@@ -129,7 +130,8 @@
     let progress = Cell::new(sent_at);
     let is_retryable = exchange.route.kind.is_retryable();
     let source = Source::Peer(&progress);
-    let response = attempt::send_and_receive(node, exchange, &mut stream, head, answer, source);
+    let mut reception = Reception::send(node, exchange, stream, head);
+    let response = reception.receive(node, exchange, answer, source);
     let stopped = async {
         if !is_retryable {
             // Silence does not prove that the request did not run.
@@ -140,7 +142,12 @@
     };
     match future::or(response, stopped).await {
         Ok(Completion { outcome, reuse }) => {
-            dial::keep(node, dial::peer_key(address), stream, reuse);
+            dial::keep(
+                node,
+                dial::peer_key(address),
+                reception.into_stream(),
+                reuse,
+            );
             outcome
         }
         Err(error) => {
--- /dev/null
+++ b/crates/gateway/src/reception.rs
@@ -0,0 +1,383 @@
+//! A request that was sent over a connection, and what has arrived of its response so far.
+//!
+//! Receiving can be interrupted at any moment and go on later without a loss, so that a server that falls silent
+//! can be left for another one and still be heard if it goes on.
+
+use std::cell::Cell;
+use std::io::IoSlice;
+use std::rc::Rc;
+
+use async_executor::Task;
+use domain::Moment;
+use h1::Error;
+use h1::Framing;
+use h1::Response;
+use h1::Stream;
+use h1::body::Decoder;
+use placement::Server;
+
+use crate::Node;
+use crate::attempt::Outcome;
+use crate::checkup;
+use crate::dial;
+use crate::dial::Reuse;
+use crate::events::Splitter;
+use crate::exchange::Exchange;
+use crate::held;
+use crate::held::Kind;
+use crate::notice;
+use crate::port::Verdict;
+use crate::reachability;
+use crate::registration::Registration;
+use crate::relay::Answer;
+use crate::relay::State;
+
+/// The size limit of a response head, in bytes.
+const RESPONSE_HEAD_LIMIT: usize = 64 * 1024;
+/// The last activity of a server that is not read.
+const NEVER_SILENT: Moment = Moment::from_micros(u64::MAX);
+
+/// A request that was sent over a connection, and what has arrived of its response.
+pub struct Reception {
+    stream: Stream,
+    method: String,
+    /// Writes the request. A server may respond before it has read the body. The rest is written
+    /// nevertheless, so that the server does not take other bytes for it, and reading the response does not
+    /// wait for it.
+    writing: Task<Result<(), Error>>,
+    stage: Stage,
+}
+
+/// How much of a response has arrived.
+enum Stage {
+    /// Not the whole head.
+    Head,
+    /// The head, and a part of a body that is passed on as a whole.
+    Whole(Box<Whole>),
+    /// The head of a stream, and a part of its events.
+    Events(Box<Events>),
+}
+
+struct Whole {
+    response: Response,
+    verdict: Verdict,
+    decoder: Decoder,
+    body: held::Body,
+}
+
+struct Events {
+    /// The head, until it is sent to the caller.
+    head: Option<Response>,
+    framing: Framing,
+    reuse: Option<Reuse>,
+    decoder: Decoder,
+    splitter: Splitter,
+    /// The passes that earlier attempts took; `None` if this instance does not count them.
+    earlier_passes: Option<u64>,
+    has_started: bool,
+}
+
+/// The result of an attempt whose response was read to its end.
+pub struct Completion {
+    /// How the attempt ended.
+    pub outcome: Outcome,
+    /// Whether the connection can be reused.
+    pub reuse: Option<Reuse>,
+}
+
+/// Whom an answer comes from.
+#[derive(Clone, Copy)]
+pub enum Source<'a> {
+    /// A backend server, with the registration of the attempt.
+    Server(&'a Server, &'a Registration<'a>),
+    /// Another entry, which registers its attempts itself, with the moment of the last event.
+    Peer(&'a Cell<Moment>),
+}
+
+impl Source<'_> {
+    /// Records that the head of a response arrived.
+    fn record_response(self, node: &Node, response: &Response, sent_at: Option<Moment>) {
+        if let Self::Server(server, _) = self {
+            reachability::record_answer(node);
+            notice::record(node, server, response, sent_at);
+        }
+    }
+
+    /// Records that events arrived.
+    fn record_events(self, node: &Node, exchange: &Exchange, is_first: bool) {
+        let now = clock::now();
+        match self {
+            Self::Server(_, registration) => {
+                if is_first {
+                    registration.started();
+                }
+                reachability::record_answer(node);
+                registration.progressed(now, exchange.service.engine.as_ref());
+            }
+            Self::Peer(progress) => progress.set(now),
+        }
+    }
+
+    /// Returns whether this entry counts the passes of an answer that is about to begin. Another entry that
+    /// serves it from its first event observes it itself.
+    fn counts_first_pass(self, exchange: &Exchange) -> bool {
+        matches!(self, Self::Server(..)) && exchange.last_event.is_none()
+    }
+
+    /// Records that the server is not read until the caller reads, so that its silence shows nothing.
+    fn stopped(self) {
+        self.progress().set(NEVER_SILENT);
+    }
+
+    /// Records that the server is read again.
+    fn resumed(self) {
+        self.progress().set(clock::now());
+    }
+
+    fn progress(&self) -> &Cell<Moment> {
+        match self {
+            Self::Server(_, registration) => &registration.progress,
+            Self::Peer(progress) => progress,
+        }
+    }
+
+    /// Records that events were passed on to the caller.
+    fn passed_on(self) {
+        if let Self::Server(_, registration) = self {
+            registration.passed_on();
+        }
+    }
+}
+
+impl Reception {
+    /// Sends a request over a connection.
+    pub fn send(node: &Node, exchange: &Exchange, stream: Stream, mut head: h1::Request) -> Self {
+        let body = exchange.body.clone();
+        if !body.bytes.is_empty() || exchange.request.framing != Framing::Empty {
+            head.framing = Framing::Length(body.bytes.len() as u64);
+        }
+        let bytes = head.encode();
+        let writer = stream.writer();
+        let writing = node.executor.spawn(async move {
+            let mut parts = [IoSlice::new(&bytes), IoSlice::new(&body.bytes)];
+            writer.write_parts(&mut parts).await
+        });
+        Self {
+            stream,
+            method: head.method,
+            writing,
+            stage: Stage::Head,
+        }
+    }
+
+    /// Receives the response and relays a stream to the caller, event by event. The future may be dropped
+    /// and this be called again.
+    pub async fn receive(
+        &mut self,
+        node: &Rc<Node>,
+        exchange: &mut Exchange,
+        answer: &mut Answer,
+        source: Source<'_>,
+    ) -> Result<Completion, Error> {
+        if matches!(self.stage, Stage::Head) {
+            self.stage = self.receive_head(node, exchange, answer, source).await?;
+        }
+        let completion = match &mut self.stage {
+            Stage::Events(events) => {
+                exchange.ending.framing = Some(events.framing);
+                let stream = &mut self.stream;
+                events.relay(node, exchange, stream, answer, source).await
+            }
+            Stage::Head | Stage::Whole(_) => self.receive_whole(node, exchange, answer).await,
+        };
+        let mut completion = completion?;
+        completion.reuse = completion.reuse.filter(|_| self.writing.is_finished());
+        Ok(completion)
+    }
+
+    /// Completes once more of the response has arrived, or an orderly end that may complete it. Fails if the
+    /// connection has failed.
+    pub async fn filled(&mut self) -> Result<(), Error> {
+        let is_ended_by_close = match &self.stage {
+            Stage::Head => false,
+            Stage::Whole(whole) => whole.response.framing == Framing::UntilClose,
+            Stage::Events(events) => events.framing == Framing::UntilClose,
+        };
+        match self.stream.fill().await? {
+            0 if !is_ended_by_close => Err(Error::Truncated),
+            _ => Ok(()),
+        }
+    }
+
+    /// Returns the connection.
+    pub fn into_stream(self) -> Stream {
+        self.stream
+    }
+
+    async fn receive_head(
+        &mut self,
+        node: &Rc<Node>,
+        exchange: &mut Exchange,
+        answer: &Answer,
+        source: Source<'_>,
+    ) -> Result<Stage, Error> {
+        let response = self
+            .stream
+            .read_response(&self.method, RESPONSE_HEAD_LIMIT)
+            .await?;
+        exchange.ending.framing = Some(response.framing);
+        source.record_response(node, &response, exchange.sent_at);
+        let expected_id = exchange.metadata.id.as_deref();
+        if let Some(id) = node.protocol.response_id(&response)
+            && expected_id.is_some_and(|it| it != id)
+        {
+            return Err(Error::Malformed(
+                "the response carries the id of another request",
+            ));
+        }
+        let verdict = node.protocol.verdict(&response);
+        let is_stream = verdict == Verdict::Ran && exchange.route.kind.is_stream();
+        if is_stream && response.status == 200 {
+            let events = Events::new(exchange, response, source);
+            return Ok(Stage::Events(Box::new(events)));
+        }
+        Ok(Stage::Whole(Box::new(Whole {
+            verdict,
+            decoder: Decoder::new(response.framing),
+            body: answer.outbox().account().empty_body(Kind::Answer),
+            response,
+        })))
+    }
+
+    async fn receive_whole(
+        &mut self,
+        node: &Rc<Node>,
+        exchange: &mut Exchange,
+        answer: &Answer,
+    ) -> Result<Completion, Error> {
+        if let Stage::Whole(whole) = &mut self.stage {
+            exchange.ending.framing = Some(whole.response.framing);
+            let account = answer.outbox().account();
+            let Whole { decoder, body, .. } = &mut **whole;
+            let limit = held::ANSWER_LIMIT;
+            let read = account.read_into(body, &mut self.stream, decoder, limit, usize::MAX);
+            read.await?;
+        }
+        let Stage::Whole(whole) = std::mem::replace(&mut self.stage, Stage::Head) else {
+            return Err(Error::Closed);
+        };
+        let Whole {
+            response,
+            verdict,
+            body,
+            ..
+        } = *whole;
+        let reuse = Reuse::of(&response);
+        let outcome = match verdict {
+            Verdict::Ran if answer.state() != State::NotBegun => {
+                return Err(Error::Malformed(
+                    "the server answered a resumed request without a stream",
+                ));
+            }
+            Verdict::Ran => Outcome::Answered(response, body),
+            Verdict::NotRun { helper_address } => {
+                if let Some(address) = helper_address {
+                    checkup::start_at(node, address);
+                }
+                Outcome::NotRun
+            }
+            Verdict::OtherServer => Outcome::OtherServer,
+        };
+        Ok(Completion { outcome, reuse })
+    }
+}
+
+impl Events {
+    fn new(exchange: &Exchange, response: Response, source: Source<'_>) -> Self {
+        let is_counted = exchange.passes > 0 || source.counts_first_pass(exchange);
+        Self {
+            framing: response.framing,
+            reuse: Reuse::of(&response),
+            decoder: Decoder::new(response.framing),
+            splitter: Splitter::after(exchange.last_event),
+            earlier_passes: is_counted.then_some(exchange.passes),
+            has_started: false,
+            head: Some(response),
+        }
+    }
+
+    /// Relays the events to the caller as they arrive.
+    async fn relay(
+        &mut self,
+        node: &Node,
+        exchange: &mut Exchange,
+        stream: &mut Stream,
+        answer: &mut Answer,
+        source: Source<'_>,
+    ) -> Result<Completion, Error> {
+        let unsent = answer.outbox().account().charge(Kind::Stream);
+        let mut bytes = Vec::new();
+        loop {
+            bytes.clear();
+            let has_more = stream.read_body(&mut self.decoder, &mut bytes).await?;
+            let ready = self.splitter.push(&bytes)?;
+            exchange.ending.event_count = self.splitter.event_count();
+            if let Some(earlier) = self.earlier_passes {
+                exchange.passes = earlier + self.splitter.new_event_count();
+            }
+            let end = (!has_more).then(|| self.splitter.finish(self.framing));
+            if end.is_some() {
+                exchange.ending.partial_event_bytes = self.splitter.partial_event_len();
+                node.metrics
+                    .record_stream_end(self.framing, self.splitter.partial_event_len());
+            }
+            if !ready.is_empty() {
+                exchange.timing.record(clock::now());
+                source.record_events(node, exchange, !self.has_started);
+                self.has_started = true;
+            }
+            let is_complete = matches!(end, Some(Ok(())));
+            unsent.set(ready.len() + self.splitter.partial_event_len());
+            if !answer.outbox().has_room(ready.len()) {
+                node.metrics.buffer_stops.inc();
+                let partial = self.splitter.partial_event_len();
+                unsent.set(ready.len() + partial + dial::RECEIVED_LIMIT);
+                source.stopped();
+                answer.outbox().room(ready.len()).await;
+                source.resumed();
+            }
+            let is_first = answer.state() == State::NotBegun;
+            let head = self
+                .head
+                .take_if(|_| is_first && (is_complete || !ready.is_empty()));
+            if head.is_some() {
+                let elapsed = clock::now().since(exchange.arrived);
+                node.metrics
+                    .record_first_event(&exchange.route.name, elapsed);
+            }
+            let sent = if is_complete {
+                answer.end_stream(head, &ready)
+            } else if ready.is_empty() {
+                Ok(())
+            } else {
+                answer.send_events(head, &ready)
+            };
+            source.passed_on();
+            exchange.last_event = self.splitter.last_id();
+            if sent.is_err() {
+                return Ok(Completion {
+                    outcome: Outcome::CallerLeft,
+                    reuse: None,
+                });
+            }
+            unsent.set(self.splitter.partial_event_len());
+            end.transpose()?;
+            if !has_more {
+                return Ok(Completion {
+                    outcome: Outcome::Delivered,
+                    reuse: self.reuse,
+                });
+            }
+        }
+    }
+}
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -15,8 +15,9 @@
 use web::stream::within;
 
 use crate::Node;
-use crate::attempt;
+use crate::attempt::Attempt;
 use crate::attempt::Outcome;
+use crate::attempt::Start;
 use crate::crash;
 use crate::exchange;
 use crate::exchange::Exchange;
@@ -32,6 +33,8 @@
 use crate::relay::Answer;
 use crate::relay::Disposition;
 use crate::relay::State;
+use crate::silent::Silent;
+use crate::target::Target;
 
 /// Bytes of a pipelined request that are buffered while the current one is being answered.
 const PIPELINE_LIMIT: usize = 64 * 1024;
@@ -55,6 +58,16 @@
     Closing(usize),
 }
 
+/// What follows an attempt.
+enum Step<'a> {
+    /// The caller was answered, or no further attempt is allowed.
+    Ended(Result<&'static str, Refusal>),
+    /// Another attempt.
+    Next,
+    /// Another attempt, unless this one goes on before.
+    Silent(Box<Attempt<'a>>),
+}
+
 /// Serves one request and returns whether the caller's connection stays open.
 pub async fn run(
     node: &Rc<Node>,
@@ -152,11 +165,11 @@
                     )
                     .await;
                 }
-                self.record_end(node, "cut_short");
+                self.record_end(node, "cut_short", refusal.name());
                 answer.disposition()
             }
             Some(End::CallerLeft) => {
-                self.record_end(node, "caller_left");
+                self.record_end(node, "caller_left", "-");
                 Disposition::Close
             }
             None if answer.state() == State::NotBegun => {
@@ -172,7 +185,7 @@
                 .await
             }
             None => {
-                self.record_end(node, "cut_by_time_limit");
+                self.record_end(node, "cut_by_time_limit", "-");
                 if outbox.is_empty() {
                     Disposition::Close
                 } else {
@@ -187,7 +200,7 @@
     async fn close(&self, node: &Node, mut answer: Answer, bytes: usize) -> Disposition {
         node.record_closing(bytes, self.metadata.id.as_deref());
         if answer.state() != State::NotBegun {
-            self.record_end(node, "closed_for_memory");
+            self.record_end(node, "closed_for_memory", "-");
             return Disposition::Discard;
         }
         answer.close_after();
@@ -203,7 +216,7 @@
     }
 
     /// Sends the request to one server after the other, until one answers or no further attempt
-    /// is allowed.
+    /// is allowed. Servers that have fallen silent are heard until another one answers.
     async fn attempt_all(
         &mut self,
         node: &Rc<Node>,
@@ -213,83 +226,164 @@
             // The entry that relayed the request has added its credit.
             self.add_retry_credit(node);
         }
+        let outbox = answer.outbox().clone();
         let mut failure: Option<(Response, held::Body)> = None;
+        let mut silent = Silent::default();
+        let mut retried = None;
         loop {
-            if node.isolation.is_set() {
-                match proxy::run(node, self, answer).await {
-                    proxy::Outcome::Ended(outcome) => return Ok(outcome),
-                    proxy::Outcome::Refused(refusal) => {
-                        return self.give_up(answer, failure, refusal).await;
-                    }
-                    proxy::Outcome::Reconnected => {}
+            let step = self.step(node, answer, &mut failure, retried.take());
+            let mut step = match silent.race(&outbox, step).await {
+                Ok(step) => step,
+                Err(attempt) => self.follow(node, attempt, answer, &mut failure).await,
+            };
+            while let Step::Ended(Err(refusal)) = step {
+                let Some(attempt) = silent.wait(&outbox).await else {
+                    return Err(refusal);
+                };
+                step = self.follow(node, attempt, answer, &mut failure).await;
+            }
+            match step {
+                Step::Ended(ended) => return ended,
+                Step::Next => {}
+                Step::Silent(attempt) => {
+                    self.may_have_run = true;
+                    retried = Some(attempt.target().server.clone());
+                    silent.push(*attempt, &outbox);
                 }
             }
-            let mut target = match self.place_in_turn(node).await {
-                Ok(target) => target,
-                Err(Refusal::NoRoom) if self.may_wait_for_room() => {
-                    Timer::after(ROOM_CHECK_INTERVAL).await;
-                    continue;
+        }
+    }
+
+    /// Makes one attempt at a server, or has another entry serve the request. `retried` is the server that
+    /// has fallen silent and that this attempt replaces.
+    async fn step<'a>(
+        &mut self,
+        node: &'a Rc<Node>,
+        answer: &mut Answer,
+        failure: &mut Option<(Response, held::Body)>,
+        retried: Option<Rc<Server>>,
+    ) -> Step<'a> {
+        if let Some(server) = retried
+            && !self.take_retry_after_break(node, &server).await
+        {
+            let ended = self.give_up(answer, failure.take(), Refusal::Failed).await;
+            return Step::Ended(ended);
+        }
+        if node.isolation.is_set() {
+            match proxy::run(node, self, answer).await {
+                proxy::Outcome::Ended(outcome) => return Step::Ended(Ok(outcome)),
+                proxy::Outcome::Refused(refusal) => {
+                    return Step::Ended(self.give_up(answer, failure.take(), refusal).await);
                 }
-                Err(Refusal::NoServer) if reachability::is_isolated(node).await => continue,
-                Err(refusal) => return self.give_up(answer, failure, refusal).await,
-            };
-            self.server.clone_from(&target.server.id);
-            let outcome = attempt::run(node, self, &mut target, answer).await;
-            self.log_attempt(node, &target, outcome.name());
-            if !matches!(outcome, Outcome::NoRoom) {
-                self.tried.push(target.server.key());
+                proxy::Outcome::Reconnected => {}
             }
-            match outcome {
-                Outcome::Delivered => return Ok("delivered"),
-                Outcome::Answered(response, body) => {
-                    let is_failure = response.status >= 500 && self.route.kind.is_retryable();
-                    if is_failure && self.take_retry(node) {
-                        failure = Some((response, body));
-                        continue;
-                    }
-                    if !self.route.kind.is_retryable() && promises_not_run(response.status) {
-                        // The server ran the request, or can't say. Callers would read this status
-                        // as a promise that the request did not run.
-                        return Err(Refusal::Failed);
-                    }
-                    let passed_on = answer.send_whole(response, &body.bytes).await;
-                    return Ok(passed_on.map_or("caller_left", |()| "answered"));
+        }
+        let target = match self.place_in_turn(node).await {
+            Ok(target) => target,
+            Err(Refusal::NoRoom) if self.may_wait_for_room() => {
+                Timer::after(ROOM_CHECK_INTERVAL).await;
+                return Step::Next;
+            }
+            Err(Refusal::NoServer) if reachability::is_isolated(node).await => return Step::Next,
+            Err(refusal) => {
+                return Step::Ended(self.give_up(answer, failure.take(), refusal).await);
+            }
+        };
+        self.server.clone_from(&target.server.id);
+        match Attempt::start(node, self, target).await {
+            Start::Sent(attempt) => self.follow(node, attempt, answer, failure).await,
+            Start::Ended(outcome, target) => {
+                self.conclude(node, outcome, &target, answer, failure).await
+            }
+        }
+    }
+
+    /// Follows an attempt to its end, or until its server falls silent.
+    async fn follow<'a>(
+        &mut self,
+        node: &'a Rc<Node>,
+        mut attempt: Attempt<'a>,
+        answer: &mut Answer,
+        failure: &mut Option<(Response, held::Body)>,
+    ) -> Step<'a> {
+        match attempt.follow(self, answer).await {
+            Outcome::Silent => {
+                self.log_attempt(node, attempt.target(), Outcome::Silent.name());
+                self.tried.push(attempt.target().server.key());
+                Step::Silent(Box::new(attempt))
+            }
+            outcome => {
+                let target = attempt.end();
+                self.conclude(node, outcome, &target, answer, failure).await
+            }
+        }
+    }
+
+    /// Decides by the outcome of an attempt whether another one is made.
+    async fn conclude<'a>(
+        &mut self,
+        node: &'a Rc<Node>,
+        outcome: Outcome,
+        target: &Target,
+        answer: &mut Answer,
+        failure: &mut Option<(Response, held::Body)>,
+    ) -> Step<'a> {
+        self.log_attempt(node, target, outcome.name());
+        if !matches!(outcome, Outcome::NoRoom) {
+            self.tried.push(target.server.key());
+        }
+        let refusal = match outcome {
+            Outcome::Delivered => return Step::Ended(Ok("delivered")),
+            Outcome::CallerLeft => return Step::Ended(Ok("caller_left")),
+            Outcome::Answered(response, body) => {
+                let is_failure = response.status >= 500 && self.route.kind.is_retryable();
+                if is_failure && self.take_retry(node) {
+                    *failure = Some((response, body));
+                    return Step::Next;
                 }
-                Outcome::CallerLeft => return Ok("caller_left"),
-                Outcome::NoRoom => {
-                    if !self.may_wait_for_room() && !reachability::is_isolated(node).await {
-                        return self.give_up(answer, failure, Refusal::NoRoom).await;
-                    }
+                if !self.route.kind.is_retryable() && promises_not_run(response.status) {
+                    // The server ran the request, or can't say. Callers would read this status
+                    // as a promise that the request did not run.
+                    return Step::Ended(Err(Refusal::Failed));
+                }
+                let passed_on = answer.send_whole(response, &body.bytes).await;
+                return Step::Ended(Ok(passed_on.map_or("caller_left", |()| "answered")));
+            }
+            Outcome::NoRoom => {
+                if self.may_wait_for_room() || reachability::is_isolated(node).await {
                     Timer::after(ROOM_CHECK_INTERVAL).await;
+                    return Step::Next;
                 }
-                Outcome::Unreached | Outcome::Withdrawn => {
-                    let is_last = self.tried.len() > CONNECT_LIMIT;
-                    if is_last && !reachability::is_isolated(node).await {
-                        return self.give_up(answer, failure, Refusal::NoServer).await;
-                    }
+                Refusal::NoRoom
+            }
+            Outcome::Unreached | Outcome::Withdrawn => {
+                let is_last = self.tried.len() > CONNECT_LIMIT;
+                if !is_last || reachability::is_isolated(node).await {
+                    return Step::Next;
                 }
-                Outcome::NotRun | Outcome::OtherServer => {
-                    if answer.state() == State::Begun && self.tried.len() <= RESUME_LIMIT {
-                        // A stream that isn't resumed is useless to the caller. This server did not
-                        // run it, so the attempt doesn't count.
-                        self.attempts = self.attempts.saturating_sub(1);
-                    }
-                    if !self.take_retry(node) {
-                        let refusal = {
-                            let state = &node.state.borrow();
-                            self.refusal_in_pause(clock::now(), state, Refusal::NotRun)
-                        };
-                        return self.give_up(answer, failure, refusal).await;
-                    }
+                Refusal::NoServer
+            }
+            Outcome::NotRun | Outcome::OtherServer => {
+                if answer.state() == State::Begun && self.tried.len() <= RESUME_LIMIT {
+                    // A stream that isn't resumed is useless to the caller. This server did not
+                    // run it, so the attempt doesn't count.
+                    self.attempts = self.attempts.saturating_sub(1);
                 }
-                Outcome::Broken => {
-                    self.may_have_run = true;
-                    if !self.take_retry_after_break(node, &target.server).await {
-                        return self.give_up(answer, failure, Refusal::Failed).await;
-                    }
+                if self.take_retry(node) {
+                    return Step::Next;
                 }
+                let state = &node.state.borrow();
+                self.refusal_in_pause(clock::now(), state, Refusal::NotRun)
             }
-        }
+            Outcome::Broken | Outcome::Silent => {
+                self.may_have_run = true;
+                if self.take_retry_after_break(node, &target.server).await {
+                    return Step::Next;
+                }
+                Refusal::Failed
+            }
+        };
+        Step::Ended(self.give_up(answer, failure.take(), refusal).await)
     }
 
     /// Returns whether the request may be retried after a server's answer broke off.
