Keep connections through a silence of their peer of up to 2 s

What callers saw: 502 for calls that may not be repeated, and broken streams, while their server was healthy and had been silent for a second or more.

Cause: connections to servers had a user timeout of 1.5 s and keep-alive probes every second. The user timeout also decides when probes give up, whatever their number (2 were set). One lost probe ended the connection 2 s after the last acknowledgement; a request that was sent into the silence failed after 1.5 s. Class: a timeout of the network stack that is shorter than a silence which is no fault.

Evidence: silent_server_goes_on_request_may_not_be_repeated failed with ETIMEDOUT after 2.03 s. A first try with 3 s and a probe each second still failed after 3.06 s, with two probes lost in a silence of 1.5 s: the kernel gives up when it would send the next probe. A silence survives if it is shorter than the timeout less two intervals.

Change: no connection has a shorter timeout than 4 s, with probes every quarter of it; this covers the connections to the store (2 s before) and the probes of reachability too. The number of probes is no longer set, since it has no effect.

--- a/crates/gateway/src/dial.rs
+++ b/crates/gateway/src/dial.rs
@@ -19,7 +19,7 @@
 /// The timeout for connecting. Servers accept within milliseconds; in a partition, none does.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// The time after which a connection fails if the server acknowledges nothing.
-pub const ACK_TIMEOUT: Duration = Duration::from_millis(1_500);
+pub const ACK_TIMEOUT: Duration = h1::stream::SHORTEST_ACK_TIMEOUT;
 /// The memory that the kernel uses for what a server sent and was not read yet, in bytes. This is the
 /// kernel's initial size; it would grow with the server's rate.
 pub const RECEIVED_LIMIT: usize = 128 * 1024;
--- a/crates/gateway/src/reachability.rs
+++ b/crates/gateway/src/reachability.rs
@@ -22,7 +22,7 @@
 /// The timeout of a probe. Servers accept within milliseconds.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
 /// The time after which the connection of a probe fails if the server acknowledges nothing.
-const ACK_TIMEOUT: Duration = Duration::from_millis(1_500);
+const ACK_TIMEOUT: Duration = h1::stream::SHORTEST_ACK_TIMEOUT;
 /// The interval between two checks for silent servers.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// The longest time in which a suspicion is decided: two rounds of probes.
--- a/crates/h1/src/stream.rs
+++ b/crates/h1/src/stream.rs
@@ -33,6 +33,14 @@
 /// may be open at the same time.
 const IDLE_CAPACITY: usize = 2 * 1024;
 
+/// The shortest time after which a connection fails if its peer acknowledges nothing. On an idle connection, it
+/// also decides when keep-alive probes give up, whatever their number. The kernel sends one a second at most and
+/// gives up when it would send the next, so a silence survives if it is two probes shorter than this time. A
+/// healthy peer may be silent for up to 2 s.
+pub const SHORTEST_ACK_TIMEOUT: Duration = Duration::from_secs(4);
+/// The number of intervals between keep-alive probes within that time.
+const PROBE_INTERVALS: u32 = 4;
+
 thread_local! {
     /// Where all connections read to, so that none keeps a buffer of this size.
     static SCRATCH: RefCell<Vec<u8>> = RefCell::new(vec![0; READ_SIZE]);
@@ -94,7 +102,9 @@
     }
 
     /// Sets the time after which the connection fails if the peer acknowledges nothing or reads nothing.
+    /// The time is at least [`SHORTEST_ACK_TIMEOUT`].
     pub fn set_ack_timeout(&self, timeout: Duration) {
+        let timeout = timeout.max(SHORTEST_ACK_TIMEOUT);
         if self.ack_timeout.replace(timeout) != timeout {
             // Fails only for a connection that has already ended.
             let _ = SockRef::from(self.socket.get_ref()).set_tcp_user_timeout(Some(timeout));
@@ -110,17 +120,19 @@
         Ok(Self::new(socket, ack_timeout)?)
     }
 
-    /// Wraps a connected socket.
+    /// Wraps a connected socket. The connection fails if the peer acknowledges nothing for `ack_timeout`, which
+    /// is at least [`SHORTEST_ACK_TIMEOUT`].
     pub fn new(socket: Async<TcpStream>, ack_timeout: Duration) -> io::Result<Self> {
+        let ack_timeout = ack_timeout.max(SHORTEST_ACK_TIMEOUT);
         let options = SockRef::from(socket.get_ref());
         options.set_tcp_nodelay(true)?;
         options.set_tcp_user_timeout(Some(ack_timeout))?;
         options.set_tcp_notsent_lowat(UNSENT_LIMIT)?;
-        let interval = (ack_timeout / 3).max(Duration::from_secs(1));
+        let interval = ack_timeout / PROBE_INTERVALS;
         let keepalive = TcpKeepalive::new()
             .with_time(interval)
             .with_interval(interval);
-        options.set_tcp_keepalive(&keepalive.with_retries(2))?;
+        options.set_tcp_keepalive(&keepalive)?;
         Ok(Self {
             socket: Rc::new(socket),
             ack_timeout: Rc::new(Cell::new(ack_timeout)),
