Answer requests that outlast the grace period

What callers saw: a request that was still waiting, or whose server was silent, when an instance reached the end of its grace period lost its connection without an answer or a refusal, as the process ended.

Cause: after the grace period, the process ended with the requests in progress, whatever their state. Class: work is dropped without a word to the one who waits for it.

Change: at 0.96 of the grace period, requests that have not begun to answer are refused, with 503 if none was sent to a server, otherwise 502, and the process ends when these are written or after 150 ms. Streams that have begun end incomplete as before; the log says cut_by_stop.

shutdown_answers_requests_that_take_too_long failed before (no answer, the connection ended) and passes now.

--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -74,6 +74,8 @@
     pub suspicions: (Sender<()>, Receiver<()>),
     /// Set while this entry reaches no backend server.
     pub isolation: Signal,
+    /// Set when the process is about to end, so that requests in progress are answered.
+    pub ending: Signal,
     /// Signals that requests wait and that the workload has changed.
     pub turns: (Sender<()>, Receiver<()>),
     /// Closed when callers' idle connections have to be closed.
@@ -176,6 +178,7 @@
             returns: async_channel::bounded(1),
             suspicions: async_channel::bounded(1),
             isolation: Signal::default(),
+            ending: Signal::default(),
             turns: async_channel::bounded(1),
             close_sender,
             close_receiver,
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -33,6 +33,8 @@
     Isolated,
     /// No engines have enough memory for the prompt.
     NoRoom,
+    /// The process ends.
+    Stopping,
     /// The memory for buffers is used up, and the caller's connection uses the most of it.
     NoMemory,
     /// The caller would disconnect before the first event. A request that arrives after this time is
@@ -63,6 +65,7 @@
             | Self::Paused(_)
             | Self::NoRoom
             | Self::NoMemory
+            | Self::Stopping
             | Self::TooLate(_)
             | Self::NotRun => 503,
         }
@@ -81,6 +84,7 @@
             Self::Isolated => "isolated",
             Self::NoRoom => "no_room",
             Self::NoMemory => "no_memory",
+            Self::Stopping => "stopping",
             Self::TooLate(_) => "too_late",
             Self::NotRun => "not_run",
             Self::Failed => "failed",
@@ -94,9 +98,12 @@
             Self::Unconfigured => (UNCONFIGURED_RETRY, UNCONFIGURED_RETRY),
             Self::Paused(left) => (left, NO_SERVER_RETRY),
             Self::TooLate(room) => (room, Duration::ZERO),
-            Self::NoServer | Self::NoHomeServer | Self::NoRoom | Self::NoMemory | Self::NotRun => {
-                (NO_SERVER_RETRY, NO_SERVER_RETRY)
-            }
+            Self::NoServer
+            | Self::NoHomeServer
+            | Self::NoRoom
+            | Self::NoMemory
+            | Self::Stopping
+            | Self::NotRun => (NO_SERVER_RETRY, NO_SERVER_RETRY),
             _ => return None,
         };
         Some(RetryTime { earliest, spread })
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -42,6 +42,10 @@
 /// The fraction of the grace period after which requests in progress are abandoned, so that the
 /// process ends before it is killed.
 const GRACE_FRACTION: f64 = 0.96;
+/// The time in which callers whose requests are abandoned get an answer.
+const ANSWER_TIME: Duration = Duration::from_millis(150);
+/// The interval between checks for the end of the last of these.
+const END_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 
 /// The implementations of the gateway's interfaces, which an adapter provides.
 pub struct Ports<P> {
@@ -193,7 +197,7 @@
 }
 
 /// Stops gracefully: first callers get only the addresses of other instances, then the listeners are
-/// closed, then requests in progress are awaited.
+/// closed, then requests in progress are awaited. Those that take too long are refused.
 async fn stop(node: &Node, accepts: Vec<async_executor::Task<()>>) {
     let started = clock::now();
     let settings = node.settings();
@@ -210,5 +214,10 @@
     while node.running_requests.get() > 0 && clock::now() < deadline {
         Timer::after(SIGNAL_CHECK_INTERVAL).await;
     }
+    node.ending.set();
+    let end = clock::now() + ANSWER_TIME;
+    while node.running_requests.get() > 0 && clock::now() < end {
+        Timer::after(END_CHECK_INTERVAL).await;
+    }
     log::info!(target: "run", busy = node.running_requests.get(); "stopped");
 }
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -56,6 +56,8 @@
     CallerLeft,
     /// The caller's connection buffers the most, this number of bytes, and has to be closed.
     Closing(usize),
+    /// The process ends.
+    Stopping,
 }
 
 /// What follows an attempt.
@@ -132,7 +134,12 @@
             End::CallerLeft
         };
         let closing = async { End::Closing(outbox.account().closing().await) };
-        let left = future::or(disconnected, future::or(unwritable, closing));
+        let stopping = async {
+            node.ending.wait().await;
+            End::Stopping
+        };
+        let ended = future::or(closing, stopping);
+        let left = future::or(disconnected, future::or(unwritable, ended));
         let ended = within(clock::now().until(deadline), future::or(attempts, left)).await;
         let extent = match &ended {
             Some(End::Attempted(Ok("delivered"))) => Extent::Whole,
@@ -145,7 +152,11 @@
                 node.metrics.record_end(&route.name, outcome);
                 answer.disposition()
             }
-            Some(End::Closing(bytes)) => self.close(node, answer, bytes).await,
+            Some(End::Closing(bytes)) => {
+                node.record_closing(bytes, self.metadata.id.as_deref());
+                self.abandon(node, answer, Refusal::NoMemory).await
+            }
+            Some(End::Stopping) => self.abandon(node, answer, Refusal::Stopping).await,
             Some(End::Attempted(Err(refusal))) => {
                 if answer.state() == State::NotBegun {
                     let retry_after = self.retry_time(node, refusal);
@@ -195,18 +206,21 @@
         }
     }
 
-    /// Ends a request whose connection buffers the most. If nothing was sent, the caller is told whether the
-    /// request may have run.
-    async fn close(&self, node: &Node, mut answer: Answer, bytes: usize) -> Disposition {
-        node.record_closing(bytes, self.metadata.id.as_deref());
+    /// Ends a request whose connection has to be closed. If nothing was sent to the caller, it is told whether
+    /// the request may have run; `refusal` says why the request ends if it has not.
+    async fn abandon(&self, node: &Node, mut answer: Answer, refusal: Refusal) -> Disposition {
         if answer.state() != State::NotBegun {
-            self.record_end(node, "closed_for_memory", "-");
-            return Disposition::Discard;
+            let (outcome, disposition) = match refusal {
+                Refusal::NoMemory => ("closed_for_memory", Disposition::Discard),
+                _ => ("cut_by_stop", Disposition::Close),
+            };
+            self.record_end(node, outcome, refusal.name());
+            return disposition;
         }
         answer.close_after();
         let refusal = match self.sent_at {
             Some(_) => Refusal::Failed,
-            None => Refusal::NoMemory,
+            None => refusal,
         };
         let retry_after = refusal.retry_time();
         let retry_after = retry_after.map(|it| it.delay(rand::rng().random()));
