Follow a silent server again only once it has an answer or an event

Change: a silent server is followed again once a whole answer or an event has arrived. Whatever is followed, the other silent attempts are heard, and dropped when the caller is sent something. An end of the connection after a silence does not complete a stream. A server is counted as tried once, and the framing of another server's answer is forgotten.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -89,6 +89,8 @@
     sent_at: Moment,
     /// Whether the connection can be reused.
     reuse: Option<Reuse>,
+    /// Whether the server has fallen silent before.
+    pub was_silent: bool,
     _lease: Option<Lease>,
     _in_progress: reachability::Attempt<'a>,
 }
@@ -161,6 +163,7 @@
             target,
             sent_at,
             reuse: None,
+            was_silent: false,
             _lease: lease,
             _in_progress: in_progress,
         })
@@ -177,6 +180,7 @@
         let node = self.node;
         exchange.server.clone_from(&self.target.server.id);
         exchange.sent_at = Some(self.sent_at);
+        exchange.ending = Ending::default();
         let watchdog = Watchdog::of(exchange, &self.target, self.sent_at);
         let source = Source::Server(&self.target.server, &self.registration);
         let received = self.reception.receive(node, exchange, answer, source);
@@ -196,15 +200,17 @@
                     &error,
                     "the server is silent; another one is tried while its connection stays open",
                 );
+                self.was_silent = true;
                 node.metrics.record_silence("begun");
                 Outcome::Silent
             }
         }
     }
 
-    /// Completes once the server goes on. Fails if its connection has failed.
+    /// Completes once the server goes on, with a whole answer or an event. Fails if its connection ends or fails
+    /// before.
     pub async fn heard(&mut self) -> Result<(), Error> {
-        self.reception.filled().await?;
+        self.reception.answered().await?;
         self.registration.progress.set(clock::now());
         Ok(())
     }
--- a/crates/gateway/src/reception.rs
+++ b/crates/gateway/src/reception.rs
@@ -34,6 +34,8 @@
 
 /// The size limit of a response head, in bytes.
 const RESPONSE_HEAD_LIMIT: usize = 64 * 1024;
+/// The number of bytes that have arrived after which an answer counts as there, without a look at them.
+const ANSWER_CHECK_LIMIT: usize = 64 * 1024;
 /// The last activity of a server that is not read.
 const NEVER_SILENT: Moment = Moment::from_micros(u64::MAX);
 
@@ -45,6 +47,8 @@
     /// nevertheless, so that the server does not take other bytes for it, and reading the response does not
     /// wait for it.
     writing: Task<Result<(), Error>>,
+    /// Whether a successful answer is a stream.
+    is_stream: bool,
     stage: Stage,
 }
 
@@ -166,6 +170,7 @@
             stream,
             method: head.method,
             writing,
+            is_stream: exchange.route.kind.is_stream(),
             stage: Stage::Head,
         }
     }
@@ -195,18 +200,49 @@
         Ok(completion)
     }
 
-    /// Completes once more of the response has arrived, or an orderly end that may complete it. Fails if the
-    /// connection has failed.
-    pub async fn filled(&mut self) -> Result<(), Error> {
-        let is_ended_by_close = match &self.stage {
-            Stage::Head => false,
-            Stage::Whole(whole) => whole.response.framing == Framing::UntilClose,
-            Stage::Events(events) => events.framing == Framing::UntilClose,
-        };
-        match self.stream.fill().await? {
-            0 if !is_ended_by_close => Err(Error::Truncated),
-            _ => Ok(()),
+    /// Completes once something has arrived that can be passed on: a whole answer, or an event. Fails if the
+    /// connection ends or fails before.
+    pub async fn answered(&mut self) -> Result<(), Error> {
+        while !self.has_answer()? {
+            if self.stream.fill().await? == 0 && !self.is_whole_at_end() {
+                return Err(Error::Truncated);
+            }
+        }
+        Ok(())
+    }
+
+    /// Returns whether what has arrived and was not received yet completes the answer or an event.
+    fn has_answer(&self) -> Result<bool, Error> {
+        let bytes = self.stream.buffered();
+        if bytes.len() > ANSWER_CHECK_LIMIT {
+            return Ok(true);
         }
+        let (decoder, splitter, bytes) = match &self.stage {
+            Stage::Head => {
+                let Some((response, length)) = Response::parse(bytes, &self.method)? else {
+                    return Ok(false);
+                };
+                let is_stream = self.is_stream && response.status == 200;
+                let splitter = is_stream.then(Splitter::default);
+                let decoder = Decoder::new(response.framing);
+                (decoder, splitter, &bytes[length..])
+            }
+            Stage::Whole(whole) => (whole.decoder.clone(), None, bytes),
+            Stage::Events(events) => (events.decoder.clone(), Some(events.splitter.clone()), bytes),
+        };
+        let mut decoder = decoder;
+        let mut body = Vec::new();
+        decoder.decode(bytes, &mut body)?;
+        let has_event = match splitter {
+            Some(mut splitter) => !splitter.push(&body)?.is_empty(),
+            None => false,
+        };
+        Ok(has_event || decoder.is_done())
+    }
+
+    /// Returns whether the answer is whole when its connection ends. A stream may have been cut there.
+    fn is_whole_at_end(&self) -> bool {
+        matches!(&self.stage, Stage::Whole(whole) if whole.response.framing == Framing::UntilClose)
     }
 
     /// Returns the connection.
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -244,26 +244,31 @@
         let mut failure: Option<(Response, held::Body)> = None;
         let mut silent = Silent::default();
         let mut retried = None;
+        let mut heard: Option<Attempt<'_>> = None;
         loop {
-            let step = self.step(node, answer, &mut failure, retried.take());
-            let mut step = match silent.race(&outbox, step).await {
-                Ok(step) => step,
-                Err(attempt) => self.follow(node, attempt, answer, &mut failure).await,
+            let step = match heard.take() {
+                Some(attempt) => {
+                    let follow = self.follow(node, attempt, answer, &mut failure);
+                    silent.race(&outbox, follow).await
+                }
+                None => {
+                    let step = self.step(node, answer, &mut failure, retried.take());
+                    silent.race(&outbox, step).await
+                }
             };
-            while let Step::Ended(Err(refusal)) = step {
-                let Some(attempt) = silent.wait(&outbox).await else {
-                    return Err(refusal);
-                };
-                step = self.follow(node, attempt, answer, &mut failure).await;
-            }
             match step {
-                Step::Ended(ended) => return ended,
-                Step::Next => {}
-                Step::Silent(attempt) => {
+                Err(attempt) => heard = Some(attempt),
+                Ok(Step::Next) => {}
+                Ok(Step::Silent(attempt)) => {
                     self.may_have_run = true;
                     retried = Some(attempt.target().server.clone());
                     silent.push(*attempt, &outbox);
                 }
+                Ok(Step::Ended(Err(refusal))) => match silent.wait(&outbox).await {
+                    Some(attempt) => heard = Some(attempt),
+                    None => return Err(refusal),
+                },
+                Ok(Step::Ended(ended)) => return ended,
             }
         }
     }
@@ -307,6 +312,9 @@
         match Attempt::start(node, self, target).await {
             Start::Sent(attempt) => self.follow(node, attempt, answer, failure).await,
             Start::Ended(outcome, target) => {
+                if !matches!(outcome, Outcome::NoRoom) {
+                    self.tried.push(target.server.key());
+                }
                 self.conclude(node, outcome, &target, answer, failure).await
             }
         }
@@ -320,10 +328,12 @@
         answer: &mut Answer,
         failure: &mut Option<(Response, held::Body)>,
     ) -> Step<'a> {
+        if !attempt.was_silent {
+            self.tried.push(attempt.target().server.key());
+        }
         match attempt.follow(self, answer).await {
             Outcome::Silent => {
                 self.log_attempt(node, attempt.target(), Outcome::Silent.name());
-                self.tried.push(attempt.target().server.key());
                 Step::Silent(Box::new(attempt))
             }
             outcome => {
@@ -343,9 +353,6 @@
         failure: &mut Option<(Response, held::Body)>,
     ) -> Step<'a> {
         self.log_attempt(node, target, outcome.name());
-        if !matches!(outcome, Outcome::NoRoom) {
-            self.tried.push(target.server.key());
-        }
         let refusal = match outcome {
             Outcome::Delivered => return Step::Ended(Ok("delivered")),
             Outcome::CallerLeft => return Step::Ended(Ok("caller_left")),
--- a/crates/h1/src/stream.rs
+++ b/crates/h1/src/stream.rs
@@ -159,6 +159,11 @@
         self.buffer.len()
     }
 
+    /// Returns what is in the read buffer.
+    pub fn buffered(&self) -> &[u8] {
+        &self.buffer
+    }
+
     /// Reads more bytes into the buffer. Returns the number of bytes, which is 0 at the end of the
     /// connection. No byte is lost if the future is dropped before it completes.
     pub async fn fill(&mut self) -> Result<usize, Error> {
