Keep trying to resume a stream while no server can be reached

What callers saw: a stream that had begun was cut as soon as five servers could not be connected to, or none was usable, although servers were back within a second.

Cause: the limit on servers that can't be connected to serves to refuse a request at once. A stream that has begun can't be refused; it was cut instead.

--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -304,6 +304,10 @@
                 return Step::Next;
             }
             Err(Refusal::NoServer) if reachability::is_isolated(node).await => return Step::Next,
+            Err(Refusal::NoServer | Refusal::Paused(_)) if answer.state() == State::Begun => {
+                Timer::after(ROOM_CHECK_INTERVAL).await;
+                return Step::Next;
+            }
             Err(refusal) => {
                 return Step::Ended(self.give_up(answer, failure.take(), refusal).await);
             }
@@ -382,6 +386,11 @@
                 if !is_last || reachability::is_isolated(node).await {
                     return Step::Next;
                 }
+                if answer.state() == State::Begun {
+                    // Nothing can be refused any more. The caller waits as long as it is worth it.
+                    Timer::after(ROOM_CHECK_INTERVAL).await;
+                    return Step::Next;
+                }
                 Refusal::NoServer
             }
             Outcome::NotRun | Outcome::OtherServer => {
