--- a/crates/gateway/src/checkup.rs
+++ b/crates/gateway/src/checkup.rs
@@ -5,9 +5,12 @@
 //! that is not answered. An idle server that is gone attracts the parts of every long prompt until the list
 //! of servers changes, so it is excluded at once, and asked for the reason.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
+use async_io::Timer;
 use h1::Error;
 use h1::body::Decoder;
 use placement::Server;
@@ -22,6 +25,12 @@
 /// The size limits of the head and of the body of the answer, in bytes.
 const RESPONSE_LIMIT: usize = 64 * 1024;
 
+/// The time for which a server may answer nothing before it is excluded. A healthy one may be silent for 2 s.
+/// Meanwhile its circuit breaker keeps further parts away.
+const CHECK_TIME: Duration = Duration::from_secs(2);
+/// The interval between two queries of a check.
+const CHECK_INTERVAL: Duration = Duration::from_millis(200);
+
 /// Records that the server at this address kept another one from running a request, and starts the check.
 pub fn start_at(node: &Rc<Node>, address: SocketAddr) {
     let server = {
@@ -57,7 +66,14 @@
 }
 
 async fn check(node: Rc<Node>, server: Rc<Server>) {
-    let answered = within(dial::CONNECT_TIMEOUT, query(&node, &server)).await;
+    let deadline = clock::now() + CHECK_TIME;
+    let answered = loop {
+        let answered = within(dial::CONNECT_TIMEOUT, query(&node, &server)).await;
+        if is_conclusive(answered.as_ref()) || clock::now() >= deadline {
+            break answered;
+        }
+        Timer::after(CHECK_INTERVAL).await;
+    };
     let is_answered = matches!(answered, Some(Ok(())));
     // An instance that turns out to reach no server has learned nothing of this one.
     if !is_answered && reachability::is_isolated(&node).await {
@@ -83,6 +99,15 @@
     state.servers.exclude(clock::now(), server.key());
 }
 
+/// Returns whether the result of a query says that the server answers, or that nothing listens at its address.
+fn is_conclusive(answered: Option<&Result<(), Error>>) -> bool {
+    match answered {
+        Some(Ok(())) => true,
+        Some(Err(Error::Io(error))) => error.kind() == ErrorKind::ConnectionRefused,
+        _ => false,
+    }
+}
+
 /// Asks the server for its status. Each of its answers says whether it leaves.
 async fn query(node: &Node, server: &Server) -> Result<(), Error> {
     let mut head = node.protocol.status_query();
