End no instance for a server with too many slots

Cause: `usable_slots` multiplies the slots, which other programs state, by the live instances. A panic of any task ends the process, since all tasks run on the main thread. A release build wraps around. The share of taken slots in the plan of prompts has the same product.

Ruled out: the arithmetic of times. `Moment` saturates, and cold periods are bounded by an hour.

Change: both products saturate.

--- a/crates/gateway/src/placing.rs
+++ b/crates/gateway/src/placing.rs
@@ -256,7 +256,9 @@
 /// their work, and counts on its share.
 fn usable_slots(state: &State, slots: usize) -> usize {
     let alive = state.members.alive().count();
-    (slots * alive).div_ceil(state.members.expected().max(1))
+    // Other programs state the slots, so they may be any number.
+    let reachable = slots.saturating_mul(alive);
+    reachable.div_ceil(state.members.expected().max(1))
 }
 
 /// Returns the engine time that a prompt and its answer are expected to take, in milliseconds.
--- a/crates/placement/src/plan.rs
+++ b/crates/placement/src/plan.rs
@@ -242,7 +242,8 @@
 fn slot_loss_per_s(engine: &Engine, candidates: &[Candidate<'_>]) -> f64 {
     let placed = candidates.iter().map(|it| it.queue.map_or(0, Queue::len));
     let taken: usize = placed.map(|it| it.min(engine.slots)).sum();
-    let share = taken as f64 / (engine.slots * candidates.len()).max(1) as f64;
+    let slots = engine.slots.saturating_mul(candidates.len());
+    let share = taken as f64 / slots.max(1) as f64;
     SLOT_LOSS_PER_S * share.powi(SLOT_LOSS_EXPONENT)
 }
 
