End no instance for a time of a peer that is no duration

Cause: the plan of a prompt adds up the prefill of all instances and converts the forecast into a `Duration`, and the datagram's numbers were taken as they are.

Estimates out of range count as not known.

--- a/crates/wire/src/update.rs
+++ b/crates/wire/src/update.rs
@@ -14,6 +14,10 @@
 use crate::peer_capnp::datagram;
 use crate::peer_capnp::work;
 
+/// The longest time of work in milliseconds, and the most passes: a day of either. Sums of longer times
+/// would not fit a duration.
+const MAX_WORK: f32 = 24.0 * 3_600.0 * 1e3;
+
 /// Writes an update.
 pub fn write(update: &Update, mut builder: work::Builder<'_>) {
     builder.set_entry(update.job.entry.0);
@@ -80,6 +84,30 @@
     })
 }
 
+/// Reads what a request is expected to take. An estimate out of range counts as not known.
+fn expectation(mean: f32, upper: f32) -> Expectation {
+    let range = 0.0..=MAX_WORK;
+    if range.contains(&mean) && range.contains(&upper) {
+        Expectation { mean, upper }
+    } else {
+        Expectation::default()
+    }
+}
+
+/// Reads the duration of a prefill.
+fn prefill_ms(value: f32) -> Result<f32, Error> {
+    let is_valid = (0.0..=MAX_WORK).contains(&value);
+    is_valid.then_some(value).ok_or(Error::Field("readMs"))
+}
+
+/// Reads a factor or a weight.
+fn finite(value: f32, field: &'static str) -> Result<f32, Error> {
+    value
+        .is_finite()
+        .then_some(value)
+        .ok_or(Error::Field(field))
+}
+
 /// Reads an update.
 pub fn read(reader: work::Reader<'_>) -> Result<Update, Error> {
     let job = JobId {
@@ -88,40 +116,42 @@
     };
     let change = match reader.which()? {
         work::Started(()) => Change::Started,
-        work::Paced(factor) => Change::Slowed(factor),
-        work::Limited(group) => Change::Limited {
-            server: group.get_server(),
-            per_s: group.get_per_s(),
-        },
+        work::Paced(factor) => Change::Slowed(finite(factor, "paced")?),
+        work::Limited(group) => {
+            let per_s = group.get_per_s();
+            if per_s.is_nan() {
+                return Err(Error::Field("perS"));
+            }
+            Change::Limited {
+                server: group.get_server(),
+                per_s,
+            }
+        }
         work::Ended(()) => Change::Ended,
         work::Rejected(group) => Change::Rejected {
             digest: group.get_digest(),
             return_ms: group.get_return_ms(),
         },
         work::Placed(group) => {
-            let parts = group.get_parts()?.iter().map(|it| Part {
-                server: it.get_server(),
-                prefill_ms: it.get_read_ms(),
-                tokens: it.get_tokens(),
+            let parts = group.get_parts()?.iter().map(|it| {
+                Ok(Part {
+                    server: it.get_server(),
+                    prefill_ms: prefill_ms(it.get_read_ms())?,
+                    tokens: it.get_tokens(),
+                })
             });
             Change::Placed(Placement {
                 target_ms: group.get_target_ms(),
                 pause_ms: group.get_pause_ms(),
-                value: group.get_value(),
+                value: finite(group.get_value(), "value")?,
                 timeliness: if group.get_is_late() {
                     Timeliness::Late
                 } else {
                     Timeliness::OnTime
                 },
-                parts: parts.collect(),
-                passes: Expectation {
-                    mean: group.get_passes(),
-                    upper: group.get_passes_upper(),
-                },
-                service_ms: Expectation {
-                    mean: group.get_service_ms(),
-                    upper: group.get_service_upper_ms(),
-                },
+                parts: parts.collect::<Result<_, Error>>()?,
+                passes: expectation(group.get_passes(), group.get_passes_upper()),
+                service_ms: expectation(group.get_service_ms(), group.get_service_upper_ms()),
             })
         }
     };
--- a/crates/wire/tests/frames.rs
+++ b/crates/wire/tests/frames.rs
@@ -244,3 +244,46 @@
         }
     }
 }
+
+/// Returns how a placement is received whose prefill and estimates have these numbers.
+fn received(odd_prefill_ms: f32, odd: f32) -> Option<Placement> {
+    let Change::Placed(mut sent) = placement(Timeliness::OnTime) else {
+        return None;
+    };
+    sent.parts[0].prefill_ms = odd_prefill_ms;
+    sent.passes.upper = odd;
+    sent.service_ms.mean = odd;
+    let frame = Frame::Updates(vec![update(1, Change::Placed(sent))]);
+    let Ok(Frame::Updates(updates)) = Frame::decode(&frame.encode()) else {
+        return None;
+    };
+    match &updates[0].change {
+        Change::Placed(placement) => Some(placement.clone()),
+        _ => None,
+    }
+}
+
+/// Guards against times that fit no duration.
+#[test]
+fn update_numbers_without_sense_are_not_received() {
+    let day_ms = 24.0 * 3_600.0 * 1e3;
+    let largest = received(day_ms, day_ms).expect("a placement");
+    assert_eq!(
+        (largest.parts[0].prefill_ms, largest.passes.upper),
+        (day_ms, day_ms)
+    );
+    for odd in [f32::NAN, f32::INFINITY, f32::MAX, day_ms * 1.01, -1.0] {
+        assert_eq!(received(odd, 1.0), None, "{odd}");
+        let placement = received(1.0, odd).expect("a placement");
+        let unknown = Expectation::default();
+        assert_eq!(
+            (placement.passes, placement.service_ms),
+            (unknown, unknown),
+            "{odd}"
+        );
+    }
+    for odd in [f32::NAN, f32::INFINITY] {
+        let frame = Frame::Updates(vec![update(1, Change::Slowed(odd))]);
+        assert!(Frame::decode(&frame.encode()).is_err(), "{odd}");
+    }
+}
