Reject text in a stream of events

The class: a later attempt's answer is treated as if it were the first.

Lines before a blank line are now an event only if one of them is a field of an event (id, data, event or retry); comments are passed on as before. Other text ends the attempt, which counts as broken off, in the first answer of a stream as well: the text of an error without a blank line was never passed on.

--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -48,7 +48,8 @@
         self.event_count - self.known_count
     }
 
-    /// Adds bytes and returns the events that they complete. Fails if the next event is too long.
+    /// Adds bytes and returns the events that they complete. Fails if the next event is too long, or if they
+    /// are no events.
     pub fn push(&mut self, bytes: &[u8]) -> Result<Vec<u8>, Error> {
         self.pending.extend_from_slice(bytes);
         let mut out = Vec::new();
@@ -57,13 +58,15 @@
             let event = &self.pending[start..start + length];
             start += length;
             self.event_count += 1;
-            match event_id(event) {
-                Some(id) if self.last_id.is_some_and(|it| id <= it) => self.known_count += 1,
-                id => {
-                    self.last_id = id.or(self.last_id);
-                    out.extend_from_slice(event);
+            match Block::of(event)? {
+                Block::Numbered(id) if self.last_id.is_some_and(|it| id <= it) => {
+                    self.known_count += 1;
+                    continue;
                 }
+                Block::Numbered(id) => self.last_id = Some(id),
+                Block::Unnumbered | Block::Comment => {}
             }
+            out.extend_from_slice(event);
         }
         self.pending.drain(..start);
         if self.pending.len() > EVENT_LIMIT {
@@ -89,6 +92,34 @@
     }
 }
 
+/// What the lines before a blank line are.
+enum Block {
+    /// An event with this id.
+    Numbered(u64),
+    /// An event without an id, or with one that is not a number.
+    Unnumbered,
+    /// Comments, or nothing.
+    Comment,
+}
+
+impl Block {
+    /// Fails if the lines have no field of an event, such as those of an error's text.
+    fn of(bytes: &[u8]) -> Result<Self, Error> {
+        if let Some(id) = event_id(bytes) {
+            return Ok(Self::Numbered(id));
+        }
+        let lines = bytes.split(|it| *it == b'\n').map(<[u8]>::trim_ascii_end);
+        let mut lines = lines.filter(|it| !it.is_empty() && !it.starts_with(b":"));
+        if lines.clone().next().is_none() {
+            return Ok(Self::Comment);
+        }
+        if lines.any(is_event_field) {
+            return Ok(Self::Unnumbered);
+        }
+        Err(Error::Malformed("text in a stream of events"))
+    }
+}
+
 /// Returns the length of the event at the start of `bytes`, including its blank line.
 fn event_length(bytes: &[u8]) -> Option<usize> {
     let mut line_start = 0;
@@ -111,3 +142,8 @@
     let line = lines.find_map(|it| it.strip_prefix(b"id:"))?;
     std::str::from_utf8(line).ok()?.trim().parse().ok()
 }
+
+fn is_event_field(line: &[u8]) -> bool {
+    let name = line.split(|it| *it == b':').next();
+    matches!(name, Some(b"data" | b"event" | b"id" | b"retry"))
+}
--- a/crates/gateway/tests/events.rs
+++ b/crates/gateway/tests/events.rs
@@ -36,6 +36,41 @@
     assert_eq!(push_pieces(None, text, 3), (text.to_owned(), Some(1)));
 }
 
+/// Checks that bytes are rejected, whatever the size of the pieces in which they arrive.
+fn check_rejected(last: Option<u64>, text: &str) {
+    for size in [1, 7, 1_000] {
+        let mut splitter = Splitter::after(last);
+        let pieces = text.as_bytes().chunks(size);
+        let mut passed_on = Vec::new();
+        let is_rejected = pieces
+            .map(|it| splitter.push(it).map(|it| passed_on.extend(it)))
+            .any(|it| it.is_err());
+        assert!(is_rejected, "{text:?}");
+        assert!(passed_on.is_empty(), "{text:?}");
+    }
+}
+
+/// Guards against the text or the head of an error that is passed on as an event.
+#[test]
+fn push_text_is_rejected() {
+    for text in [
+        "upstream failed\n\n",
+        "HTTP/1.1 502 Bad Gateway\r\nContent-Length: 4\r\n\r\n",
+        "{\"error\":1}\n\n",
+        "<p>data: a</p>\n\n",
+        ": comment\nupstream failed\n\n",
+    ] {
+        check_rejected(None, text);
+        check_rejected(Some(3), text);
+    }
+}
+
+#[test]
+fn push_resumed_comments_are_passed_on() {
+    let text = format!("\n: comment\r\n\r\n{}", event(4));
+    assert_eq!(push_pieces(Some(3), &text, 4), (text, Some(4)));
+}
+
 /// Checks whether a stream that ends after `text` is complete.
 fn check_finish(text: &str, framing: Framing, is_complete: bool) {
     let mut splitter = Splitter::after(None);
