Reject events without an id until a resumed stream goes on

A server that answered a resumed request with an event without an id, such as `event: error`, had it passed on after the events of the server before it, and the stream then ended as if it were complete. Nothing shows that such an event follows the last one: it may be an error, or one that the caller has.

In a resumed stream, events without an id are now rejected until an event with a later id has arrived. What follows that, and streams that are not resumed, are passed on as before ("data: [DONE]" at the end).

--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -12,8 +12,8 @@
     pending: Vec<u8>,
     /// The id of the last event that was passed on.
     last_id: Option<u64>,
-    /// Whether the caller has events from an earlier attempt.
-    is_resumed: bool,
+    /// The id of the event after which the stream is resumed.
+    resumed_after: Option<u64>,
     /// The number of whole events.
     event_count: u64,
     /// The number of those that the caller already had.
@@ -27,7 +27,7 @@
         Self {
             pending: Vec::new(),
             last_id,
-            is_resumed: last_id.is_some(),
+            resumed_after: last_id,
             event_count: 0,
             known_count: 0,
         }
@@ -48,8 +48,8 @@
         self.event_count - self.known_count
     }
 
-    /// Adds bytes and returns the events that they complete. Fails if the next event is too long, or if they
-    /// are no events.
+    /// Adds bytes and returns the events that they complete. Fails if the next event is too long, if they are
+    /// no events, or if it is unknown whether an event goes on with the stream that is resumed.
     pub fn push(&mut self, bytes: &[u8]) -> Result<Vec<u8>, Error> {
         self.pending.extend_from_slice(bytes);
         let mut out = Vec::new();
@@ -64,6 +64,11 @@
                     continue;
                 }
                 Block::Numbered(id) => self.last_id = Some(id),
+                Block::Unnumbered if self.is_behind() => {
+                    return Err(Error::Malformed(
+                        "an event without an id in a resumed stream",
+                    ));
+                }
                 Block::Unnumbered | Block::Comment => {}
             }
             out.extend_from_slice(event);
@@ -83,13 +88,18 @@
     /// Checks that the stream is complete at the end of its body. The end of a connection shows
     /// only that the server sends no more, so a stream that ends with it needs at least one event.
     pub fn finish(&self, framing: Framing) -> Result<(), Error> {
-        let has_events = self.is_resumed || self.event_count > 0;
+        let has_events = self.resumed_after.is_some() || self.event_count > 0;
         let is_empty = framing == Framing::UntilClose && !has_events;
         if is_empty || !self.pending.is_empty() {
             return Err(Error::Truncated);
         }
         Ok(())
     }
+
+    /// Returns whether the stream is resumed and no event has followed the last one yet.
+    fn is_behind(&self) -> bool {
+        self.resumed_after.is_some() && self.resumed_after == self.last_id
+    }
 }
 
 /// What the lines before a blank line are.
--- a/crates/gateway/tests/events.rs
+++ b/crates/gateway/tests/events.rs
@@ -65,6 +65,22 @@
     }
 }
 
+/// Guards against an error event that is taken for the event after the last one.
+#[test]
+fn push_resumed_event_without_id_is_rejected() {
+    for text in [
+        "event: error\ndata: overloaded\n\n",
+        "data: a\n\n",
+        "id: x\ndata: a\n\n",
+    ] {
+        check_rejected(Some(3), text);
+        check_rejected(Some(3), &format!("{}{text}", event(3)));
+        assert_eq!(push_pieces(None, text, 4).0, text);
+    }
+    let text = format!("{}data: [DONE]\n\n", event(4));
+    assert_eq!(push_pieces(Some(3), &text, 4), (text, Some(4)));
+}
+
 #[test]
 fn push_resumed_comments_are_passed_on() {
     let text = format!("\n: comment\r\n\r\n{}", event(4));
