Take a resumed stream without events for broken off unless it has a last chunk

A server that answered a resumed request with status 200 and closed the connection before any event, or declared a body of length 0, completed the caller's stream: three events of six and the last chunk. A resumed stream without events counted as complete, whatever its framing. The class: a later attempt's answer is treated as if it were the first.

The end of a connection shows only that the server sends no more, with or without earlier events, so a stream that ends with it needs an event; comments are no events. A body that is declared to be empty is passed on as it is if nothing was sent to the caller, also to another instance, which sees it as no stream; in a stream that has begun, it counts as broken off. An empty chunked body still completes a resumed stream: the stream before it may have broken off before its last chunk.

The test finish_resumed_stream_without_events_is_complete stated the fault as wanted. Its replacement checks the end of a connection, with and without comments, and the last chunk.

Before: broken_stream_next_server_sends_empty_body and relayed_stream_next_server_sends_no_events failed (is_whole). After: both pass, and 12 of 12 in gateway/tests/events.rs.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -288,7 +288,10 @@
 fn has_run(exchange: &Exchange, outcome: &Outcome) -> bool {
     match outcome {
         Outcome::Delivered => exchange.ending.event_count > 0,
-        Outcome::Answered(response, _) => (200..300).contains(&response.status),
+        Outcome::Answered(response, body) => {
+            let is_empty_stream = exchange.route.kind.is_stream() && body.bytes.is_empty();
+            (200..300).contains(&response.status) && !is_empty_stream
+        }
         _ => false,
     }
 }
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -14,7 +14,7 @@
     last_id: Option<u64>,
     /// The id of the event after which the stream is resumed.
     resumed_after: Option<u64>,
-    /// The number of whole events.
+    /// The number of whole events, without comments.
     event_count: u64,
     /// The number of those that the caller already had.
     known_count: u64,
@@ -57,8 +57,9 @@
         while let Some(length) = event_length(&self.pending[start..]) {
             let event = &self.pending[start..start + length];
             start += length;
-            self.event_count += 1;
-            match Block::of(event)? {
+            let block = Block::of(event)?;
+            self.event_count += u64::from(!matches!(block, Block::Comment));
+            match block {
                 Block::Numbered(id) if self.last_id.is_some_and(|it| id <= it) => {
                     self.known_count += 1;
                     continue;
@@ -88,8 +89,7 @@
     /// Checks that the stream is complete at the end of its body. The end of a connection shows
     /// only that the server sends no more, so a stream that ends with it needs at least one event.
     pub fn finish(&self, framing: Framing) -> Result<(), Error> {
-        let has_events = self.resumed_after.is_some() || self.event_count > 0;
-        let is_empty = framing == Framing::UntilClose && !has_events;
+        let is_empty = framing == Framing::UntilClose && self.event_count == 0;
         if is_empty || !self.pending.is_empty() {
             return Err(Error::Truncated);
         }
--- a/crates/gateway/src/reception.rs
+++ b/crates/gateway/src/reception.rs
@@ -237,7 +237,9 @@
         }
         let verdict = node.protocol.verdict(&response);
         let is_stream = verdict == Verdict::Ran && exchange.route.kind.is_stream();
-        if is_stream && response.status == 200 {
+        // A body that is declared to be empty is passed on unchanged, but does not complete a stream.
+        let is_empty = matches!(response.framing, Framing::Empty | Framing::Length(0));
+        if is_stream && response.status == 200 && !is_empty {
             let events = Events::new(exchange, response, source);
             return Ok(Stage::Events(Box::new(events)));
         }
--- a/crates/gateway/tests/events.rs
+++ b/crates/gateway/tests/events.rs
@@ -107,13 +107,20 @@
 #[test]
 fn finish_without_events_is_truncated_at_close() {
     check_finish("", Framing::UntilClose, false);
+    check_finish(": comment\n\n", Framing::UntilClose, false);
     check_finish("", Framing::Chunked, true);
     check_finish("data: no id\n\n", Framing::UntilClose, true);
 }
 
+/// Guards against a resumed stream that breaks off before its first event and is taken for complete.
 #[test]
-fn finish_resumed_stream_without_events_is_complete() {
-    assert!(Splitter::after(Some(6)).finish(Framing::UntilClose).is_ok());
+fn finish_resumed_stream_without_events_needs_last_chunk() {
+    for text in ["", "\n", ": comment\n\n"] {
+        let mut splitter = Splitter::after(Some(6));
+        splitter.push(text.as_bytes()).expect("no events");
+        assert!(splitter.finish(Framing::UntilClose).is_err(), "{text:?}");
+        assert!(splitter.finish(Framing::Chunked).is_ok(), "{text:?}");
+    }
 }
 
 /// Guards against passes that count twice if a server repeats events of a resumed stream.
