Take a resumed stream that ends before the caller's last event for broken off

A server that began again at the first event and ended before the last one that the caller has completed the caller's stream: its events were dropped as known ones, and its end was passed on. Three events of six and the last chunk. The class: a later attempt's answer is treated as if it were the first.

A resumed stream that sends events is now complete only if the last event of the caller is among them or an event follows it. Gaps between ids are no sign of a fault: ids have to increase, not to be consecutive.

--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -12,6 +12,8 @@
     pending: Vec<u8>,
     /// The id of the last event that was passed on.
     last_id: Option<u64>,
+    /// The highest id in this stream.
+    highest_id: Option<u64>,
     /// The id of the event after which the stream is resumed.
     resumed_after: Option<u64>,
     /// The number of whole events, without comments.
@@ -27,6 +29,7 @@
         Self {
             pending: Vec::new(),
             last_id,
+            highest_id: None,
             resumed_after: last_id,
             event_count: 0,
             known_count: 0,
@@ -58,6 +61,9 @@
             let event = &self.pending[start..start + length];
             start += length;
             let block = Block::of(event)?;
+            if let Block::Numbered(id) = block {
+                self.highest_id = self.highest_id.max(Some(id));
+            }
             self.event_count += u64::from(!matches!(block, Block::Comment));
             match block {
                 Block::Numbered(id) if self.last_id.is_some_and(|it| id <= it) => {
@@ -87,10 +93,12 @@
     }
 
     /// Checks that the stream is complete at the end of its body. The end of a connection shows
-    /// only that the server sends no more, so a stream that ends with it needs at least one event.
+    /// only that the server sends no more, so a stream that ends with it needs at least one event. A
+    /// resumed stream may begin again with events that the caller has, but not end among them.
     pub fn finish(&self, framing: Framing) -> Result<(), Error> {
         let is_empty = framing == Framing::UntilClose && self.event_count == 0;
-        if is_empty || !self.pending.is_empty() {
+        let ends_early = self.highest_id.is_some() && self.highest_id < self.resumed_after;
+        if is_empty || ends_early || !self.pending.is_empty() {
             return Err(Error::Truncated);
         }
         Ok(())
--- a/crates/gateway/tests/events.rs
+++ b/crates/gateway/tests/events.rs
@@ -123,6 +123,19 @@
     }
 }
 
+/// Guards against a stream that begins again and ends before the events that the caller has.
+#[test]
+fn finish_restarted_stream_needs_last_event() {
+    for (last, is_complete) in [(1, false), (2, false), (3, true), (4, true)] {
+        let text: String = (1..=last).map(event).collect();
+        for framing in [Framing::Chunked, Framing::Length(20), Framing::UntilClose] {
+            let mut splitter = Splitter::after(Some(3));
+            splitter.push(text.as_bytes()).expect("events");
+            assert_eq!(splitter.finish(framing).is_ok(), is_complete, "{text:?}");
+        }
+    }
+}
+
 /// Guards against passes that count twice if a server repeats events of a resumed stream.
 #[test]
 fn new_event_count_leaves_out_events_that_the_caller_has() {
