Do not send a stream again that has begun without ids

The events of a stream whose first events have no id, and which then broke off, were followed by those of a second run from its start, with its end: the request was sent to the next server without Last-Event-Id, and its answer went on after the first one's events. The class: a later attempt's answer is treated as if it were the first.

Such a stream is not sent to another server any more, directly or through another instance; its answer ends without the last chunk. Streams of which the caller has only comments, or an event with an id, are resumed as before. Ruled out: after an event with an id, the next server gets it in Last-Event-Id, and events without an id are rejected until it goes on.

Before: broken_stream_without_ids_is_not_joined failed ("data: a" and then events 1 to 6, last chunk); can_resume_stream_without_ids_is_denied needs the new function. After: both pass (14 of 14 tests of broken_streams.rs, 14 of 14 of gateway/tests/events.rs).

--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -20,6 +20,8 @@
     event_count: u64,
     /// The number of those that the caller already had.
     known_count: u64,
+    /// Whether events without an id were passed on.
+    has_unnumbered: bool,
 }
 
 impl Splitter {
@@ -33,6 +35,7 @@
             resumed_after: last_id,
             event_count: 0,
             known_count: 0,
+            has_unnumbered: false,
         }
     }
 
@@ -41,6 +44,12 @@
         self.last_id
     }
 
+    /// Returns whether another stream can go on with this one: it has an event to resume after, or the caller has
+    /// no events.
+    pub fn can_resume(&self) -> bool {
+        self.last_id.is_some() || !self.has_unnumbered
+    }
+
     /// Returns the number of whole events in this stream, including those that were dropped.
     pub fn event_count(&self) -> u64 {
         self.event_count
@@ -76,7 +85,8 @@
                         "an event without an id in a resumed stream",
                     ));
                 }
-                Block::Unnumbered | Block::Comment => {}
+                Block::Unnumbered => self.has_unnumbered = true,
+                Block::Comment => {}
             }
             out.extend_from_slice(event);
         }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -64,6 +64,8 @@
     pub tried: Vec<u64>,
     /// The id of the last event that the caller received.
     pub last_event: Option<u64>,
+    /// Whether another server can go on with what the caller received.
+    pub can_resume: bool,
     /// The number of attempts that were sent to a server.
     pub attempts: u32,
     /// When the last one was sent.
@@ -166,6 +168,7 @@
         caller_deadline: arrived + timeout,
         route_deadline,
         last_event: metadata.last_event,
+        can_resume: true,
         tried: Vec::new(),
         attempts: 0,
         sent_at: None,
@@ -202,7 +205,7 @@
 
     /// Returns whether the request may be retried, and takes one retry from the budget if so.
     pub fn take_retry(&self, node: &Node) -> bool {
-        if self.attempts >= self.route.attempts {
+        if self.attempts >= self.route.attempts || !self.can_resume {
             return false;
         }
         let policy = node.settings().retry_budget;
--- a/crates/gateway/src/reception.rs
+++ b/crates/gateway/src/reception.rs
@@ -366,6 +366,7 @@
             };
             source.passed_on();
             exchange.last_event = self.splitter.last_id();
+            exchange.can_resume = self.splitter.can_resume();
             if sent.is_err() {
                 return Ok(Completion {
                     outcome: Outcome::CallerLeft,
--- a/crates/gateway/tests/events.rs
+++ b/crates/gateway/tests/events.rs
@@ -136,6 +136,21 @@
     }
 }
 
+/// Guards against a stream that is sent again from its start after events without ids.
+#[test]
+fn can_resume_stream_without_ids_is_denied() {
+    for (text, can_resume) in [
+        ("", true),
+        (": comment\n\n", true),
+        ("data: a\n\n", false),
+        ("data: a\n\nid: 1\ndata: b\n\n", true),
+    ] {
+        let mut splitter = Splitter::after(None);
+        splitter.push(text.as_bytes()).expect("events");
+        assert_eq!(splitter.can_resume(), can_resume, "{text:?}");
+    }
+}
+
 /// Guards against passes that count twice if a server repeats events of a resumed stream.
 #[test]
 fn new_event_count_leaves_out_events_that_the_caller_has() {
