Take a resumed stream for broken off if it lacks an event that had begun

A stream broke off within its fourth event, and the next server answered the resumed request with status 200 and nothing but a last chunk: the caller got three events and an end that looks complete, although the part of the fourth event showed that there is more. What was known of the first attempt did not count for the second one.

The request now remembers that a server has begun the event after the last one, until an event follows. A stream that ends before is broken off, however it is framed. A part of an event that the caller has does not count. Ruled out: a stream that lacks only its last chunk is still completed by an empty one.

Not covered: a stream that was resumed by another instance. The peer passes on whole events only, so this instance does not learn that the peer's server had begun another one.

--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -22,6 +22,8 @@
     known_count: u64,
     /// Whether events without an id were passed on.
     has_unnumbered: bool,
+    /// Whether an earlier attempt has begun the event after the last one.
+    expects_event: bool,
 }
 
 impl Splitter {
@@ -36,6 +38,7 @@
             event_count: 0,
             known_count: 0,
             has_unnumbered: false,
+            expects_event: false,
         }
     }
 
@@ -44,6 +47,17 @@
         self.last_id
     }
 
+    /// Declares the stream incomplete until another event arrives.
+    pub fn expect_event(&mut self) {
+        self.expects_event = true;
+    }
+
+    /// Returns whether an event after the last one has begun, here or in an earlier attempt.
+    pub fn expects_event(&self) -> bool {
+        let is_known = self.highest_id < self.resumed_after;
+        self.expects_event || !(self.pending.is_empty() || is_known)
+    }
+
     /// Returns whether another stream can go on with this one: it has an event to resume after, or the caller has
     /// no events.
     pub fn can_resume(&self) -> bool {
@@ -73,7 +87,8 @@
             if let Block::Numbered(id) = block {
                 self.highest_id = self.highest_id.max(Some(id));
             }
-            self.event_count += u64::from(!matches!(block, Block::Comment));
+            let is_event = !matches!(block, Block::Comment);
+            self.event_count += u64::from(is_event);
             match block {
                 Block::Numbered(id) if self.last_id.is_some_and(|it| id <= it) => {
                     self.known_count += 1;
@@ -88,6 +103,7 @@
                 Block::Unnumbered => self.has_unnumbered = true,
                 Block::Comment => {}
             }
+            self.expects_event &= !is_event;
             out.extend_from_slice(event);
         }
         self.pending.drain(..start);
@@ -108,7 +124,7 @@
     pub fn finish(&self, framing: Framing) -> Result<(), Error> {
         let is_empty = framing == Framing::UntilClose && self.event_count == 0;
         let ends_early = self.highest_id.is_some() && self.highest_id < self.resumed_after;
-        if is_empty || ends_early || !self.pending.is_empty() {
+        if is_empty || ends_early || self.expects_event || !self.pending.is_empty() {
             return Err(Error::Truncated);
         }
         Ok(())
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -66,6 +66,8 @@
     pub last_event: Option<u64>,
     /// Whether another server can go on with what the caller received.
     pub can_resume: bool,
+    /// Whether a server has begun the event after the last one.
+    pub expects_event: bool,
     /// The number of attempts that were sent to a server.
     pub attempts: u32,
     /// When the last one was sent.
@@ -169,6 +171,7 @@
         route_deadline,
         last_event: metadata.last_event,
         can_resume: true,
+        expects_event: false,
         tried: Vec::new(),
         attempts: 0,
         sent_at: None,
--- a/crates/gateway/src/reception.rs
+++ b/crates/gateway/src/reception.rs
@@ -297,11 +297,15 @@
 impl Events {
     fn new(exchange: &Exchange, response: Response, source: Source<'_>) -> Self {
         let is_counted = exchange.passes > 0 || source.counts_first_pass(exchange);
+        let mut splitter = Splitter::after(exchange.last_event);
+        if exchange.expects_event {
+            splitter.expect_event();
+        }
         Self {
             framing: response.framing,
             reuse: Reuse::of(&response),
             decoder: Decoder::new(response.framing),
-            splitter: Splitter::after(exchange.last_event),
+            splitter,
             earlier_passes: is_counted.then_some(exchange.passes),
             has_started: false,
             head: Some(response),
@@ -367,6 +371,7 @@
             source.passed_on();
             exchange.last_event = self.splitter.last_id();
             exchange.can_resume = self.splitter.can_resume();
+            exchange.expects_event = self.splitter.expects_event();
             if sent.is_err() {
                 return Ok(Completion {
                     outcome: Outcome::CallerLeft,
--- a/crates/gateway/tests/events.rs
+++ b/crates/gateway/tests/events.rs
@@ -136,6 +136,33 @@
     }
 }
 
+/// Guards against a last chunk that hides the rest of a stream which broke off within an event.
+#[test]
+fn finish_resumed_stream_needs_event_that_has_begun() {
+    let mut first = Splitter::after(None);
+    first.push(b"id: 1\ndata: a\n\nid: 2").expect("events");
+    assert!(first.expects_event());
+    for (text, is_complete) in [
+        ("", false),
+        (": comment\n\n", false),
+        ("id: 1\ndata: a\n\n", false),
+        ("id: 2\ndata: b\n\n", true),
+    ] {
+        let mut second = Splitter::after(first.last_id());
+        second.expect_event();
+        second.push(text.as_bytes()).expect("events");
+        assert_eq!(second.finish(Framing::Chunked).is_ok(), is_complete);
+        assert_eq!(second.expects_event(), !is_complete, "{text:?}");
+    }
+    let mut unnumbered = Splitter::after(None);
+    unnumbered.expect_event();
+    unnumbered.push(b"data: a\n\n").expect("events");
+    assert!(unnumbered.finish(Framing::Chunked).is_ok());
+    let mut restarted = Splitter::after(Some(3));
+    restarted.push(b"id: 1\ndata: a\n\nid: 2").expect("events");
+    assert!(!restarted.expects_event());
+}
+
 /// Guards against a stream that is sent again from its start after events without ids.
 #[test]
 fn can_resume_stream_without_ids_is_denied() {
