Believe no response without an id on a reused connection

What callers saw: 503 ("not run, try again") for a call that ran, if a faulty server wrote an earlier refusal once more, without an id, where the answer was due. With a second server, the call ran there too.

Cause: a response was matched to the request by its place on the connection unless it carried another id; one without any id was always believed. Class: an answer is matched by its place on the connection. By reading the code, not by a run: extra responses of status 200 (passed on as the answer) and 421 (the server was then excluded), and a second answer to a command, had the same way in.

Evidence, on the code before: repeated_refusal_without_id_is_not_believed ("q-2 was refused, but ran"), repeated_refusal_without_id_leads_to_no_second_run ("q-2 ran 2 times"), request_without_id_uses_new_connection: all three failed.

Ruled out, by tests that passed before: a refusal that is repeated together with the first one, one that is repeated on the idle connection, and one that carries the id of the earlier request. The first two are discarded with their connection, the third one ends the attempt with 502.

Change: on a connection to a server that has carried a request before, a response without the request's id fails the attempt: a call that may not be repeated gets 502, since it may have run. The first response on a new connection needs no id, as nothing else can arrive there. Other entries repeat nothing, so relays are as before. A server that echoes the id keeps its connections: refused_request_next_one_uses_its_connection.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -122,8 +122,14 @@
         } else {
             None
         };
-        let stream = match dial::connect(node, &target.server).await {
-            Ok(stream) => stream,
+        let connected = if exchange.metadata.id.is_some() {
+            dial::connect(node, &target.server).await
+        } else {
+            // Without an id, the response can't be told from an extra one to an earlier request.
+            dial::connect_anew(node, &target.server).await
+        };
+        let connection = match connected {
+            Ok(connection) => connection,
             Err(error) => {
                 log::info!(target: "server", server = target.server.id.as_str(), error:% = error; "can't connect to the server");
                 if !node.isolation.is_set() {
@@ -156,7 +162,7 @@
         }
         Start::Sent(Self {
             node,
-            reception: Reception::send(node, exchange, stream, head),
+            reception: Reception::send(node, exchange, connection, head),
             registration,
             target,
             sent_at,
@@ -212,7 +218,7 @@
     /// Ends the attempt. Its connection is kept if it can carry another request.
     pub fn end(self) -> Target {
         let key = self.target.server.key();
-        dial::keep(self.node, key, self.reception.into_stream(), self.reuse);
+        dial::keep(self.node, key, self.reception.into_connection(), self.reuse);
         self.target
     }
 
--- a/crates/gateway/src/checkup.rs
+++ b/crates/gateway/src/checkup.rs
@@ -87,12 +87,13 @@
 async fn query(node: &Node, server: &Server) -> Result<(), Error> {
     let mut head = node.protocol.status_query();
     head.headers.push("Host", server.address.to_string());
-    let mut stream = dial::connect(node, server).await?;
+    let mut connection = dial::connect(node, server).await?;
+    let stream = &mut connection.stream;
     stream.writer().write(&head.encode()).await?;
     let response = stream.read_response(&head.method, RESPONSE_LIMIT).await?;
     notice::record(node, server, &response, None);
     let mut decoder = Decoder::new(response.framing);
     stream.read_whole_body(&mut decoder, RESPONSE_LIMIT).await?;
-    dial::keep(node, server.key(), stream, Reuse::of(&response));
+    dial::keep(node, server.key(), connection, Reuse::of(&response));
     Ok(())
 }
--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -14,6 +14,25 @@
 /// The maximum number of idle connections to one server.
 const IDLE_LIMIT: usize = 16;
 
+/// A connection to a server.
+#[derive(Debug)]
+pub struct Connection {
+    /// The bytes.
+    pub stream: Stream,
+    /// Whether it has carried an earlier request, of which a faulty server may send an extra response.
+    pub is_reused: bool,
+}
+
+impl Connection {
+    /// Returns a connection that has carried no request.
+    pub fn new(stream: Stream) -> Self {
+        Self {
+            stream,
+            is_reused: false,
+        }
+    }
+}
+
 /// Idle connections, by the server's key.
 #[derive(Debug, Default)]
 pub struct Pool {
@@ -22,30 +41,43 @@
 
 #[derive(Debug)]
 struct Idle {
-    stream: Stream,
+    connection: Connection,
     expires_at: Moment,
 }
 
 impl Pool {
     /// Takes an idle connection that can carry another request, if there is one.
-    pub fn take(&mut self, now: Moment, server: u64) -> Option<Stream> {
+    pub fn take(&mut self, now: Moment, server: u64) -> Option<Connection> {
         let idle = self.idle.get_mut(&server)?;
         idle.retain(|it| now < it.expires_at);
         while let Some(it) = idle.pop() {
-            if it.stream.is_quiet() {
-                return Some(it.stream);
+            if it.connection.stream.is_quiet() {
+                return Some(it.connection);
             }
         }
         None
     }
 
     /// Adds an idle connection. `keep_alive` is the time for which the server keeps it open.
-    pub fn keep(&mut self, now: Moment, server: u64, stream: Stream, keep_alive: Option<Duration>) {
+    pub fn keep(
+        &mut self,
+        now: Moment,
+        server: u64,
+        connection: Connection,
+        keep_alive: Option<Duration>,
+    ) {
         let lifetime = keep_alive.unwrap_or(ASSUMED_KEEP_ALIVE);
         let expires_at = now + lifetime.saturating_sub(KEEP_ALIVE_MARGIN);
         let idle = self.idle.entry(server).or_default();
         if idle.len() < IDLE_LIMIT && expires_at > now {
-            idle.push(Idle { stream, expires_at });
+            let connection = Connection {
+                is_reused: true,
+                ..connection
+            };
+            idle.push(Idle {
+                connection,
+                expires_at,
+            });
         }
     }
 
--- a/crates/gateway/src/dial.rs
+++ b/crates/gateway/src/dial.rs
@@ -14,6 +14,7 @@
 use web::stream::within;
 
 use crate::Node;
+use crate::connections::Connection;
 use crate::reachability;
 
 /// The timeout for connecting. Servers accept within milliseconds; in a partition, none does.
@@ -26,10 +27,15 @@
 
 /// Returns a connection to a server, from the pool if there is an idle one. Fails at once while this
 /// entry is isolated.
-pub async fn connect(node: &Node, server: &Server) -> Result<Stream, Error> {
-    if let Some(stream) = pooled(node, server.key()) {
-        return Ok(stream);
+pub async fn connect(node: &Node, server: &Server) -> Result<Connection, Error> {
+    if let Some(connection) = pooled(node, server.key()) {
+        return Ok(connection);
     }
+    connect_anew(node, server).await
+}
+
+/// Opens a connection to a server. Fails at once while this entry is isolated.
+pub async fn connect_anew(node: &Node, server: &Server) -> Result<Connection, Error> {
     let isolated = async {
         node.isolation.wait().await;
         Err(Error::Io(ErrorKind::NetworkUnreachable.into()))
@@ -46,9 +52,9 @@
 }
 
 /// Returns a connection to another entry's relay address, from the pool if there is an idle one.
-pub async fn connect_to_peer(node: &Node, address: SocketAddr) -> Result<Stream, Error> {
+pub async fn connect_to_peer(node: &Node, address: SocketAddr) -> Result<Connection, Error> {
     match pooled(node, peer_key(address)) {
-        Some(stream) => Ok(stream),
+        Some(connection) => Ok(connection),
         None => open(address).await,
     }
 }
@@ -58,16 +64,16 @@
     digest::fast(address.to_string().as_bytes())
 }
 
-fn pooled(node: &Node, key: u64) -> Option<Stream> {
+fn pooled(node: &Node, key: u64) -> Option<Connection> {
     node.connections.borrow_mut().take(clock::now(), key)
 }
 
-async fn open(address: SocketAddr) -> Result<Stream, Error> {
+async fn open(address: SocketAddr) -> Result<Connection, Error> {
     let connect = Stream::connect(address, ACK_TIMEOUT);
     let connected = within(CONNECT_TIMEOUT, connect).await;
     let stream = connected.unwrap_or(Err(Error::Io(ErrorKind::TimedOut.into())))?;
     stream.limit_received(RECEIVED_LIMIT)?;
-    Ok(stream)
+    Ok(Connection::new(stream))
 }
 
 /// States that a connection can be reused.
@@ -88,11 +94,11 @@
 
 /// Returns a reusable connection to the pool if its last response was read in full. `key` is the
 /// server's key or [`peer_key`].
-pub fn keep(node: &Node, key: u64, stream: Stream, reuse: Option<Reuse>) {
-    if let Some(reuse) = reuse.filter(|_| stream.buffered_len() == 0) {
+pub fn keep(node: &Node, key: u64, connection: Connection, reuse: Option<Reuse>) {
+    if let Some(reuse) = reuse.filter(|_| connection.stream.buffered_len() == 0) {
         let now = clock::now();
         let mut connections = node.connections.borrow_mut();
-        connections.keep(now, key, stream, reuse.keep_alive);
+        connections.keep(now, key, connection, reuse.keep_alive);
     }
 }
 
--- a/crates/gateway/src/proxy.rs
+++ b/crates/gateway/src/proxy.rs
@@ -111,8 +111,8 @@
     let Some(address) = peer.relay_address else {
         return attempt::Outcome::Unreached;
     };
-    let stream = match dial::connect_to_peer(node, address).await {
-        Ok(stream) => stream,
+    let connection = match dial::connect_to_peer(node, address).await {
+        Ok(connection) => connection,
         Err(error) => {
             log::info!(target: "relay", peer = peer.name.as_str(), error:% = error; "can't connect to the other instance");
             return attempt::Outcome::Unreached;
@@ -130,7 +130,7 @@
     let progress = Cell::new(sent_at);
     let is_retryable = exchange.route.kind.is_retryable();
     let source = Source::Peer(&progress);
-    let mut reception = Reception::send(node, exchange, stream, head);
+    let mut reception = Reception::send(node, exchange, connection, head);
     let response = reception.receive(node, exchange, answer, source);
     let stopped = async {
         if !is_retryable {
@@ -145,7 +145,7 @@
             dial::keep(
                 node,
                 dial::peer_key(address),
-                reception.into_stream(),
+                reception.into_connection(),
                 reuse,
             );
             outcome
--- a/crates/gateway/src/reception.rs
+++ b/crates/gateway/src/reception.rs
@@ -19,6 +19,7 @@
 use crate::Node;
 use crate::attempt::Outcome;
 use crate::checkup;
+use crate::connections::Connection;
 use crate::dial;
 use crate::dial::Reuse;
 use crate::events::Splitter;
@@ -39,7 +40,7 @@
 
 /// A request that was sent over a connection, and what has arrived of its response.
 pub struct Reception {
-    stream: Stream,
+    connection: Connection,
     method: String,
     /// Writes the request. A server may respond before it has read the body. The rest is written
     /// nevertheless, so that the server does not take other bytes for it, and reading the response does not
@@ -151,19 +152,24 @@
 
 impl Reception {
     /// Sends a request over a connection.
-    pub fn send(node: &Node, exchange: &Exchange, stream: Stream, mut head: h1::Request) -> Self {
+    pub fn send(
+        node: &Node,
+        exchange: &Exchange,
+        connection: Connection,
+        mut head: h1::Request,
+    ) -> Self {
         let body = exchange.body.clone();
         if !body.bytes.is_empty() || exchange.request.framing != Framing::Empty {
             head.framing = Framing::Length(body.bytes.len() as u64);
         }
         let bytes = head.encode();
-        let writer = stream.writer();
+        let writer = connection.stream.writer();
         let writing = node.executor.spawn(async move {
             let mut parts = [IoSlice::new(&bytes), IoSlice::new(&body.bytes)];
             writer.write_parts(&mut parts).await
         });
         Self {
-            stream,
+            connection,
             method: head.method,
             writing,
             stage: Stage::Head,
@@ -185,7 +191,7 @@
         let completion = match &mut self.stage {
             Stage::Events(events) => {
                 exchange.ending.framing = Some(events.framing);
-                let stream = &mut self.stream;
+                let stream = &mut self.connection.stream;
                 events.relay(node, exchange, stream, answer, source).await
             }
             Stage::Head | Stage::Whole(_) => self.receive_whole(node, exchange, answer).await,
@@ -203,15 +209,15 @@
             Stage::Whole(whole) => whole.response.framing == Framing::UntilClose,
             Stage::Events(events) => events.framing == Framing::UntilClose,
         };
-        match self.stream.fill().await? {
+        match self.connection.stream.fill().await? {
             0 if !is_ended_by_close => Err(Error::Truncated),
             _ => Ok(()),
         }
     }
 
     /// Returns the connection.
-    pub fn into_stream(self) -> Stream {
-        self.stream
+    pub fn into_connection(self) -> Connection {
+        self.connection
     }
 
     async fn receive_head(
@@ -222,19 +228,13 @@
         source: Source<'_>,
     ) -> Result<Stage, Error> {
         let response = self
+            .connection
             .stream
             .read_response(&self.method, RESPONSE_HEAD_LIMIT)
             .await?;
         exchange.ending.framing = Some(response.framing);
         source.record_response(node, &response, exchange.sent_at);
-        let expected_id = exchange.metadata.id.as_deref();
-        if let Some(id) = node.protocol.response_id(&response)
-            && expected_id.is_some_and(|it| it != id)
-        {
-            return Err(Error::Malformed(
-                "the response carries the id of another request",
-            ));
-        }
+        self.check_id(node, exchange, &response, source)?;
         let verdict = node.protocol.verdict(&response);
         let is_stream = verdict == Verdict::Ran && exchange.route.kind.is_stream();
         if is_stream && response.status == 200 {
@@ -249,6 +249,28 @@
         })))
     }
 
+    /// Fails if the response may belong to another request. Without an id, only its place on the connection
+    /// says which request it answers, and a faulty server may repeat an earlier response there.
+    fn check_id(
+        &self,
+        node: &Node,
+        exchange: &Exchange,
+        response: &Response,
+        source: Source<'_>,
+    ) -> Result<(), Error> {
+        let may_be_earlier = self.connection.is_reused && matches!(source, Source::Server(..));
+        let expected = exchange.metadata.id.as_deref();
+        match (expected, node.protocol.response_id(response)) {
+            (Some(expected), Some(found)) if expected != found => Err(Error::Malformed(
+                "the response carries the id of another request",
+            )),
+            (None, _) | (_, None) if may_be_earlier => Err(Error::Malformed(
+                "the response lacks the id that tells it from those to earlier requests",
+            )),
+            _ => Ok(()),
+        }
+    }
+
     async fn receive_whole(
         &mut self,
         node: &Rc<Node>,
@@ -260,7 +282,13 @@
             let account = answer.outbox().account();
             let Whole { decoder, body, .. } = &mut **whole;
             let limit = held::ANSWER_LIMIT;
-            let read = account.read_into(body, &mut self.stream, decoder, limit, usize::MAX);
+            let read = account.read_into(
+                body,
+                &mut self.connection.stream,
+                decoder,
+                limit,
+                usize::MAX,
+            );
             read.await?;
         }
         let Stage::Whole(whole) = std::mem::replace(&mut self.stage, Stage::Head) else {
--- a/crates/gateway/src/reserve.rs
+++ b/crates/gateway/src/reserve.rs
@@ -189,13 +189,14 @@
     head.framing = Framing::Length(command.body.len() as u64);
     let mut bytes = head.encode();
     bytes.extend_from_slice(&command.body);
-    let mut stream = dial::connect(node, server).await?;
+    let mut connection = dial::connect(node, server).await?;
+    let stream = &mut connection.stream;
     stream.writer().write(&bytes).await?;
     let response = stream.read_response(&head.method, RESPONSE_LIMIT).await?;
     reachability::record_answer(node);
     notice::record(node, server, &response, None);
     let mut decoder = Decoder::new(response.framing);
     stream.read_whole_body(&mut decoder, RESPONSE_LIMIT).await?;
-    dial::keep(node, server.key(), stream, Reuse::of(&response));
+    dial::keep(node, server.key(), connection, Reuse::of(&response));
     Ok(response.status)
 }
