Send no request twice over the same connection

What callers saw: 503 ("not run, try again") for a call that ran. The server refused the first attempt; the second one went over the same kept connection to the same server, which wrote the first refusal once more and ran the request.

Cause: servers that were tried come last, but are chosen if no other one is left, and the pool then returns the connection on which the request was refused. An attempt keeps the request id of the caller, so the id does not tell the two refusals apart. Class: an answer is matched by its place on the connection.

Ruled out: closing each connection after a refusal, which would open one for each refusal of a full server. refused_request_next_one_uses_its_connection checks that other requests go on using it.

Change: connections have a number, a request records those over which it was sent, and the pool returns none of them for it. A retry at the same server takes another idle connection or opens one.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -123,7 +123,8 @@
             None
         };
         let connected = if exchange.metadata.id.is_some() {
-            dial::connect(node, &target.server).await
+            // A server may repeat its refusal of this request, with the same id, where it refused it.
+            dial::connect(node, &target.server, &exchange.connections).await
         } else {
             // Without an id, the response can't be told from an extra one to an earlier request.
             dial::connect_anew(node, &target.server).await
@@ -143,6 +144,7 @@
             return Start::Ended(Outcome::Withdrawn, target);
         }
         exchange.attempts += 1;
+        exchange.connections.push(connection.number);
         exchange.sent_at = Some(sent_at);
         exchange.ending = Ending::default();
         let head = node.protocol.forward(
--- a/crates/gateway/src/checkup.rs
+++ b/crates/gateway/src/checkup.rs
@@ -87,7 +87,7 @@
 async fn query(node: &Node, server: &Server) -> Result<(), Error> {
     let mut head = node.protocol.status_query();
     head.headers.push("Host", server.address.to_string());
-    let mut connection = dial::connect(node, server).await?;
+    let mut connection = dial::connect(node, server, &[]).await?;
     let stream = &mut connection.stream;
     stream.writer().write(&head.encode()).await?;
     let response = stream.read_response(&head.method, RESPONSE_LIMIT).await?;
--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -19,23 +19,17 @@
 pub struct Connection {
     /// The bytes.
     pub stream: Stream,
+    /// Identifies it among all connections of this process.
+    pub number: u64,
     /// Whether it has carried an earlier request, of which a faulty server may send an extra response.
     pub is_reused: bool,
 }
 
-impl Connection {
-    /// Returns a connection that has carried no request.
-    pub fn new(stream: Stream) -> Self {
-        Self {
-            stream,
-            is_reused: false,
-        }
-    }
-}
-
 /// Idle connections, by the server's key.
 #[derive(Debug, Default)]
 pub struct Pool {
+    /// The number of connections that were opened.
+    count: u64,
     idle: HashMap<u64, Vec<Idle>>,
 }
 
@@ -46,11 +40,24 @@
 }
 
 impl Pool {
-    /// Takes an idle connection that can carry another request, if there is one.
-    pub fn take(&mut self, now: Moment, server: u64) -> Option<Connection> {
+    /// Returns a connection that has carried no request.
+    pub fn open(&mut self, stream: Stream) -> Connection {
+        self.count += 1;
+        Connection {
+            stream,
+            number: self.count,
+            is_reused: false,
+        }
+    }
+
+    /// Takes an idle connection that can carry another request and is not among those to avoid, if there
+    /// is one.
+    pub fn take(&mut self, now: Moment, server: u64, avoided: &[u64]) -> Option<Connection> {
         let idle = self.idle.get_mut(&server)?;
         idle.retain(|it| now < it.expires_at);
-        while let Some(it) = idle.pop() {
+        let is_allowed = |it: &Idle| !avoided.contains(&it.connection.number);
+        while let Some(index) = idle.iter().rposition(is_allowed) {
+            let it = idle.remove(index);
             if it.connection.stream.is_quiet() {
                 return Some(it.connection);
             }
--- a/crates/gateway/src/dial.rs
+++ b/crates/gateway/src/dial.rs
@@ -25,10 +25,10 @@
 /// kernel's initial size; it would grow with the server's rate.
 pub const RECEIVED_LIMIT: usize = 128 * 1024;
 
-/// Returns a connection to a server, from the pool if there is an idle one. Fails at once while this
-/// entry is isolated.
-pub async fn connect(node: &Node, server: &Server) -> Result<Connection, Error> {
-    if let Some(connection) = pooled(node, server.key()) {
+/// Returns a connection to a server, from the pool if there is an idle one that is not among those to avoid,
+/// by their numbers. Fails at once while this entry is isolated.
+pub async fn connect(node: &Node, server: &Server, avoided: &[u64]) -> Result<Connection, Error> {
+    if let Some(connection) = pooled(node, server.key(), avoided) {
         return Ok(connection);
     }
     connect_anew(node, server).await
@@ -40,7 +40,7 @@
         node.isolation.wait().await;
         Err(Error::Io(ErrorKind::NetworkUnreachable.into()))
     };
-    let connected = future::or(isolated, open(server.address)).await;
+    let connected = future::or(isolated, open(node, server.address)).await;
     if node.isolation.is_set() {
         return connected;
     }
@@ -53,9 +53,9 @@
 
 /// Returns a connection to another entry's relay address, from the pool if there is an idle one.
 pub async fn connect_to_peer(node: &Node, address: SocketAddr) -> Result<Connection, Error> {
-    match pooled(node, peer_key(address)) {
+    match pooled(node, peer_key(address), &[]) {
         Some(connection) => Ok(connection),
-        None => open(address).await,
+        None => open(node, address).await,
     }
 }
 
@@ -64,16 +64,17 @@
     digest::fast(address.to_string().as_bytes())
 }
 
-fn pooled(node: &Node, key: u64) -> Option<Connection> {
-    node.connections.borrow_mut().take(clock::now(), key)
+fn pooled(node: &Node, key: u64, avoided: &[u64]) -> Option<Connection> {
+    let mut connections = node.connections.borrow_mut();
+    connections.take(clock::now(), key, avoided)
 }
 
-async fn open(address: SocketAddr) -> Result<Connection, Error> {
+async fn open(node: &Node, address: SocketAddr) -> Result<Connection, Error> {
     let connect = Stream::connect(address, ACK_TIMEOUT);
     let connected = within(CONNECT_TIMEOUT, connect).await;
     let stream = connected.unwrap_or(Err(Error::Io(ErrorKind::TimedOut.into())))?;
     stream.limit_received(RECEIVED_LIMIT)?;
-    Ok(Connection::new(stream))
+    Ok(node.connections.borrow_mut().open(stream))
 }
 
 /// States that a connection can be reused.
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -62,6 +62,8 @@
     pub route_deadline: Moment,
     /// Keys of the servers that were already tried.
     pub tried: Vec<u64>,
+    /// Numbers of the connections to servers over which it was sent.
+    pub connections: Vec<u64>,
     /// The id of the last event that the caller received.
     pub last_event: Option<u64>,
     /// The number of attempts that were sent to a server.
@@ -167,6 +169,7 @@
         route_deadline,
         last_event: metadata.last_event,
         tried: Vec::new(),
+        connections: Vec::new(),
         attempts: 0,
         sent_at: None,
         server: String::new(),
--- a/crates/gateway/src/reserve.rs
+++ b/crates/gateway/src/reserve.rs
@@ -189,7 +189,7 @@
     head.framing = Framing::Length(command.body.len() as u64);
     let mut bytes = head.encode();
     bytes.extend_from_slice(&command.body);
-    let mut connection = dial::connect(node, server).await?;
+    let mut connection = dial::connect(node, server, &[]).await?;
     let stream = &mut connection.stream;
     stream.writer().write(&bytes).await?;
     let response = stream.read_response(&head.method, RESPONSE_LIMIT).await?;
