Take no notice of a response to another request

What callers saw: 503 while their server was healthy, for as long as the pause that it had asked for earlier, after it had written that refusal once more.

Cause: the pause, the limit, the cold time and the leaving that a response states were recorded before its id was compared with the request's. Class: an answer is matched by its place on the connection.

Change: what a response states is recorded after its id is checked.

--- a/crates/gateway/src/reception.rs
+++ b/crates/gateway/src/reception.rs
@@ -233,8 +233,8 @@
             .read_response(&self.method, RESPONSE_HEAD_LIMIT)
             .await?;
         exchange.ending.framing = Some(response.framing);
-        source.record_response(node, &response, exchange.sent_at);
         self.check_id(node, exchange, &response, source)?;
+        source.record_response(node, &response, exchange.sent_at);
         let verdict = node.protocol.verdict(&response);
         let is_stream = verdict == Verdict::Ran && exchange.route.kind.is_stream();
         if is_stream && response.status == 200 {
