Reject a response with a request id to a command

What callers would see: a prompt that exceeds one engine's memory is sent with a ticket for memory that was never reserved, or is refused although memory is there, if a faulty server writes the response to an earlier request once more where that to the reservation is due.

Cause: commands and queries use the connections of requests, carry no id, and took whatever came next for their response. Class: an answer is matched by its place on the connection.

Change: reservations and checks of servers send by one function, which fails if the response carries the id of a request. The other way round, the response to a command is not taken for that to a request, since it has no id. A second response to an earlier command can still be taken for that to the next one: nothing identifies it but its place. A connection for each command was not tried; the platform prices new connections.

--- a/crates/gateway/src/checkup.rs
+++ b/crates/gateway/src/checkup.rs
@@ -9,19 +9,14 @@
 use std::rc::Rc;
 
 use h1::Error;
-use h1::body::Decoder;
 use placement::Server;
 use web::stream::within;
 
 use crate::Node;
+use crate::command;
 use crate::dial;
-use crate::dial::Reuse;
-use crate::notice;
 use crate::reachability;
 
-/// The size limits of the head and of the body of the answer, in bytes.
-const RESPONSE_LIMIT: usize = 64 * 1024;
-
 /// Records that the server at this address kept another one from running a request, and starts the check.
 pub fn start_at(node: &Rc<Node>, address: SocketAddr) {
     let server = {
@@ -85,15 +80,6 @@
 
 /// Asks the server for its status. Each of its answers says whether it leaves.
 async fn query(node: &Node, server: &Server) -> Result<(), Error> {
-    let mut head = node.protocol.status_query();
-    head.headers.push("Host", server.address.to_string());
-    let mut connection = dial::connect(node, server, &[]).await?;
-    let stream = &mut connection.stream;
-    stream.writer().write(&head.encode()).await?;
-    let response = stream.read_response(&head.method, RESPONSE_LIMIT).await?;
-    notice::record(node, server, &response, None);
-    let mut decoder = Decoder::new(response.framing);
-    stream.read_whole_body(&mut decoder, RESPONSE_LIMIT).await?;
-    dial::keep(node, server.key(), connection, Reuse::of(&response));
-    Ok(())
+    let head = node.protocol.status_query();
+    command::send(node, server, head, b"").await.map(|_| ())
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod calls;
 mod checkup;
 pub mod cold;
+mod command;
 pub mod connections;
 pub mod costs;
 pub mod crash;
--- a/crates/gateway/src/reserve.rs
+++ b/crates/gateway/src/reserve.rs
@@ -11,7 +11,6 @@
 use async_io::Timer;
 use h1::Error;
 use h1::Framing;
-use h1::body::Decoder;
 use placement::JobId;
 use placement::Server;
 use placement::reach;
@@ -19,12 +18,10 @@
 
 use crate::Node;
 use crate::checkup;
-use crate::dial;
-use crate::dial::Reuse;
+use crate::command;
 use crate::evacuation;
 use crate::exchange::Exchange;
 use crate::homes;
-use crate::notice;
 use crate::port::Command;
 use crate::port::Reservation;
 use crate::reachability;
@@ -37,8 +34,6 @@
 const RENEWAL_INTERVAL: Duration = Duration::from_millis(1_300);
 /// The timeout of a command. Servers respond within milliseconds, and a late response is useless.
 const COMMAND_TIMEOUT: Duration = Duration::from_millis(300);
-/// The size limits of the head and of the body of the response to a command, in bytes.
-const RESPONSE_LIMIT: usize = 64 * 1024;
 /// The status of a command that was carried out at once.
 const DONE: u16 = 200;
 
@@ -185,18 +180,8 @@
 
 async fn send_and_receive(node: &Node, server: &Server, command: Command) -> Result<u16, Error> {
     let mut head = command.head;
-    head.headers.push("Host", server.address.to_string());
     head.framing = Framing::Length(command.body.len() as u64);
-    let mut bytes = head.encode();
-    bytes.extend_from_slice(&command.body);
-    let mut connection = dial::connect(node, server, &[]).await?;
-    let stream = &mut connection.stream;
-    stream.writer().write(&bytes).await?;
-    let response = stream.read_response(&head.method, RESPONSE_LIMIT).await?;
+    let response = command::send(node, server, head, &command.body).await?;
     reachability::record_answer(node);
-    notice::record(node, server, &response, None);
-    let mut decoder = Decoder::new(response.framing);
-    stream.read_whole_body(&mut decoder, RESPONSE_LIMIT).await?;
-    dial::keep(node, server.key(), connection, Reuse::of(&response));
     Ok(response.status)
 }
