--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -17,11 +17,11 @@
 /// A connection to a server.
 #[derive(Debug)]
 pub struct Connection {
-    /// The bytes.
+    /// The socket and what was read from it.
     pub stream: Stream,
     /// Identifies it among all connections of this process.
     pub number: u64,
-    /// Whether it has carried an earlier request, of which a faulty server may send an extra response.
+    /// Whether it has carried a request or a command, whose response a faulty server may repeat.
     pub is_reused: bool,
 }
 
