--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -6,7 +6,6 @@
 use futures_lite::future;
 use h1::Error;
 use h1::Framing;
-use h1::Response;
 use membership::message::Rumour;
 use placement::JobId;
 use placement::Server;
@@ -20,9 +19,9 @@
 use crate::evacuation;
 use crate::exchange::Ending;
 use crate::exchange::Exchange;
-use crate::held;
 use crate::homes;
 use crate::observe;
+pub use crate::outcome::Outcome;
 use crate::port::Forwarding;
 use crate::reachability;
 use crate::reception::Completion;
@@ -35,51 +34,6 @@
 use crate::target::Target;
 use crate::watchdog::Watchdog;
 
-/// How an attempt ended.
-#[derive(Debug)]
-pub enum Outcome {
-    /// The caller received the whole answer.
-    Delivered,
-    /// The server answered; nothing was sent to the caller yet.
-    Answered(Response, held::Body),
-    /// Writing to the caller failed.
-    CallerLeft,
-    /// The server could not be connected to; nothing was sent.
-    Unreached,
-    /// The server asked for a pause, left, started again or reached its bound while cold, its data centre or
-    /// that of a helper was evacuated or is not in a home region, or the request came under quarantine, while the attempt was prepared;
-    /// nothing was sent.
-    Withdrawn,
-    /// Memory could not be reserved at a helper; nothing was sent.
-    NoRoom,
-    /// The server reported that it did not run the request.
-    NotRun,
-    /// Another server listens at the address, and did not run the request.
-    OtherServer,
-    /// The response is missing or incomplete; the request may have run.
-    Broken,
-    /// The server has sent nothing for so long that another one should be tried. It may still go on.
-    Silent,
-}
-
-impl Outcome {
-    /// Returns the name used in logs.
-    pub fn name(&self) -> &'static str {
-        match self {
-            Self::Delivered => "delivered",
-            Self::Answered(..) => "answered",
-            Self::CallerLeft => "caller_left",
-            Self::Unreached => "unreached",
-            Self::Withdrawn => "withdrawn",
-            Self::NoRoom => "no_room",
-            Self::NotRun => "not_run",
-            Self::OtherServer => "other_server",
-            Self::Broken => "broken",
-            Self::Silent => "silent",
-        }
-    }
-}
-
 /// An attempt whose request was sent to a server.
 pub struct Attempt<'a> {
     node: &'a Rc<Node>,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod observe;
 pub mod on_time;
 pub mod outbox;
+pub mod outcome;
 pub mod peers;
 pub mod placing;
 pub mod port;
--- a/crates/gateway/src/reception.rs
+++ b/crates/gateway/src/reception.rs
@@ -17,7 +17,6 @@
 use placement::Server;
 
 use crate::Node;
-use crate::attempt::Outcome;
 use crate::checkup;
 use crate::connections::Connection;
 use crate::dial;
@@ -27,6 +26,7 @@
 use crate::held;
 use crate::held::Kind;
 use crate::notice;
+use crate::outcome::Outcome;
 use crate::port::Verdict;
 use crate::reachability;
 use crate::registration::Registration;
