--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -6,7 +6,6 @@
 use futures_lite::future;
 use h1::Error;
 use h1::Framing;
-use h1::Response;
 use membership::message::Rumour;
 use placement::JobId;
 use placement::Server;
@@ -20,9 +19,9 @@
 use crate::evacuation;
 use crate::exchange::Ending;
 use crate::exchange::Exchange;
-use crate::held;
 use crate::homes;
 use crate::observe;
+pub use crate::outcome::Outcome;
 use crate::port::Forwarding;
 use crate::reachability;
 use crate::reception::Completion;
@@ -35,51 +34,6 @@
 use crate::target::Target;
 use crate::watchdog::Watchdog;
 
-/// How an attempt ended.
-#[derive(Debug)]
-pub enum Outcome {
-    /// The caller received the whole answer.
-    Delivered,
-    /// The server answered; nothing was sent to the caller yet.
-    Answered(Response, held::Body),
-    /// Writing to the caller failed.
-    CallerLeft,
-    /// The server could not be connected to; nothing was sent.
-    Unreached,
-    /// The server asked for a pause, left, started again or reached its bound while cold, its data centre or
-    /// that of a helper was evacuated or is not in a home region, or the request came under quarantine, while the attempt was prepared;
-    /// nothing was sent.
-    Withdrawn,
-    /// Memory could not be reserved at a helper; nothing was sent.
-    NoRoom,
-    /// The server reported that it did not run the request.
-    NotRun,
-    /// Another server listens at the address, and did not run the request.
-    OtherServer,
-    /// The response is missing or incomplete; the request may have run.
-    Broken,
-    /// The server has sent nothing for so long that another one should be tried. It may still go on.
-    Silent,
-}
-
-impl Outcome {
-    /// Returns the name used in logs.
-    pub fn name(&self) -> &'static str {
-        match self {
-            Self::Delivered => "delivered",
-            Self::Answered(..) => "answered",
-            Self::CallerLeft => "caller_left",
-            Self::Unreached => "unreached",
-            Self::Withdrawn => "withdrawn",
-            Self::NoRoom => "no_room",
-            Self::NotRun => "not_run",
-            Self::OtherServer => "other_server",
-            Self::Broken => "broken",
-            Self::Silent => "silent",
-        }
-    }
-}
-
 /// An attempt whose request was sent to a server.
 pub struct Attempt<'a> {
     node: &'a Rc<Node>,
@@ -98,9 +52,9 @@
 /// How the preparation of an attempt ended.
 pub enum Start<'a> {
     /// The request was sent.
-    Sent(Attempt<'a>),
+    Sent(Box<Attempt<'a>>),
     /// Nothing was sent.
-    Ended(Outcome, Target),
+    Ended(Outcome, Box<Target>),
 }
 
 impl<'a> Attempt<'a> {
@@ -116,29 +70,39 @@
         let lease = if target.parts.iter().skip(1).any(|it| it.tokens > 0) {
             match reserve::acquire(node, exchange, registration.job, &mut target).await {
                 Ok(lease) => Some(lease),
-                Err(reserve::Failure::NoRoom) => return Start::Ended(Outcome::NoRoom, target),
+                Err(reserve::Failure::NoRoom) => {
+                    return Start::Ended(Outcome::NoRoom, Box::new(target));
+                }
                 Err(reserve::Failure::Withdrawn) => {
-                    return Start::Ended(Outcome::Withdrawn, target);
+                    return Start::Ended(Outcome::Withdrawn, Box::new(target));
                 }
             }
         } else {
             None
         };
-        let stream = match dial::connect(node, &target.server).await {
-            Ok(stream) => stream,
+        let connected = if exchange.metadata.id.is_some() {
+            // A server may repeat its refusal of this request, with the same id, where it refused it.
+            dial::connect(node, &target.server, &exchange.connections).await
+        } else {
+            // Without an id, the response can't be told from an extra one to an earlier request.
+            dial::connect_anew(node, &target.server).await
+        };
+        let connection = match connected {
+            Ok(connection) => connection,
             Err(error) => {
                 log::info!(target: "server", server = target.server.id.as_str(), error:% = error; "can't connect to the server");
                 if !node.isolation.is_set() {
                     node.mark_unreachable(clock::now(), target.server.key());
                 }
-                return Start::Ended(Outcome::Unreached, target);
+                return Start::Ended(Outcome::Unreached, Box::new(target));
             }
         };
         let sent_at = clock::now();
         if !dispatch(node, exchange, &target, registration.job, sent_at) {
-            return Start::Ended(Outcome::Withdrawn, target);
+            return Start::Ended(Outcome::Withdrawn, Box::new(target));
         }
         exchange.attempts += 1;
+        exchange.connections.push(connection.number);
         exchange.sent_at = Some(sent_at);
         exchange.ending = Ending::default();
         let head = node.protocol.forward(
@@ -156,9 +120,9 @@
             // With several engines, it is unknown which of them the first event waits for.
             registration.sent(sent_at, exchange.service.engine.as_ref());
         }
-        Start::Sent(Self {
+        Start::Sent(Box::new(Self {
             node,
-            reception: Reception::send(node, exchange, stream, head),
+            reception: Reception::send(node, exchange, connection, head),
             registration,
             target,
             sent_at,
@@ -166,7 +130,7 @@
             was_silent: false,
             _lease: lease,
             _in_progress: in_progress,
-        })
+        }))
     }
 
     /// Returns what the request was sent to.
@@ -218,7 +182,7 @@
     /// Ends the attempt. Its connection is kept if it can carry another request.
     pub fn end(self) -> Target {
         let key = self.target.server.key();
-        dial::keep(self.node, key, self.reception.into_stream(), self.reuse);
+        dial::keep(self.node, key, self.reception.into_connection(), self.reuse);
         self.target
     }
 
--- a/crates/gateway/src/checkup.rs
+++ b/crates/gateway/src/checkup.rs
@@ -12,19 +12,14 @@
 
 use async_io::Timer;
 use h1::Error;
-use h1::body::Decoder;
 use placement::Server;
 use web::stream::within;
 
 use crate::Node;
+use crate::command;
 use crate::dial;
-use crate::dial::Reuse;
-use crate::notice;
 use crate::reachability;
 
-/// The size limits of the head and of the body of the answer, in bytes.
-const RESPONSE_LIMIT: usize = 64 * 1024;
-
 /// The time for which a server may answer nothing before it is excluded. A healthy one may be silent for 2 s.
 /// Meanwhile its circuit breaker keeps further parts away.
 const CHECK_TIME: Duration = Duration::from_secs(2);
@@ -110,14 +105,6 @@
 
 /// Asks the server for its status. Each of its answers says whether it leaves.
 async fn query(node: &Node, server: &Server) -> Result<(), Error> {
-    let mut head = node.protocol.status_query();
-    head.headers.push("Host", server.address.to_string());
-    let mut stream = dial::connect(node, server).await?;
-    stream.writer().write(&head.encode()).await?;
-    let response = stream.read_response(&head.method, RESPONSE_LIMIT).await?;
-    notice::record(node, server, &response, None);
-    let mut decoder = Decoder::new(response.framing);
-    stream.read_whole_body(&mut decoder, RESPONSE_LIMIT).await?;
-    dial::keep(node, server.key(), stream, Reuse::of(&response));
-    Ok(())
+    let head = node.protocol.status_query();
+    command::send(node, server, head, b"").await.map(|_| ())
 }
--- a/crates/gateway/src/reception.rs
+++ b/crates/gateway/src/reception.rs
@@ -17,8 +17,8 @@
 use placement::Server;
 
 use crate::Node;
-use crate::attempt::Outcome;
 use crate::checkup;
+use crate::connections::Connection;
 use crate::dial;
 use crate::dial::Reuse;
 use crate::events::Splitter;
@@ -26,6 +26,7 @@
 use crate::held;
 use crate::held::Kind;
 use crate::notice;
+use crate::outcome::Outcome;
 use crate::port::Verdict;
 use crate::reachability;
 use crate::registration::Registration;
@@ -41,7 +42,7 @@
 
 /// A request that was sent over a connection, and what has arrived of its response.
 pub struct Reception {
-    stream: Stream,
+    connection: Connection,
     method: String,
     /// Writes the request. A server may respond before it has read the body. The rest is written
     /// nevertheless, so that the server does not take other bytes for it, and reading the response does not
@@ -155,19 +156,24 @@
 
 impl Reception {
     /// Sends a request over a connection.
-    pub fn send(node: &Node, exchange: &Exchange, stream: Stream, mut head: h1::Request) -> Self {
+    pub fn send(
+        node: &Node,
+        exchange: &Exchange,
+        connection: Connection,
+        mut head: h1::Request,
+    ) -> Self {
         let body = exchange.body.clone();
         if !body.bytes.is_empty() || exchange.request.framing != Framing::Empty {
             head.framing = Framing::Length(body.bytes.len() as u64);
         }
         let bytes = head.encode();
-        let writer = stream.writer();
+        let writer = connection.stream.writer();
         let writing = node.executor.spawn(async move {
             let mut parts = [IoSlice::new(&bytes), IoSlice::new(&body.bytes)];
             writer.write_parts(&mut parts).await
         });
         Self {
-            stream,
+            connection,
             method: head.method,
             writing,
             is_stream: exchange.route.kind.is_stream(),
@@ -190,7 +196,7 @@
         let completion = match &mut self.stage {
             Stage::Events(events) => {
                 exchange.ending.framing = Some(events.framing);
-                let stream = &mut self.stream;
+                let stream = &mut self.connection.stream;
                 events.relay(node, exchange, stream, answer, source).await
             }
             Stage::Head | Stage::Whole(_) => self.receive_whole(node, exchange, answer).await,
@@ -204,7 +210,7 @@
     /// connection ends or fails before.
     pub async fn answered(&mut self) -> Result<(), Error> {
         while !self.has_answer()? {
-            if self.stream.fill().await? == 0 && !self.is_whole_at_end() {
+            if self.connection.stream.fill().await? == 0 && !self.is_whole_at_end() {
                 return Err(Error::Truncated);
             }
         }
@@ -213,7 +219,7 @@
 
     /// Returns whether what has arrived and was not received yet completes the answer or an event.
     fn has_answer(&self) -> Result<bool, Error> {
-        let bytes = self.stream.buffered();
+        let bytes = self.connection.stream.buffered();
         if bytes.len() > ANSWER_CHECK_LIMIT {
             return Ok(true);
         }
@@ -246,8 +252,8 @@
     }
 
     /// Returns the connection.
-    pub fn into_stream(self) -> Stream {
-        self.stream
+    pub fn into_connection(self) -> Connection {
+        self.connection
     }
 
     async fn receive_head(
@@ -258,19 +264,13 @@
         source: Source<'_>,
     ) -> Result<Stage, Error> {
         let response = self
+            .connection
             .stream
             .read_response(&self.method, RESPONSE_HEAD_LIMIT)
             .await?;
         exchange.ending.framing = Some(response.framing);
+        self.check_id(node, exchange, &response, source)?;
         source.record_response(node, &response, exchange.sent_at);
-        let expected_id = exchange.metadata.id.as_deref();
-        if let Some(id) = node.protocol.response_id(&response)
-            && expected_id.is_some_and(|it| it != id)
-        {
-            return Err(Error::Malformed(
-                "the response carries the id of another request",
-            ));
-        }
         let verdict = node.protocol.verdict(&response);
         let is_stream = verdict == Verdict::Ran && exchange.route.kind.is_stream();
         // A body that is declared to be empty is passed on unchanged, but does not complete a stream.
@@ -287,6 +287,28 @@
         })))
     }
 
+    /// Fails if the response may belong to another request. Without an id, only its place on the connection
+    /// says which request it answers, and a faulty server may repeat an earlier response there.
+    fn check_id(
+        &self,
+        node: &Node,
+        exchange: &Exchange,
+        response: &Response,
+        source: Source<'_>,
+    ) -> Result<(), Error> {
+        let may_be_earlier = self.connection.is_reused && matches!(source, Source::Server(..));
+        let expected = exchange.metadata.id.as_deref();
+        match (expected, node.protocol.response_id(response)) {
+            (Some(expected), Some(found)) if expected != found => Err(Error::Malformed(
+                "the response carries the id of another request",
+            )),
+            (None, _) | (_, None) if may_be_earlier => Err(Error::Malformed(
+                "the response lacks the id that tells it from those to earlier requests",
+            )),
+            _ => Ok(()),
+        }
+    }
+
     async fn receive_whole(
         &mut self,
         node: &Rc<Node>,
@@ -298,7 +320,13 @@
             let account = answer.outbox().account();
             let Whole { decoder, body, .. } = &mut **whole;
             let limit = held::ANSWER_LIMIT;
-            let read = account.read_into(body, &mut self.stream, decoder, limit, usize::MAX);
+            let read = account.read_into(
+                body,
+                &mut self.connection.stream,
+                decoder,
+                limit,
+                usize::MAX,
+            );
             read.await?;
         }
         let Stage::Whole(whole) = std::mem::replace(&mut self.stage, Stage::Head) else {
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -244,7 +244,7 @@
         let mut failure: Option<(Response, held::Body)> = None;
         let mut silent = Silent::default();
         let mut retried = None;
-        let mut heard: Option<Attempt<'_>> = None;
+        let mut heard: Option<Box<Attempt<'_>>> = None;
         loop {
             let step = match heard.take() {
                 Some(attempt) => {
@@ -262,7 +262,7 @@
                 Ok(Step::Silent(attempt)) => {
                     self.may_have_run = true;
                     retried = Some(attempt.target().server.clone());
-                    silent.push(*attempt, &outbox);
+                    silent.push(attempt, &outbox);
                 }
                 Ok(Step::Ended(Err(refusal))) => match silent.wait(&outbox).await {
                     Some(attempt) => heard = Some(attempt),
@@ -328,7 +328,7 @@
     async fn follow<'a>(
         &mut self,
         node: &'a Rc<Node>,
-        mut attempt: Attempt<'a>,
+        mut attempt: Box<Attempt<'a>>,
         answer: &mut Answer,
         failure: &mut Option<(Response, held::Body)>,
     ) -> Step<'a> {
@@ -338,7 +338,7 @@
         match attempt.follow(self, answer).await {
             Outcome::Silent => {
                 self.log_attempt(node, attempt.target(), Outcome::Silent.name());
-                Step::Silent(Box::new(attempt))
+                Step::Silent(attempt)
             }
             outcome => {
                 let target = attempt.end();
--- a/crates/gateway/src/silent.rs
+++ b/crates/gateway/src/silent.rs
@@ -17,7 +17,7 @@
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// A future that completes once the server of an attempt goes on; `None` if its connection has failed.
-type Hearing<'a> = Pin<Box<dyn Future<Output = Option<Attempt<'a>>> + 'a>>;
+type Hearing<'a> = Pin<Box<dyn Future<Output = Option<Box<Attempt<'a>>>> + 'a>>;
 
 /// The attempts of a request whose servers have fallen silent.
 #[derive(Default)]
@@ -29,7 +29,7 @@
 
 impl<'a> Silent<'a> {
     /// Adds an attempt.
-    pub fn push(&mut self, mut attempt: Attempt<'a>, outbox: &Outbox) {
+    pub fn push(&mut self, mut attempt: Box<Attempt<'a>>, outbox: &Outbox) {
         self.drop_outdated(outbox);
         self.sent = outbox.sent();
         self.hearings.push(Box::pin(async move {
@@ -52,7 +52,7 @@
         &mut self,
         outbox: &Outbox,
         step: impl Future<Output = T>,
-    ) -> Result<T, Attempt<'a>> {
+    ) -> Result<T, Box<Attempt<'a>>> {
         let step = async { Ok(step.await) };
         let heard = async {
             loop {
@@ -74,7 +74,7 @@
     }
 
     /// Completes with the attempt whose server goes on; `None` if none does.
-    pub async fn wait(&mut self, outbox: &Outbox) -> Option<Attempt<'a>> {
+    pub async fn wait(&mut self, outbox: &Outbox) -> Option<Box<Attempt<'a>>> {
         self.drop_outdated(outbox);
         self.heard().await
     }
@@ -87,7 +87,7 @@
     }
 
     /// Completes once the server of an attempt goes on, or the connections of all have failed.
-    async fn heard(&mut self) -> Option<Attempt<'a>> {
+    async fn heard(&mut self) -> Option<Box<Attempt<'a>>> {
         future::poll_fn(|context| {
             let mut index = 0;
             while let Some(hearing) = self.hearings.get_mut(index) {
