End no instance for an engine's parameters without sense

Cause: forecasts were converted into durations at any size. The store accepts only valid configurations, so this guards against what it takes to be valid.

The times of parts, which other instances add up, have the same bound.

--- a/crates/placement/src/plan.rs
+++ b/crates/placement/src/plan.rs
@@ -55,6 +55,8 @@
 /// Prompts that one engine prefills faster than this are not split, in milliseconds: about a pass
 /// of an idle engine.
 const MIN_SPLIT_MS: f64 = 60.0;
+/// The longest forecast in milliseconds, a day. Parameters of engines without sense give longer ones.
+const LONGEST_FORECAST_MS: f64 = 24.0 * 3_600.0 * 1e3;
 
 /// The engines for a request, and the forecast for it.
 #[derive(Clone, Debug, PartialEq)]
@@ -201,7 +203,7 @@
     let ahead = ahead.max().unwrap_or_default();
     let parts = ranked.iter().zip(&memory.tokens).map(|(it, tokens)| Part {
         server: it.engine.key,
-        prefill_ms: part_ms as f32,
+        prefill_ms: bounded_ms(part_ms) as f32,
         tokens: *tokens as u32,
     });
     let parts: Vec<Part> = parts.collect();
@@ -221,13 +223,26 @@
         loss: loss + cost,
         loss_to_others: interference + free_engine_loss,
         ahead,
-        wait: Duration::from_secs_f64((forecast.first_token_ms - work_ms).max(0.0) / 1e3),
+        wait: bounded_duration(forecast.first_token_ms - work_ms),
         parts,
-        first_token: Duration::from_secs_f64(forecast.first_token_ms / 1e3),
+        first_token: bounded_duration(forecast.first_token_ms),
         timeliness: forecast.timeliness,
     })
 }
 
+/// Returns a forecast that lies between zero and the longest one, which stands for what is no number.
+fn bounded_ms(ms: f64) -> f64 {
+    if ms < LONGEST_FORECAST_MS {
+        ms.max(0.0)
+    } else {
+        LONGEST_FORECAST_MS
+    }
+}
+
+fn bounded_duration(ms: f64) -> Duration {
+    Duration::from_secs_f64(bounded_ms(ms) / 1e3)
+}
+
 /// Returns the loss in decoding `need` on an engine that has no tight request yet.
 fn tight_engine_cost(candidates: &[Candidate<'_>], need: &Need) -> f64 {
     if need.pause.is_none_or(|it| it > TIGHT_PAUSE) {
--- a/crates/placement/src/plan/candidate.rs
+++ b/crates/placement/src/plan/candidate.rs
@@ -179,8 +179,9 @@
     ) -> f64 {
         let part_ms = part_ms * self.slowdown;
         // A pass prefills a limited number of tokens.
-        let pass_share =
-            (engine.prefill_chunk * u64::from(engine.steps_per_pass)) as f64 / part_tokens.max(1.0);
+        let steps = u64::from(engine.steps_per_pass);
+        let pass_tokens = engine.prefill_chunk.saturating_mul(steps);
+        let pass_share = pass_tokens as f64 / part_tokens.max(1.0);
         let pass = |prefill_ms| Pass {
             before_ms: self.pass_ms + prefill_ms,
             after_ms: self.pass_ms + prefill_ms + part_ms * pass_share.min(1.0),
