Select services by weights whose sum exceeds 32 bits

What was seen: a route whose weights add up to 2^32 or more ends the instance at its next request in a debug build: test service_with_largest_weights_follows_them ... FAILED attempt to add with overflow

Cause: the sum of the 32-bit weights has 32 bits. Ruled out: one such weight alone, which fits.

Change: the weights are added up as floating point numbers, as the rest of the selection is. Run: the tests of the crate route, all passed.

--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -249,8 +249,8 @@
     /// Selects the service of a request by weight. `point` lies between 0 and 1 and is the same for
     /// all attempts of the request, so they all go to one service.
     pub fn service(&self, point: f64) -> Option<&str> {
-        let total: u32 = self.services.iter().map(|it| it.1).sum();
-        let mut remaining = point * f64::from(total);
+        let weights = self.services.iter().map(|it| f64::from(it.1));
+        let mut remaining = point * weights.sum::<f64>();
         for (name, weight) in &self.services {
             remaining -= f64::from(*weight);
             if remaining < 0.0 {
--- a/crates/route/tests/table.rs
+++ b/crates/route/tests/table.rs
@@ -74,6 +74,15 @@
     check_lookup("a.example", "/none/", None, "-");
 }
 
+/// Guards against weights whose sum overflows.
+#[test]
+fn service_with_largest_weights_follows_them() {
+    let mut route = route("short", "/a/");
+    route.services = vec![("s1".to_owned(), u32::MAX), ("s2".to_owned(), u32::MAX)];
+    assert_eq!(route.service(0.4), Some("s1"));
+    assert_eq!(route.service(0.6), Some("s2"));
+}
+
 #[test]
 fn service_follows_the_weights() {
     let route = route("short", "/a/");
