Return a relayed request at once when the relay is cut off

A peer that becomes isolated refuses the relayed request after its verdict, and so waits for the silent server: 4 s where packets are not acknowledged, the whole time limit where they are. If nothing was sent yet it then answered 502, which the first instance passed on although a third one reached the servers.

Change: an isolated instance that serves a peer's idempotent or resumable request does not wait for silent servers. If the request may have run and attempts are left, it closes the connection without an answer, and the first instance sends the request to another peer, from the last event, against the retry budget. Requests that may not be repeated are unchanged.

--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -146,6 +146,13 @@
                 answer.disposition()
             }
             Some(End::Closing(bytes)) => self.close(node, answer, bytes).await,
+            Some(End::Attempted(Err(Refusal::Failed)))
+                if self.returns_to_requester(node) && self.attempts < self.route.attempts =>
+            {
+                // Without an answer, the entry that relayed the request tries another one.
+                self.record_end(node, "cut_short", Refusal::Failed.name());
+                Disposition::Discard
+            }
             Some(End::Attempted(Err(refusal))) => {
                 if answer.state() == State::NotBegun {
                     let retry_after = self.retry_time(node, refusal);
@@ -237,6 +244,9 @@
                 Err(attempt) => self.follow(node, attempt, answer, &mut failure).await,
             };
             while let Step::Ended(Err(refusal)) = step {
+                if self.returns_to_requester(node) {
+                    return Err(refusal);
+                }
                 let Some(attempt) = silent.wait(&outbox).await else {
                     return Err(refusal);
                 };
@@ -254,6 +264,14 @@
         }
     }
 
+    /// Returns whether the entry that relayed the request should have another one serve it at once: this one
+    /// reaches no server any more, so waiting for a silent one is of no use.
+    fn returns_to_requester(&self, node: &Node) -> bool {
+        self.requester == Requester::Peer
+            && self.route.kind.is_retryable()
+            && node.isolation.is_set()
+    }
+
     /// Makes one attempt at a server, or has another entry serve the request. `retried` is the server that
     /// has fallen silent and that this attempt replaces.
     async fn step<'a>(
