Keep the requests at a suspected relay if no other instance can serve them

Cause: an isolated instance gives up a relay that is suspected and silent for 300 ms, also if there is no other one, and passes no new request to a suspect. The log of the soak's instance shows the change of the peer's state at 384.666 s, 45 relayed requests ended from 384.681 s on, and the end of the suspicion at 385.042 s.

Ruled out: an end of the peer's process (it went on, and was never isolated).

Change: a suspected relay is given up if it is dead or an unsuspected member can take its place. With no unsuspected member that is ready, a suspected one is chosen; if it has stopped, connecting fails.

--- a/crates/gateway/src/proxy.rs
+++ b/crates/gateway/src/proxy.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use async_io::Timer;
+use domain::Homes;
 use domain::Moment;
 use domain::key::Incarnation;
 use futures_lite::future;
@@ -70,7 +71,7 @@
             return Outcome::Refused(Refusal::NoServer);
         };
         tried.push(peer.incarnation);
-        let outcome = attempt_at(node, exchange, answer, &peer).await;
+        let outcome = attempt_at(node, exchange, answer, &peer, &tried).await;
         record(node, exchange, &peer, outcome.name());
         match outcome {
             attempt::Outcome::Delivered => return Outcome::Ended("delivered"),
@@ -107,6 +108,7 @@
     exchange: &mut Exchange,
     answer: &mut Answer,
     peer: &Member,
+    tried: &[Incarnation],
 ) -> attempt::Outcome {
     let Some(address) = peer.relay_address else {
         return attempt::Outcome::Unreached;
@@ -129,6 +131,7 @@
         .relay(&exchange.request, time_left, exchange.last_event);
     let progress = Cell::new(sent_at);
     let is_retryable = exchange.route.kind.is_retryable();
+    let homes = exchange.homes(&node.state.borrow());
     let source = Source::Peer(&progress);
     let mut reception = Reception::send(node, exchange, stream, head);
     let response = reception.receive(node, exchange, answer, source);
@@ -137,7 +140,12 @@
             // Silence does not prove that the request did not run.
             return future::pending().await;
         }
-        wait_until_stopped(node, peer.incarnation, &progress).await;
+        loop {
+            wait_until_stopped(node, peer.incarnation, &progress).await;
+            if is_replaceable(node, peer.incarnation, tried, &homes) {
+                break;
+            }
+        }
         Err(Error::Io(ErrorKind::TimedOut.into()))
     };
     match future::or(response, stopped).await {
@@ -164,6 +172,14 @@
     }
 }
 
+/// Returns whether a suspected entry can be given up: it is dead, or an unsuspected one can take its place. An
+/// entry that serves all requests of many others may only be slow.
+fn is_replaceable(node: &Node, peer: Incarnation, tried: &[Incarnation], homes: &Homes) -> bool {
+    let members = &node.state.borrow().members;
+    let other = members.delegate(tried, homes, &mut rand::rng());
+    !members.is_alive(peer) || other.is_some_and(|it| members.is_unsuspected(it.incarnation))
+}
+
 /// Completes once another entry is suspected to have stopped and has been silent.
 async fn wait_until_stopped(node: &Node, peer: Incarnation, progress: &Cell<Moment>) {
     loop {
--- a/crates/membership/src/members/delegate.rs
+++ b/crates/membership/src/members/delegate.rs
@@ -31,6 +31,10 @@
         if members.is_empty() {
             members = self.responsive().filter(is_possible).collect();
         }
+        if members.is_empty() {
+            // A suspect may only be slow, since it serves the requests of many others.
+            members = self.alive().filter(is_possible).collect();
+        }
         let own = self.local.data_centre.as_str();
         if members.iter().any(|it| it.data_centre == own) {
             members.retain(|it| it.data_centre == own);
--- a/crates/membership/src/members/views.rs
+++ b/crates/membership/src/members/views.rs
@@ -46,6 +46,11 @@
         self.unsuspected().filter(move |it| it.phase == phase)
     }
 
+    /// Returns whether the member with this incarnation is not dead.
+    pub fn is_alive(&self, incarnation: Incarnation) -> bool {
+        self.alive().any(|it| it.incarnation == incarnation)
+    }
+
     /// Returns whether the member with this incarnation is neither dead nor suspect.
     pub fn is_unsuspected(&self, incarnation: Incarnation) -> bool {
         self.unsuspected().any(|it| it.incarnation == incarnation)
