--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -157,6 +157,13 @@
                 self.abandon(node, answer, Refusal::NoMemory).await
             }
             Some(End::Stopping) => self.abandon(node, answer, Refusal::Stopping).await,
+            Some(End::Attempted(Err(Refusal::Failed)))
+                if proxy::should_return(node, &self) && self.attempts < self.route.attempts =>
+            {
+                // Without an answer, the entry that relayed the request tries another one.
+                self.record_end(node, "cut_short", Refusal::Failed.name());
+                Disposition::Discard
+            }
             Some(End::Attempted(Err(refusal))) => {
                 if answer.state() == State::NotBegun {
                     let retry_after = self.retry_time(node, refusal);
@@ -264,6 +271,9 @@
                     retried = Some(attempt.target().server.clone());
                     silent.push(attempt, &outbox);
                 }
+                Ok(Step::Ended(Err(refusal))) if proxy::should_return(node, self) => {
+                    return Err(refusal);
+                }
                 Ok(Step::Ended(Err(refusal))) => match silent.wait(&outbox).await {
                     Some(attempt) => heard = Some(attempt),
                     None => return Err(refusal),
