--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -138,8 +138,8 @@
             node.ending.wait().await;
             End::Stopping
         };
-        let ended = future::or(closing, stopping);
-        let left = future::or(disconnected, future::or(unwritable, ended));
+        let forced = future::or(closing, stopping);
+        let left = future::or(disconnected, future::or(unwritable, forced));
         let ended = within(clock::now().until(deadline), future::or(attempts, left)).await;
         let extent = match &ended {
             Some(End::Attempted(Ok("delivered"))) => Extent::Whole,
