Allocate the state of a request when it comes

Cause: the future of a connection contains that of a request, also while the connection is idle, and each combinator holds the futures that it is given by value, several times over. Keeping silent attempts made them larger.

Ruled out: more work by design.

Change: the future of a request, and of each step of it, is boxed.

--- a/crates/gateway/src/listener.rs
+++ b/crates/gateway/src/listener.rs
@@ -105,7 +105,11 @@
         Err(disposition) => return disposition,
     };
     let outbox = Outbox::new(stream.writer(), account.clone(), ACK_TIMEOUT);
-    serve::run(node, stream, outbox, request, body, requester, arrived).await
+    // Most connections are idle. Boxed, the state of a request takes no memory meanwhile.
+    Box::pin(serve::run(
+        node, stream, outbox, request, body, requester, arrived,
+    ))
+    .await
 }
 
 async fn read_body(
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -256,11 +256,11 @@
             let step = match heard.take() {
                 Some(attempt) => {
                     let follow = self.follow(node, attempt, answer, &mut failure);
-                    silent.race(&outbox, follow).await
+                    silent.race(&outbox, Box::pin(follow)).await
                 }
                 None => {
                     let step = self.step(node, answer, &mut failure, retried.take());
-                    silent.race(&outbox, step).await
+                    silent.race(&outbox, Box::pin(step)).await
                 }
             };
             match step {
