Log the silence by which a stalled request was given up

Callers saw nothing.

Cause: an attempt has two silences, since an event was last read and since it was passed on. If the first one exceeded its limit and other requests showed a stall, the log had the second one. The log now has the silence and limit that decided.

--- a/crates/gateway/src/watchdog.rs
+++ b/crates/gateway/src/watchdog.rs
@@ -117,12 +117,18 @@
                 continue;
             }
             if let Some(stall) = stall.filter(|_| !hears_nothing) {
-                self.record_stall(node, &stall);
-                if is_silent {
-                    // The engine serves requests of other entries, but this one may not reach it.
-                    return Error::Io(std::io::ErrorKind::TimedOut.into());
+                if !is_silent {
+                    self.record_stall(node, &stall);
+                    return Error::Stalled;
                 }
-                return Error::Stalled;
+                // The engine serves requests of other entries, but this one may not reach it.
+                let stall = Stall {
+                    silence,
+                    limit,
+                    ..stall
+                };
+                self.record_stall(node, &stall);
+                return Error::Io(std::io::ErrorKind::TimedOut.into());
             }
             log::info!(target: "server", quiet_ms = silence.as_millis() as u64, limit_ms = limit.as_millis() as u64, server = self.server_id.as_str(); "server silent for too long; sending the request to another server");
             if !node.isolation.is_set() {
