Tell silent attempts by the type that following returns

Points of the last read-through, no change of behaviour: Outcome::Silent was never given to those who match on it; an attempt's time and ending were set twice; two methods decided whether a response is a stream, one of them without regard to its verdict; the retry time of a refusal was drawn at three places.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -103,8 +103,6 @@
         }
         exchange.attempts += 1;
         exchange.connections.push(connection.number);
-        exchange.sent_at = Some(sent_at);
-        exchange.ending = Ending::default();
         let head = node.protocol.forward(
             &exchange.request,
             &Forwarding {
@@ -138,9 +136,13 @@
         &self.target
     }
 
-    /// Relays the answer to the caller until it ends, or the server is silent for so long that another one
-    /// should be tried. In that case, it can be followed again once the server [goes on](Self::heard).
-    pub async fn follow(&mut self, exchange: &mut Exchange, answer: &mut Answer) -> Outcome {
+    /// Relays the answer to the caller until it ends. Returns `None` if the server is silent for so long that
+    /// another one should be tried. The answer can be followed again once the server [goes on](Self::heard).
+    pub async fn follow(
+        &mut self,
+        exchange: &mut Exchange,
+        answer: &mut Answer,
+    ) -> Option<Outcome> {
         let node = self.node;
         exchange.server.clone_from(&self.target.server.id);
         exchange.sent_at = Some(self.sent_at);
@@ -151,11 +153,11 @@
         let received = async { Received::Response(received.await) };
         let silent = async { Received::Nothing(watchdog.expired(node, &self.registration).await) };
         match future::or(received, silent).await {
-            Received::Response(Ok(completion)) => self.complete(exchange, completion),
+            Received::Response(Ok(completion)) => Some(self.complete(exchange, completion)),
             Received::Response(Err(error)) => {
                 self.record_failure(&error);
                 self.log_failure(exchange, &error, "the server's response ended early");
-                Outcome::Broken
+                Some(Outcome::Broken)
             }
             Received::Nothing(error) => {
                 self.record_failure(&error);
@@ -166,7 +168,7 @@
                 );
                 self.was_silent = true;
                 node.metrics.record_silence("begun");
-                Outcome::Silent
+                None
             }
         }
     }
@@ -174,7 +176,7 @@
     /// Completes once the server goes on, with a whole answer or an event. Fails if its connection ends or fails
     /// before.
     pub async fn heard(&mut self) -> Result<(), Error> {
-        self.reception.answered().await?;
+        self.reception.answered(self.node).await?;
         self.registration.progress.set(clock::now());
         Ok(())
     }
--- a/crates/gateway/src/outcome.rs
+++ b/crates/gateway/src/outcome.rs
@@ -27,8 +27,6 @@
     OtherServer,
     /// The response is missing or incomplete; the request may have run.
     Broken,
-    /// The server has sent nothing for so long that another one should be tried. It may still go on.
-    Silent,
 }
 
 impl Outcome {
@@ -44,7 +42,6 @@
             Self::NotRun => "not_run",
             Self::OtherServer => "other_server",
             Self::Broken => "broken",
-            Self::Silent => "silent",
         }
     }
 }
--- a/crates/gateway/src/proxy.rs
+++ b/crates/gateway/src/proxy.rs
@@ -84,7 +84,7 @@
                 let passed_on = answer.send_whole(response, &body.bytes).await;
                 return Outcome::Ended(passed_on.map_or("caller_left", |()| "answered"));
             }
-            attempt::Outcome::Broken | attempt::Outcome::Silent => {
+            attempt::Outcome::Broken => {
                 exchange.may_have_run = true;
                 if !exchange.route.kind.is_retryable() || !exchange.take_retry(node) {
                     return Outcome::Refused(Refusal::Failed);
--- a/crates/gateway/src/reception.rs
+++ b/crates/gateway/src/reception.rs
@@ -49,7 +49,7 @@
     /// wait for it.
     writing: Task<Result<(), Error>>,
     /// Whether a successful answer is a stream.
-    is_stream: bool,
+    expects_stream: bool,
     stage: Stage,
 }
 
@@ -176,7 +176,7 @@
             connection,
             method: head.method,
             writing,
-            is_stream: exchange.route.kind.is_stream(),
+            expects_stream: exchange.route.kind.is_stream(),
             stage: Stage::Head,
         }
     }
@@ -208,8 +208,8 @@
 
     /// Completes once something has arrived that can be passed on: a whole answer, or an event. Fails if the
     /// connection ends or fails before.
-    pub async fn answered(&mut self) -> Result<(), Error> {
-        while !self.has_answer()? {
+    pub async fn answered(&mut self, node: &Node) -> Result<(), Error> {
+        while !self.has_answer(node)? {
             if self.connection.stream.fill().await? == 0 && !self.is_whole_at_end() {
                 return Err(Error::Truncated);
             }
@@ -218,7 +218,7 @@
     }
 
     /// Returns whether what has arrived and was not received yet completes the answer or an event.
-    fn has_answer(&self) -> Result<bool, Error> {
+    fn has_answer(&self, node: &Node) -> Result<bool, Error> {
         let bytes = self.connection.stream.buffered();
         if bytes.len() > ANSWER_CHECK_LIMIT {
             return Ok(true);
@@ -228,7 +228,8 @@
                 let Some((response, length)) = Response::parse(bytes, &self.method)? else {
                     return Ok(false);
                 };
-                let is_stream = self.is_stream && response.status == 200;
+                let verdict = node.protocol.verdict(&response);
+                let is_stream = self.is_stream(&response, &verdict);
                 let splitter = is_stream.then(Splitter::default);
                 let decoder = Decoder::new(response.framing);
                 (decoder, splitter, &bytes[length..])
@@ -272,10 +273,7 @@
         self.check_id(node, exchange, &response, source)?;
         source.record_response(node, &response, exchange.sent_at);
         let verdict = node.protocol.verdict(&response);
-        let is_stream = verdict == Verdict::Ran && exchange.route.kind.is_stream();
-        // A body that is declared to be empty is passed on unchanged, but does not complete a stream.
-        let is_empty = matches!(response.framing, Framing::Empty | Framing::Length(0));
-        if is_stream && response.status == 200 && !is_empty {
+        if self.is_stream(&response, &verdict) {
             let events = Events::new(exchange, response, source);
             return Ok(Stage::Events(Box::new(events)));
         }
@@ -287,6 +285,14 @@
         })))
     }
 
+    /// Returns whether a response is relayed event by event. A body that is declared to be empty is passed on
+    /// unchanged, but does not complete a stream.
+    fn is_stream(&self, response: &Response, verdict: &Verdict) -> bool {
+        let is_empty = matches!(response.framing, Framing::Empty | Framing::Length(0));
+        let is_served = *verdict == Verdict::Ran && response.status == 200;
+        self.expects_stream && is_served && !is_empty
+    }
+
     /// Fails if the response may belong to another request. Without an id, only its place on the connection
     /// says which request it answers, and a faulty server may repeat an earlier response there.
     fn check_id(
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use admission::RetryTime;
 use async_io::Timer;
 use cost::Extent;
 use domain::Moment;
@@ -99,8 +100,7 @@
     let mut exchange = match admitted {
         Ok(exchange) => exchange,
         Err((refusal, meta)) => {
-            let retry_after = refusal.retry_time();
-            let retry_after = retry_after.map(|it| it.delay(rand::rng().random()));
+            let retry_after = draw_delay(refusal.retry_time());
             return refuse(node, answer, refusal, retry_after, &meta, "", arrived).await;
         }
     };
@@ -166,8 +166,7 @@
             }
             Some(End::Attempted(Err(refusal))) => {
                 if answer.state() == State::NotBegun {
-                    let retry_after = self.retry_time(node, refusal);
-                    let retry_after = retry_after.map(|it| it.delay(rand::rng().random()));
+                    let retry_after = draw_delay(self.retry_time(node, refusal));
                     if let Some(delay) = retry_after {
                         let digest = self.fingerprint.request;
                         rejections::record(node, clock::now(), digest, delay);
@@ -229,8 +228,7 @@
             Some(_) => Refusal::Failed,
             None => refusal,
         };
-        let retry_after = refusal.retry_time();
-        let retry_after = retry_after.map(|it| it.delay(rand::rng().random()));
+        let retry_after = draw_delay(refusal.retry_time());
         let (metadata, route) = (&self.metadata, &self.route.name);
         let arrived = self.arrived;
         refuse(node, answer, refusal, retry_after, metadata, route, arrived).await
@@ -345,16 +343,12 @@
         if !attempt.was_silent {
             self.tried.push(attempt.target().server.key());
         }
-        match attempt.follow(self, answer).await {
-            Outcome::Silent => {
-                self.log_attempt(node, attempt.target(), Outcome::Silent.name());
-                Step::Silent(attempt)
-            }
-            outcome => {
-                let target = attempt.end();
-                self.conclude(node, outcome, &target, answer, failure).await
-            }
-        }
+        let Some(outcome) = attempt.follow(self, answer).await else {
+            self.log_attempt(node, attempt.target(), "silent");
+            return Step::Silent(attempt);
+        };
+        let target = attempt.end();
+        self.conclude(node, outcome, &target, answer, failure).await
     }
 
     /// Decides by the outcome of an attempt whether another one is made.
@@ -415,7 +409,7 @@
                 let state = &node.state.borrow();
                 self.refusal_in_pause(clock::now(), state, Refusal::NotRun)
             }
-            Outcome::Broken | Outcome::Silent => {
+            Outcome::Broken => {
                 self.may_have_run = true;
                 if self.take_retry_after_break(node, &target.server).await {
                     return Step::Next;
@@ -462,6 +456,11 @@
     }
 }
 
+/// Draws the delay after which a caller may retry.
+fn draw_delay(time: Option<RetryTime>) -> Option<Duration> {
+    time.map(|it| it.delay(rand::rng().random()))
+}
+
 /// Returns whether callers read a status as a promise that the request did not run.
 fn promises_not_run(status: u16) -> bool {
     matches!(status, 408 | 421 | 429 | 503)
