Keep the requests at a suspected relay if no retry is left

What callers saw: streams that an isolated instance had served by a peer ended early, although the peer only paused for about a second and would have gone on.

Cause: a silent peer that others suspect was given up as soon as an unsuspected peer could take its place, before it was known whether a retry is allowed. If the attempts were used up or the retry budget was empty, the connection was closed and the answer lost. An isolated instance is where this is likely: the attempts were used at its servers, and the budget by the other streams that it lost.

Ruled out: that receiving again loses events. The relay sends an event in the same step in which it takes it, unless the caller does not read; meanwhile the peer counts as active and is not given up.

Change: the connection is kept while no retry is allowed. A request of which its caller was sent nothing is still given up if the peer is dead, since the caller can repeat it.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -209,6 +209,18 @@
         budget.earn(&policy, entries);
     }
 
+    /// Returns whether the request may be retried, without taking a retry from the budget.
+    pub fn may_retry(&self, node: &Node) -> bool {
+        if self.attempts >= self.route.attempts || !self.can_resume {
+            return false;
+        }
+        let policy = node.settings().retry_budget;
+        let now = clock::now();
+        let mut state = node.state.borrow_mut();
+        let (budget, entries) = state.retry_budget(now, &policy, &self.service.name);
+        budget.has_left(now, &policy, entries)
+    }
+
     /// Returns whether the request may be retried, and takes one retry from the budget if so.
     pub fn take_retry(&self, node: &Node) -> bool {
         if self.attempts >= self.route.attempts || !self.can_resume {
--- a/crates/gateway/src/proxy.rs
+++ b/crates/gateway/src/proxy.rs
@@ -28,6 +28,7 @@
 use crate::reception::Source;
 use crate::refusal::Refusal;
 use crate::relay::Answer;
+use crate::relay::State;
 
 /// The number of other entries to which a request that none has run is sent before it is refused. A
 /// caller that retries is directed to other entries by then.
@@ -134,21 +135,30 @@
     let homes = exchange.homes(&node.state.borrow());
     let source = Source::Peer(&progress);
     let mut reception = Reception::send(node, exchange, connection, head);
-    let response = reception.receive(node, exchange, answer, source);
-    let stopped = async {
-        if !is_retryable {
-            // Silence does not prove that the request did not run.
-            return future::pending().await;
-        }
-        loop {
-            wait_until_stopped(node, peer.incarnation, &progress).await;
-            if is_replaceable(node, peer.incarnation, tried, &homes) {
-                break;
+    let response = loop {
+        let received = reception.receive(node, exchange, answer, source);
+        let received = async { Some(received.await) };
+        let stopped = async {
+            if !is_retryable {
+                // Silence does not prove that the request did not run.
+                return future::pending().await;
+            }
+            loop {
+                wait_until_stopped(node, peer.incarnation, &progress).await;
+                if is_replaceable(node, peer.incarnation, tried, &homes) {
+                    return None;
+                }
             }
+        };
+        match future::or(received, stopped).await {
+            Some(response) => break response,
+            None if may_give_up(node, exchange, answer, peer.incarnation) => {
+                break Err(Error::Io(ErrorKind::TimedOut.into()));
+            }
+            None => {}
         }
-        Err(Error::Io(ErrorKind::TimedOut.into()))
     };
-    match future::or(response, stopped).await {
+    match response {
         Ok(Completion { outcome, reuse }) => {
             dial::keep(
                 node,
@@ -172,6 +182,14 @@
     }
 }
 
+/// Returns whether a request can do without a silent entry: another one may serve it, or the caller, which was sent
+/// nothing, can repeat it.
+fn may_give_up(node: &Node, exchange: &Exchange, answer: &Answer, peer: Incarnation) -> bool {
+    let is_dead = !node.state.borrow().members.is_alive(peer);
+    let is_repeatable = is_dead && answer.state() == State::NotBegun;
+    is_repeatable || exchange.may_retry(node)
+}
+
 /// Returns whether the entry that relayed a request should have another one serve it at once: this one reaches no
 /// server any more, so waiting for a silent one is of no use.
 pub fn should_return(node: &Node, exchange: &Exchange) -> bool {
