Count no server as crashed for a silence of less than 2 s

What callers saw: 503 `quarantined` for a sound call, after four servers that had it were silent for 1.7 s at the same time and went on.

Cause: a server that does not accept a connection within two tries, 1.1 s after its attempt was given up, counted as crashed. At a plain server an attempt is given up after 0.25 s, so a silence of 1.4 s was enough. The crash counts as evidence against the request, and four of them have it refused until one with the same digest ends.

Ruled out: that a server which crashes is found later by others. It refuses connections, which ends the check at the first try as before, and a request that can't connect marks the server as unreachable by itself.

--- a/crates/gateway/src/crash.rs
+++ b/crates/gateway/src/crash.rs
@@ -24,9 +24,13 @@
 use crate::exchange::Exchange;
 use crate::reachability;
 
-/// The delay before each check of whether a server whose connection broke accepts connections
+/// The delay before the first check of whether a server whose connection broke accepts connections
 /// again. A server that crashed takes longer to restart.
-const CHECK_DELAYS: [Duration; 2] = [Duration::from_millis(50), Duration::from_millis(250)];
+const FIRST_CHECK_DELAY: Duration = Duration::from_millis(50);
+/// The interval between two checks of a server that does not respond.
+const CHECK_INTERVAL: Duration = Duration::from_millis(250);
+/// The time for which a server may not respond before it counts as crashed. A healthy one may be silent for 2 s.
+const SILENCE_LIMIT: Duration = Duration::from_secs(2);
 /// A server that crashes under a request does so at the beginning of the answer. If it has sent more
 /// events than this, the request is not a suspect.
 const BEGINNING_EVENTS: u64 = 2;
@@ -138,18 +142,19 @@
 }
 
 async fn probe(address: SocketAddr) -> Listener {
-    for delay in CHECK_DELAYS {
-        Timer::after(delay).await;
+    let deadline = clock::now() + SILENCE_LIMIT;
+    Timer::after(FIRST_CHECK_DELAY).await;
+    loop {
         let connect = Stream::connect(address, dial::ACK_TIMEOUT);
         match within(dial::CONNECT_TIMEOUT, connect).await {
             Some(Ok(_)) => return Listener::Open,
             Some(Err(Error::Io(error))) if error.kind() == ErrorKind::ConnectionRefused => {
                 return Listener::Refusing;
             }
-            _ => {}
-        }
+            _ if clock::now() >= deadline => return Listener::Silent,
+            _ => Timer::after(CHECK_INTERVAL).await,
+        };
     }
-    Listener::Silent
 }
 
 /// Records that a server answered a request to its end.
