Refuse an infeasible request before its contract's home is asked

What callers saw: a prompt that can't be finished by its deadline was sometimes answered with timed_out at its deadline instead of with overloaded at once, and the tokens of its contract were spent.

Cause: the contract's home was asked for an allotment, which takes up to 300 ms, before the router checked whether the request is feasible. A deadline that passed meanwhile ended the request as timed out. Beside load, the answer of the home takes longer than the 100 ms of infeasible_request_is_refused_at_once.

Ruled out: the time to read the body and the wait for an engine. Without a home to ask, nothing is awaited between the body and the check, and the deadline is polled last; a prompt of unmeasured length would have been run.

Change: the router's check is public and comes before the allotment; it is repeated on admission. A request that is both infeasible and over its contract's limit is now answered with overloaded instead of limit_reached, and so counts against its own customer's objective.

--- a/crates/entry/src/chat/serve.rs
+++ b/crates/entry/src/chat/serve.rs
@@ -123,11 +123,13 @@
         output: &Output<'_>,
         permit: &mut Option<Permit>,
     ) -> Result<u64, Failure> {
+        let mut job = self.prompt.job(node, self.id, &self.head, self.arrived);
+        // The home of the contract may answer late, and a refused request should not use the contract up.
+        check_admission(node, &job)?;
         let _admission = limits::admit(node, &self.head.contract, self.prompt.tokens).await?;
         self.check_quarantine(node, Execution::No)?;
         node.core.borrow_mut().budget.earn();
         node.record_step(self.id.number, "admitted");
-        let mut job = self.prompt.job(node, self.id, &self.head, self.arrived);
         let mut stream = assembly::Stream::default();
         let mut waiter = Waiter::admit(node, job.clone()).map_err(refusal_failure)?;
         for number in 1.. {
@@ -278,6 +280,12 @@
     failure.retry_after(DEFAULT_RETRY_AFTER)
 }
 
+fn check_admission(node: &Node, job: &Job) -> Result<(), Failure> {
+    let core = node.core.borrow();
+    let checked = core.router.check_admission(clock::now(), job);
+    checked.map_err(refusal_failure)
+}
+
 fn refusal_failure(refusal: Refusal) -> Failure {
     let message = refusal.to_string();
     match refusal {
--- a/crates/harness/tests/finish.rs
+++ b/crates/harness/tests/finish.rs
@@ -200,6 +200,34 @@
     assert!(failure.retry_after_ms.is_some());
 }
 
+#[test]
+fn infeasible_request_is_refused_while_homes_are_silent() {
+    let cluster = start(1);
+    let entry = cluster.entry_address(0);
+    let first = Prompt::new(300_000, 5, 1);
+    assert!(
+        block_on(cluster.customer("forum").prompt(entry, &first))
+            .unwrap()
+            .is_complete(&first)
+    );
+    for other in &cluster.entries[1..] {
+        other.process.signal("STOP").unwrap();
+    }
+    let prompt = Prompt {
+        timeout_s: Some(0.1),
+        ..Prompt::new(300_000, 5, 2)
+    };
+    // The home of a contract is random. That this entry is the home of all four is unlikely.
+    for customer in ["forum", "shops", "riders", "clinics"] {
+        let received = block_on(cluster.customer(customer).prompt(entry, &prompt)).unwrap();
+        let failure = received.result.unwrap_err();
+        assert_eq!(
+            (failure.kind, failure.ran),
+            (Kind::Overloaded, Execution::No)
+        );
+    }
+}
+
 /// Kills both engines, the second one `pause` after the first, and checks that a prompt fails in time.
 fn check_engines_down(pause: Duration) {
     let mut cluster = start(2);
--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -149,14 +149,68 @@
 
     /// Admits a job, or refuses it at once with the reason.
     pub fn admit(&mut self, now: Moment, job: Job) -> Result<(), Refusal> {
+        self.check_admission(now, &job)?;
         let cost = self.curve.cost(job.prompt_tokens);
-        self.check_admission(now, &job, cost)?;
         let share = self.shares.entry(job.model.clone()).or_default();
         share.record_arrival(now, job.length(), cost);
         self.requeue(job);
         Ok(())
     }
 
+    /// Returns the reason for which a job would be refused now, without admitting it.
+    pub fn check_admission(&self, now: Moment, job: &Job) -> Result<(), Refusal> {
+        let cost = self.curve.cost(job.prompt_tokens);
+        let capacity = self.pool.capacity(&job.model);
+        let mut engines = self
+            .pool
+            .ranked(&job.model)
+            .iter()
+            .filter_map(|it| self.pool.get(it));
+        if engines.clone().all(|it| it.leaving.is_marked()) {
+            return Err(Refusal::NoEngine(job.model.clone()));
+        }
+        let staying = engines.clone().filter(|it| !it.leaving.is_marked());
+        let pause_left = staying.map(|it| it.pause.left(now)).min();
+        if let Some(left) = pause_left.filter(|it| !it.is_zero()) {
+            return Err(Refusal::Paused(left));
+        }
+        if !engines.any(|it| it.is_usable(now)) {
+            return Err(Refusal::Down(DOWN_RETRY_AFTER));
+        }
+        let needed = job.memory_tokens();
+        if needed > capacity.gang_memory.max(capacity.largest_engine) {
+            return Err(Refusal::TooLong {
+                needed,
+                fleet: capacity.gang_memory,
+            });
+        }
+
+        if self.policy != Policy::ByLength {
+            return Ok(());
+        }
+        let lane = Lane {
+            length: job.length(),
+            model: job.model.clone(),
+        };
+        let queue = self.lanes.get(&lane);
+        let ahead = queue.map_or(0, |it| it.cost_ahead(&job.tenant));
+        let count = capacity.engines.max(1) as u32;
+        let wait = Duration::from_micros(ahead) / count;
+        if queue.is_some_and(|it| it.len() >= LANE_LIMIT) {
+            return Err(Refusal::Full(wait.max(cost)));
+        }
+        if !self.curve.is_measured(job.prompt_tokens) {
+            return Ok(());
+        }
+        let time_left = job.time_left(now);
+        if wait + cost > time_left {
+            return Err(Refusal::TooLate(
+                (wait + cost).saturating_sub(time_left).max(cost),
+            ));
+        }
+        Ok(())
+    }
+
     /// Puts a job back after a failed attempt.
     pub fn requeue(&mut self, mut job: Job) {
         if job.excluded.len() >= self.pool.ranked(&job.model).len() {
@@ -235,58 +289,6 @@
         }
     }
 
-    fn check_admission(&self, now: Moment, job: &Job, cost: Duration) -> Result<(), Refusal> {
-        let capacity = self.pool.capacity(&job.model);
-        let mut engines = self
-            .pool
-            .ranked(&job.model)
-            .iter()
-            .filter_map(|it| self.pool.get(it));
-        if engines.clone().all(|it| it.leaving.is_marked()) {
-            return Err(Refusal::NoEngine(job.model.clone()));
-        }
-        let staying = engines.clone().filter(|it| !it.leaving.is_marked());
-        let pause_left = staying.map(|it| it.pause.left(now)).min();
-        if let Some(left) = pause_left.filter(|it| !it.is_zero()) {
-            return Err(Refusal::Paused(left));
-        }
-        if !engines.any(|it| it.is_usable(now)) {
-            return Err(Refusal::Down(DOWN_RETRY_AFTER));
-        }
-        let needed = job.memory_tokens();
-        if needed > capacity.gang_memory.max(capacity.largest_engine) {
-            return Err(Refusal::TooLong {
-                needed,
-                fleet: capacity.gang_memory,
-            });
-        }
-
-        if self.policy != Policy::ByLength {
-            return Ok(());
-        }
-        let lane = Lane {
-            length: job.length(),
-            model: job.model.clone(),
-        };
-        let queue = self.lanes.get(&lane);
-        let ahead = queue.map_or(0, |it| it.cost_ahead(&job.tenant));
-        let count = capacity.engines.max(1) as u32;
-        let wait = Duration::from_micros(ahead) / count;
-        if queue.is_some_and(|it| it.len() >= LANE_LIMIT) {
-            return Err(Refusal::Full(wait.max(cost)));
-        }
-        if !self.curve.is_measured(job.prompt_tokens) {
-            return Ok(());
-        }
-        let time_left = job.time_left(now);
-        if wait + cost > time_left {
-            return Err(Refusal::TooLate(
-                (wait + cost).saturating_sub(time_left).max(cost),
-            ));
-        }
-        Ok(())
-    }
-
     fn record_placement(&mut self, now: Moment, placement: &Placement) {
         let parts = 1 + placement.gang.len() as u32;
         let cost = self.curve.cost(placement.job.prompt_tokens) / parts;
