Keep trying to resume a stream while its home regions or engines have no room for it

What callers saw: a stream that had begun ended early, in two cases: a change of the configuration had given its route home regions without a server, or the engines had no memory left for it. Both passed within a second.

Cause: where nothing can be reached, a stream that has begun waits for a server, since it can't be refused any more. The refusals for home regions without a server, and for memory after the target of the first event, were left out there, so the stream was cut at once.

Ruled out: other effects of a changed configuration on requests in progress. Their routes, services, limits, keys and deadlines are their own (by reading `exchange::admit`); only the home regions of a retry are those in force.

--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -312,7 +312,9 @@
                 return Step::Next;
             }
             Err(Refusal::NoServer) if reachability::is_isolated(node).await => return Step::Next,
-            Err(Refusal::NoServer | Refusal::Paused(_)) if answer.state() == State::Begun => {
+            Err(
+                Refusal::NoServer | Refusal::NoHomeServer | Refusal::NoRoom | Refusal::Paused(_),
+            ) if answer.state() == State::Begun => {
                 Timer::after(ROOM_CHECK_INTERVAL).await;
                 return Step::Next;
             }
@@ -379,7 +381,8 @@
                 return Step::Ended(Ok(passed_on.map_or("caller_left", |()| "answered")));
             }
             Outcome::NoRoom => {
-                if self.may_wait_for_room() || reachability::is_isolated(node).await {
+                let is_begun = answer.state() == State::Begun;
+                if is_begun || self.may_wait_for_room() || reachability::is_isolated(node).await {
                     Timer::after(ROOM_CHECK_INTERVAL).await;
                     return Step::Next;
                 }
