--- a/crates/gateway/src/crash.rs
+++ b/crates/gateway/src/crash.rs
@@ -33,6 +33,10 @@
 /// The number of entries that get a summary of the suspects at a time.
 const SUMMARY_PEERS: usize = 3;
 
+/// The longest wait for the check of whether a server has crashed, before a retry. A crashed server
+/// refuses connections at the first try.
+const CRASH_CHECK_WAIT: Duration = Duration::from_millis(100);
+
 /// A check of whether a server crashed during an attempt.
 pub struct Check {
     fingerprint: Fingerprint,
@@ -126,6 +130,23 @@
     }
 }
 
+impl Exchange {
+    /// Returns whether the request may be retried after a server's answer broke off.
+    pub async fn take_retry_after_break(&self, node: &Rc<Node>, server: &Rc<Server>) -> bool {
+        let check = Check::of(self, server);
+        let is_prime_suspect = check.is_prime_suspect();
+        let checked = check.start(node);
+        if !self.route.kind.is_retryable() {
+            return false;
+        }
+        if is_prime_suspect {
+            // If the request itself has crashed the server, it would crash the next one.
+            within(CRASH_CHECK_WAIT, checked.recv()).await;
+        }
+        self.take_retry(node)
+    }
+}
+
 /// What listens at the address of a server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Listener {
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -19,7 +19,6 @@
 use crate::attempt::Attempt;
 use crate::attempt::Outcome;
 use crate::attempt::Start;
-use crate::crash;
 use crate::exchange;
 use crate::exchange::Exchange;
 use crate::exchange::Requester;
@@ -43,9 +42,6 @@
 const ROOM_CHECK_INTERVAL: Duration = Duration::from_millis(80);
 /// The number of servers that a stream which has begun may be sent to before the request fails.
 const RESUME_LIMIT: usize = 5;
-/// The longest wait for the check of whether a server has crashed, before a retry. A crashed server
-/// refuses connections at the first try.
-const CRASH_CHECK_WAIT: Duration = Duration::from_millis(100);
 /// The number of servers to which a request could not be sent before it is refused.
 const CONNECT_LIMIT: usize = 4;
 
@@ -420,21 +416,6 @@
         Step::Ended(self.give_up(answer, failure.take(), refusal).await)
     }
 
-    /// Returns whether the request may be retried after a server's answer broke off.
-    async fn take_retry_after_break(&self, node: &Rc<Node>, server: &Rc<Server>) -> bool {
-        let check = crash::Check::of(self, server);
-        let is_prime_suspect = check.is_prime_suspect();
-        let checked = check.start(node);
-        if !self.route.kind.is_retryable() {
-            return false;
-        }
-        if is_prime_suspect {
-            // If the request itself has crashed the server, it would crash the next one.
-            within(CRASH_CHECK_WAIT, checked.recv()).await;
-        }
-        self.take_retry(node)
-    }
-
     /// Ends a request that no server answered in full. Passes on a server's error response if there
     /// is one. Answers "not run" only if no server may have run the request.
     async fn give_up(
