Relay requests of a service whose servers this instance does not reach

Callers of an instance that was cut off from all servers of one service got 503, some after 2 s, while all other instances served that service. Those of an instance that reached only one or two servers got the same.

Cause: requests were relayed only under the verdict that an instance reaches no server at all. Where servers of other services answer, there is no such verdict, and NoServer was final.

Ruled out: a verdict for each service, which would be a second state with announcements, and would be wrong where a small service dies as a whole; leaving the instance out of address answers, for the same reason.

Change: a caller's request that finds no server to try although some are listed, or that could not be sent to two servers, is relayed to other instances first, unless it may not be repeated and was sent before. A peer never relays it on. A peer that has not sent it to a server and finds none answers 421, as an isolated one does, and is not asked again for 1 s on behalf of that service. With six such peers, or none left, the request is refused at once. A stream that has begun is relayed as well instead of only waiting. Addresses, pauses, home regions and budgets are as before. After 421 a request counts as not sent, so that it may still be relayed if it may not be repeated.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -34,7 +34,7 @@
 pub enum Requester {
     /// A caller.
     Caller,
-    /// Another entry that reaches no backend server. Its requests are not relayed again.
+    /// Another entry that reaches no backend server, or none of the service. Its requests are not relayed again.
     Peer,
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod costs;
 pub mod crash;
 pub mod datagrams;
+pub mod detours;
 pub mod dial;
 pub mod duty;
 pub mod endpoints;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -28,6 +28,7 @@
 
 use crate::connections::Pool;
 use crate::costs::Costs;
+use crate::detours::Detours;
 use crate::faults::Faults;
 use crate::held;
 use crate::held::Kind;
@@ -111,6 +112,8 @@
     pub quarantine: Quarantine,
     /// Whether this entry reaches backend servers.
     pub reach: Reach,
+    /// The entries that lately could not serve a service either.
+    pub detours: Detours,
     /// The retry budgets, by service.
     pub retry_budgets: HashMap<String, Budget>,
     /// The requests that wait to be placed.
@@ -162,6 +165,7 @@
                 audience: Audience::default(),
                 quarantine: Quarantine::default(),
                 reach: Reach::default(),
+                detours: Detours::default(),
                 retry_budgets: HashMap::new(),
                 waiting: Waiting::default(),
                 has_few_on_time: false,
--- a/crates/gateway/src/proxy.rs
+++ b/crates/gateway/src/proxy.rs
@@ -1,4 +1,4 @@
-//! Has requests served by other entries while this one reaches no backend server.
+//! Has requests served by other entries while this one reaches no backend server, or none of their service.
 //!
 //! A request is sent to another entry's relay address as the caller sent it, with the time that remains.
 //! The other entry admits, places and retries it, but never relays it again. Its answer is passed on like a
@@ -32,6 +32,9 @@
 /// The number of other entries to which a request that none has run is sent before it is refused. A
 /// caller that retries is directed to other entries by then.
 const PEER_LIMIT: usize = 3;
+/// The number of other entries that lately could not serve a service either, from which on no further one is
+/// asked: the service is most likely down for all.
+const FRUITLESS_LIMIT: usize = 6;
 /// The status by which an entry says that it has not run a request.
 const UNAVAILABLE: u16 = 503;
 /// The silence after which an entry that others suspect to have stopped is given up.
@@ -71,35 +74,110 @@
             return Outcome::Refused(Refusal::NoServer);
         };
         tried.push(peer.incarnation);
-        let outcome = attempt_at(node, exchange, answer, &peer, &tried).await;
-        record(node, exchange, &peer, outcome.name());
-        match outcome {
-            attempt::Outcome::Delivered => return Outcome::Ended("delivered"),
-            attempt::Outcome::CallerLeft => return Outcome::Ended("caller_left"),
-            attempt::Outcome::Answered(response, body) => {
-                if exchange.may_have_run && response.status == UNAVAILABLE {
-                    // The peer has not run the request, but a server may have before.
-                    return Outcome::Refused(Refusal::Failed);
-                }
-                let passed_on = answer.send_whole(response, &body.bytes).await;
-                return Outcome::Ended(passed_on.map_or("caller_left", |()| "answered"));
+        match relay_to(node, exchange, answer, &peer, &tried).await {
+            Relayed::Ended(outcome) => return Outcome::Ended(outcome),
+            Relayed::Failed => return Outcome::Refused(Refusal::Failed),
+            Relayed::NotServed | Relayed::Broken => {}
+        }
+    }
+    Outcome::Reconnected
+}
+
+/// Has a request whose service has servers, but none that this entry reaches, served by another entry. Returns
+/// `None` if none can, so that the request is refused or waits here.
+pub async fn detour(
+    node: &Rc<Node>,
+    exchange: &mut Exchange,
+    answer: &mut Answer,
+) -> Option<Result<&'static str, Refusal>> {
+    if exchange.requester == Requester::Peer
+        || (exchange.sent_at.is_some() && !exchange.route.kind.is_retryable())
+    {
+        return None;
+    }
+    let mut tried: Vec<Incarnation> = Vec::new();
+    loop {
+        let peer = {
+            let state = node.state.borrow();
+            state
+                .servers
+                .usable(clock::now(), exchange.scope(&state))
+                .next()?;
+            let service = &exchange.service.name;
+            let fruitless = state.detours.fruitless(clock::now(), service);
+            if fruitless.len() >= FRUITLESS_LIMIT || tried.len() >= FRUITLESS_LIMIT {
+                return None;
             }
-            attempt::Outcome::Broken => {
-                exchange.may_have_run = true;
-                if !exchange.route.kind.is_retryable() || !exchange.take_retry(node) {
-                    return Outcome::Refused(Refusal::Failed);
-                }
+            let excluded = [fruitless, tried.clone()].concat();
+            let homes = exchange.homes(&state);
+            let peer = state.members.delegate(&excluded, &homes, &mut rand::rng());
+            peer?.clone()
+        };
+        tried.push(peer.incarnation);
+        match relay_to(node, exchange, answer, &peer, &tried).await {
+            Relayed::Ended(outcome) => return Some(Ok(outcome)),
+            Relayed::Failed => return Some(Err(Refusal::Failed)),
+            Relayed::NotServed => {
+                let service = &exchange.service.name;
+                let detours = &mut node.state.borrow_mut().detours;
+                detours.record_fruitless(clock::now(), service, peer.incarnation);
             }
-            attempt::Outcome::NotRun | attempt::Outcome::OtherServer => {
-                // The peer is isolated too, so the attempt does not count.
-                exchange.attempts = exchange.attempts.saturating_sub(1);
+            Relayed::Broken => {}
+        }
+    }
+}
+
+/// What came of relaying a request to one other entry.
+enum Relayed {
+    /// The caller received an answer, or left.
+    Ended(&'static str),
+    /// The other entry did not serve the request, nor send it to a server.
+    NotServed,
+    /// The answer is missing or incomplete, and another entry may be tried.
+    Broken,
+    /// No further attempt is allowed, and the request may have run.
+    Failed,
+}
+
+/// Relays a request to another entry and decides by the outcome whether a further one may be tried.
+async fn relay_to(
+    node: &Rc<Node>,
+    exchange: &mut Exchange,
+    answer: &mut Answer,
+    peer: &Member,
+    tried: &[Incarnation],
+) -> Relayed {
+    let sent_before = exchange.sent_at;
+    let outcome = attempt_at(node, exchange, answer, peer, tried).await;
+    record(node, exchange, peer, outcome.name());
+    match outcome {
+        attempt::Outcome::Delivered => Relayed::Ended("delivered"),
+        attempt::Outcome::CallerLeft => Relayed::Ended("caller_left"),
+        attempt::Outcome::Answered(response, body) => {
+            if exchange.may_have_run && response.status == UNAVAILABLE {
+                // The peer has not run the request, but a server may have before.
+                return Relayed::Failed;
+            }
+            let passed_on = answer.send_whole(response, &body.bytes).await;
+            Relayed::Ended(passed_on.map_or("caller_left", |()| "answered"))
+        }
+        attempt::Outcome::Broken => {
+            exchange.may_have_run = true;
+            match exchange.route.kind.is_retryable() && exchange.take_retry(node) {
+                true => Relayed::Broken,
+                false => Relayed::Failed,
             }
-            attempt::Outcome::Unreached
-            | attempt::Outcome::Withdrawn
-            | attempt::Outcome::NoRoom => {}
+        }
+        attempt::Outcome::NotRun | attempt::Outcome::OtherServer => {
+            // The peer reaches no server either, so the attempt does not count.
+            exchange.attempts = exchange.attempts.saturating_sub(1);
+            exchange.sent_at = sent_before;
+            Relayed::NotServed
+        }
+        attempt::Outcome::Unreached | attempt::Outcome::Withdrawn | attempt::Outcome::NoRoom => {
+            Relayed::NotServed
         }
     }
-    Outcome::Reconnected
 }
 
 /// Sends a request to another entry and passes its answer on.
@@ -180,6 +258,14 @@
         && node.isolation.is_set()
 }
 
+/// Returns the refusal as it is told to the requester. Another entry is told that it may try a further one.
+pub fn refusal_for(requester: Requester, refusal: Refusal) -> Refusal {
+    match (requester, refusal) {
+        (Requester::Peer, Refusal::NoServer) => Refusal::Isolated,
+        _ => refusal,
+    }
+}
+
 /// Returns whether a suspected entry can be given up: it is dead, or an unsuspected one can take its place. An
 /// entry that serves all requests of many others may only be slow.
 fn is_replaceable(node: &Node, peer: Incarnation, tried: &[Incarnation], homes: &Homes) -> bool {
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -29,7 +29,7 @@
     /// Every backend server of the service asked for a pause or has reached the limit that it named; the
     /// first one takes work after this time.
     Paused(Duration),
-    /// This entry reaches no backend server, and another entry relayed the request to it.
+    /// This entry reaches no backend server that could serve the request, which another entry relayed to it.
     Isolated,
     /// No engines have enough memory for the prompt.
     NoRoom,
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -45,6 +45,9 @@
 /// The number of servers to which a request could not be sent before it is refused.
 const CONNECT_LIMIT: usize = 4;
 
+/// The number of servers to which a request could not be sent before other entries are asked to serve it.
+const DETOUR_LIMIT: usize = 2;
+
 /// How the work on a request ended.
 enum End {
     /// No further attempt is made, and the caller's connection has taken the answer.
@@ -161,6 +164,7 @@
                 Disposition::Discard
             }
             Some(End::Attempted(Err(refusal))) => {
+                let refusal = proxy::refusal_for(self.requester, refusal);
                 if answer.state() == State::NotBegun {
                     let retry_after = draw_delay(self.retry_time(node, refusal));
                     if let Some(delay) = retry_after {
@@ -307,8 +311,21 @@
                 Timer::after(ROOM_CHECK_INTERVAL).await;
                 return Step::Next;
             }
-            Err(Refusal::NoServer) if reachability::is_isolated(node).await => return Step::Next,
-            Err(Refusal::NoServer | Refusal::Paused(_)) if answer.state() == State::Begun => {
+            Err(Refusal::NoServer) => {
+                if let Some(ended) = proxy::detour(node, self, answer).await {
+                    return Step::Ended(ended);
+                }
+                if reachability::is_isolated(node).await {
+                    return Step::Next;
+                }
+                if answer.state() == State::Begun {
+                    Timer::after(ROOM_CHECK_INTERVAL).await;
+                    return Step::Next;
+                }
+                let ended = self.give_up(answer, failure.take(), Refusal::NoServer);
+                return Step::Ended(ended.await);
+            }
+            Err(Refusal::Paused(_)) if answer.state() == State::Begun => {
                 Timer::after(ROOM_CHECK_INTERVAL).await;
                 return Step::Next;
             }
@@ -381,7 +398,13 @@
                 }
                 Refusal::NoRoom
             }
-            Outcome::Unreached | Outcome::Withdrawn => {
+            outcome @ (Outcome::Unreached | Outcome::Withdrawn) => {
+                if matches!(outcome, Outcome::Unreached)
+                    && self.tried.len() >= DETOUR_LIMIT
+                    && let Some(ended) = proxy::detour(node, self, answer).await
+                {
+                    return Step::Ended(ended);
+                }
                 let is_last = self.tried.len() > CONNECT_LIMIT;
                 if !is_last || reachability::is_isolated(node).await {
                     return Step::Next;
