--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -19,7 +19,6 @@
 use crate::attempt::Attempt;
 use crate::attempt::Outcome;
 use crate::attempt::Start;
-use crate::crash;
 use crate::exchange;
 use crate::exchange::Exchange;
 use crate::exchange::Requester;
@@ -29,6 +28,7 @@
 use crate::port::Metadata;
 use crate::proxy;
 use crate::reachability;
+use crate::refusal;
 use crate::refusal::Refusal;
 use crate::rejections;
 use crate::relay::Answer;
@@ -43,11 +43,10 @@
 const ROOM_CHECK_INTERVAL: Duration = Duration::from_millis(80);
 /// The number of servers that a stream which has begun may be sent to before the request fails.
 const RESUME_LIMIT: usize = 5;
-/// The longest wait for the check of whether a server has crashed, before a retry. A crashed server
-/// refuses connections at the first try.
-const CRASH_CHECK_WAIT: Duration = Duration::from_millis(100);
 /// The number of servers to which a request could not be sent before it is refused.
 const CONNECT_LIMIT: usize = 4;
+/// The number of servers to which a request could not be sent before other entries are asked to serve it.
+const DETOUR_LIMIT: usize = 2;
 
 /// How the work on a request ended.
 enum End {
@@ -165,6 +164,7 @@
                 Disposition::Discard
             }
             Some(End::Attempted(Err(refusal))) => {
+                let refusal = proxy::refusal_for(self.requester, refusal);
                 if answer.state() == State::NotBegun {
                     let retry_after = draw_delay(self.retry_time(node, refusal));
                     if let Some(delay) = retry_after {
@@ -307,20 +307,7 @@
         }
         let target = match self.place_in_turn(node).await {
             Ok(target) => target,
-            Err(Refusal::NoRoom) if self.may_wait_for_room() => {
-                Timer::after(ROOM_CHECK_INTERVAL).await;
-                return Step::Next;
-            }
-            Err(Refusal::NoServer) if reachability::is_isolated(node).await => return Step::Next,
-            Err(
-                Refusal::NoServer | Refusal::NoHomeServer | Refusal::NoRoom | Refusal::Paused(_),
-            ) if answer.state() == State::Begun => {
-                Timer::after(ROOM_CHECK_INTERVAL).await;
-                return Step::Next;
-            }
-            Err(refusal) => {
-                return Step::Ended(self.give_up(answer, failure.take(), refusal).await);
-            }
+            Err(refusal) => return self.proceed_unplaced(node, refusal, answer, failure).await,
         };
         self.server.clone_from(&target.server.id);
         match Attempt::start(node, self, target).await {
@@ -334,6 +321,36 @@
         }
     }
 
+    /// Decides what follows if no server can be chosen.
+    async fn proceed_unplaced<'a>(
+        &mut self,
+        node: &'a Rc<Node>,
+        refusal: Refusal,
+        answer: &mut Answer,
+        failure: &mut Option<(Response, held::Body)>,
+    ) -> Step<'a> {
+        if matches!(refusal, Refusal::NoServer) {
+            if let Some(ended) = proxy::detour(node, self, answer).await {
+                return Step::Ended(ended);
+            }
+            if reachability::is_isolated(node).await {
+                return Step::Next;
+            }
+        }
+        let is_waiting = match refusal {
+            Refusal::NoRoom if self.may_wait_for_room() => true,
+            Refusal::NoServer | Refusal::NoHomeServer | Refusal::NoRoom | Refusal::Paused(_) => {
+                answer.state() == State::Begun
+            }
+            _ => false,
+        };
+        if is_waiting {
+            Timer::after(ROOM_CHECK_INTERVAL).await;
+            return Step::Next;
+        }
+        Step::Ended(self.give_up(answer, failure.take(), refusal).await)
+    }
+
     /// Follows an attempt to its end, or until its server falls silent.
     async fn follow<'a>(
         &mut self,
@@ -372,7 +389,7 @@
                     *failure = Some((response, body));
                     return Step::Next;
                 }
-                if !self.route.kind.is_retryable() && promises_not_run(response.status) {
+                if !self.route.kind.is_retryable() && refusal::promises_not_run(response.status) {
                     // The server ran the request, or can't say. Callers would read this status
                     // as a promise that the request did not run.
                     return Step::Ended(Err(Refusal::Failed));
@@ -388,7 +405,13 @@
                 }
                 Refusal::NoRoom
             }
-            Outcome::Unreached | Outcome::Withdrawn => {
+            outcome @ (Outcome::Unreached | Outcome::Withdrawn) => {
+                if matches!(outcome, Outcome::Unreached)
+                    && self.tried.len() >= DETOUR_LIMIT
+                    && let Some(ended) = proxy::detour(node, self, answer).await
+                {
+                    return Step::Ended(ended);
+                }
                 let is_last = self.tried.len() > CONNECT_LIMIT;
                 if !is_last || reachability::is_isolated(node).await {
                     return Step::Next;
@@ -423,21 +446,6 @@
         Step::Ended(self.give_up(answer, failure.take(), refusal).await)
     }
 
-    /// Returns whether the request may be retried after a server's answer broke off.
-    async fn take_retry_after_break(&self, node: &Rc<Node>, server: &Rc<Server>) -> bool {
-        let check = crash::Check::of(self, server);
-        let is_prime_suspect = check.is_prime_suspect();
-        let checked = check.start(node);
-        if !self.route.kind.is_retryable() {
-            return false;
-        }
-        if is_prime_suspect {
-            // If the request itself has crashed the server, it would crash the next one.
-            within(CRASH_CHECK_WAIT, checked.recv()).await;
-        }
-        self.take_retry(node)
-    }
-
     /// Ends a request that no server answered in full. Passes on a server's error response if there
     /// is one. Answers "not run" only if no server may have run the request.
     async fn give_up(
@@ -464,11 +472,6 @@
     time.map(|it| it.delay(rand::rng().random()))
 }
 
-/// Returns whether callers read a status as a promise that the request did not run.
-fn promises_not_run(status: u16) -> bool {
-    matches!(status, 408 | 421 | 429 | 503)
-}
-
 async fn refuse(
     node: &Node,
     answer: Answer,
