Give the prompts of the gang test a contract that any share of it admits

What was seen: two_gangs_do_not_block_each_other failed once beside load, as one of four prompts was refused: tokens_per_second exhausted.

Cause: the four prompts need 3.2 of the 4 million tokens of the contract's burst. An entry that gets no answer from the contract's home within 300 ms admits from its static share, which starts at a ninth of the burst (444,444 tokens), less than one prompt. That share is the design of limits (docs/design/limits.md): the entry can't know what the home has granted. The test's assumption that a home always answers within 300 ms is wrong, and is not what the test is about.

Ruled out: gangs that block each other; a refused prompt was not placed.

Change: the contract has ten times the burst and the rate, so that the smallest share, a ninth, admits all four prompts. As strict as before: all prompts have to be answered completely and the memory released; what limits admit over entries is tested in crates/limit. A failed run prints the decisions about each failed request. docs/design/limits.md states the refusal.

--- a/crates/harness/tests/finish.rs
+++ b/crates/harness/tests/finish.rs
@@ -385,6 +385,8 @@
     let cluster = Cluster::start(Options {
         engines: 4,
         services: 0,
+        // Even the smallest share of the contract admits all prompts, whatever the entries know of its home.
+        contract_overrides: json!({ "tokens_per_second": 10_000_000, "burst_tokens": 40_000_000 }),
         ..Options::default()
     })
     .unwrap();
@@ -396,15 +398,19 @@
                 let secret = harness::cluster::secret("forum");
                 let received = block_on(harness::Customer::new(secret).prompt(entry, &prompt));
                 let received = received.unwrap();
-                (received.is_complete(&prompt), received.result.err())
+                (received.is_complete(&prompt), received.id)
             })
         })
         .collect();
     let results: Vec<_> = threads.into_iter().map(|it| it.join().unwrap()).collect();
-    assert!(
-        results.iter().all(|(is_complete, _)| *is_complete),
-        "{results:?}"
-    );
+    let failed = results.iter().enumerate().filter(|(_, it)| !it.0);
+    let traces: Vec<_> = failed
+        .map(|(seed, (_, id))| {
+            let entry = &cluster.entries[seed % 3];
+            cluster.get_json(entry.operator_address, &format!("/explain/{id}"))
+        })
+        .collect();
+    assert!(traces.is_empty(), "{traces:#?}");
     cluster
         .wait_until(Duration::from_secs(5), "the memory is released", || {
             memory_used(&cluster) == 0
