Give the drain test a lifetime that a late caller keeps to

What was seen: drain_callers_with_a_cached_entry_list_are_served failed once in a run of all tests of its file with 2 threads, as the load rose to 62, on a trial that delayed allotments by 400 ms: connection refused.

Cause: the entry serves for the lifetime of the cached list and the lag of the instance list, 1,300 ms, and the test sent its prompt after 700 ms. A test that is 600 ms late sends it after the lifetime has passed, when the entry may be gone.

Ruled out: an entry that stops early; the delayed allotments, as a refused connection comes before them.

Change: lifetime and delay are four times as long, at the same ratio, so the prompt is still sent at 70% of the lifetime. An entry that stops a fixed time of 0.7 to 2.8 s after the signal is now found, too.

--- a/crates/harness/tests/leaving.rs
+++ b/crates/harness/tests/leaving.rs
@@ -227,15 +227,15 @@
 fn drain_callers_with_a_cached_entry_list_are_served() {
     let mut cluster = Cluster::start(Options {
         engines: 1,
-        settings: json!({ "answer_lifetime_ms": 1000, "list_lag_ms": 300, "log_level": "warn" }),
+        settings: json!({ "answer_lifetime_ms": 4000, "list_lag_ms": 300, "log_level": "warn" }),
         ..Options::default()
     })
     .unwrap();
     let customer = cluster.customer("forum");
     let cached = block_on(customer.entries(cluster.entry_address(0))).unwrap();
-    assert_eq!(cached.keep_ms, 1_000);
+    assert_eq!(cached.keep_ms, 4_000);
     cluster.entries[0].process.signal("TERM").unwrap();
-    block_on(Timer::after(Duration::from_millis(700)));
+    block_on(Timer::after(Duration::from_millis(2_800)));
     let prompt = Prompt::new(1_000, 10, 1);
     let received = block_on(customer.prompt(cluster.entry_address(0), &prompt)).unwrap();
     assert!(received.is_complete(&prompt), "{:?}", received.result);
