Let a request wait on whose plan costs others more than it is worth

At the end of the wait for others, no limit held for the harm.

Change: at the end of that wait, a request whose plan costs others more than its whole value waits on like a late one, until its caller would disconnect. One that came back as told waits on for a plan that harms little, by the limit that holds before the end of the wait, since it is not rejected again. This changes which requests are placed.

decide_harm_beyond_its_value_waits_as_late and decide_in_time_that_was_returned_waits_for_little_harm fail before (17 of 19 tests of the file pass) and pass now.

--- a/crates/admission/src/decision.rs
+++ b/crates/admission/src/decision.rs
@@ -86,31 +86,39 @@
         until: now + time,
         reason,
     };
+    let disconnect_slack = bounds
+        .first_event
+        .saturating_sub(plan.first_token + DISCONNECT_MARGIN);
     if plan.timeliness == Timeliness::Late {
         let is_unopposed = has_slot && plan.has_room && ahead.in_time == 0;
         let is_harmless = is_unopposed && plan.loss_to_others <= HARMLESS_LOSS;
         // Others that wait for the slot or the memory lose more than a late request gains.
         let is_worth = is_unopposed && plan.loss_to_others <= LATE_SHARE * need.value;
-        let time = bounds
-            .first_event
-            .saturating_sub(plan.first_token + DISCONNECT_MARGIN);
         if is_harmless {
             return Decision::Place;
         }
         if !is_worth && !bounds.is_last_chance {
             return rejected;
         }
-        if time.is_zero() {
+        if disconnect_slack.is_zero() {
             return Decision::Place;
         }
-        return wait(time, Reason::Late);
+        return wait(disconnect_slack, Reason::Late);
     }
     let margin = need.initial_target.mul_f64(MARGIN_SHARE);
     let slack = need.target.saturating_sub(plan.first_token + margin);
+    let harm_limit = HARM_SHARE * TIMELY_SHARE * need.value / bounds.weight;
     if slack.is_zero() {
-        return Decision::Place;
+        // One that is not rejected again can wait for a plan that harms little.
+        let last_limit = match bounds.is_last_chance {
+            true => harm_limit,
+            false => need.value,
+        };
+        if plan.loss_to_others <= last_limit || disconnect_slack.is_zero() {
+            return Decision::Place;
+        }
+        return wait(disconnect_slack, Reason::Late);
     }
-    let harm_limit = HARM_SHARE * TIMELY_SHARE * need.value / bounds.weight;
     // While the load rises, each plan is worse than the one before, for the request or for others.
     let is_improving = bounds.harm_loss.is_none_or(|it| plan.loss < it);
     if plan.loss_to_others > harm_limit && is_improving {
--- a/crates/admission/tests/decision.rs
+++ b/crates/admission/tests/decision.rs
@@ -121,6 +121,31 @@
     assert_eq!(decide_after(1.7), Decision::Place);
 }
 
+/// Long prompts were placed at the end of their wait although others lost more than they are worth.
+#[test]
+fn decide_harm_beyond_its_value_waits_as_late() {
+    let mut plan = plan(600);
+    plan.loss_to_others = 2.1;
+    check(&plan, 0, wait(3_100, Reason::Late));
+    plan.first_token = millis(3_800);
+    check(&plan, 0, Decision::Place);
+}
+
+/// Long prompts that came back were placed at once although others lost more than they are worth.
+#[test]
+fn decide_in_time_that_was_returned_waits_for_little_harm() {
+    let mut plan = plan(600);
+    let bounds = Bounds {
+        is_last_chance: true,
+        ..bounds()
+    };
+    plan.loss_to_others = 0.2;
+    let decide_returned = |plan: &Plan| decide(NOW, &need(), plan, Ahead::default(), bounds);
+    assert_eq!(decide_returned(&plan), wait(3_100, Reason::Late));
+    plan.loss_to_others = 0.1;
+    assert_eq!(decide_returned(&plan), Decision::Place);
+}
+
 fn late(loss_to_others: f64, first_token_ms: u64) -> Plan {
     Plan {
         timeliness: Timeliness::Late,
