Yield after each read of a connection that always has more

What callers saw: beside a server that sends comments without end, calls to a healthy plain server got 503 or 504 after 4.6 s to 7 s, with a time limit of 4 s, or nothing in time (endless_comments_are_closed, 5 of 18 runs beside 8 busy shell loops on, all at a load of 28 to 78; 0 of 20 without the loops, at a load of 17 to 27).

Cause: a turn of a connection was 17 reads of 16 KiB, and what is read is split into events in the same turn: up to 93,000 comments. In the log of a failed run, 12 streams ended at their limit one after the other, 280 to 600 ms apart, and the watchdog of the call, which checks every 100 ms, ran for the first time after 5,492 ms. The single thread took a turn of each stream before any other task.

Change: a turn is one read. fill_more_to_read_yields_after_each_read fails before (65,536 bytes in a turn, all there was) and passes now.

The throughput of fast streams was not measured.

--- a/crates/h1/src/stream.rs
+++ b/crates/h1/src/stream.rs
@@ -23,8 +23,9 @@
 
 /// The number of bytes requested in each read.
 const READ_SIZE: usize = 16 * 1024;
-/// The number of reads after which a connection that always has more to read yields to other tasks.
-const READS_PER_TURN: u32 = 16;
+/// The number of reads after which a connection that always has more to read yields to other tasks. What is
+/// read in a turn is also processed in it, and a read may hold thousands of the shortest events.
+const READS_PER_TURN: u32 = 1;
 /// The number of bytes that the kernel keeps beyond those that the peer has room for. It would otherwise
 /// keep up to 4 MiB for a peer that reads slowly.
 const UNSENT_LIMIT: u32 = 64 * 1024;
@@ -171,6 +172,7 @@
         if self.reads > READS_PER_TURN {
             self.reads = 0;
             futures_lite::future::yield_now().await;
+            self.reads = 1;
         }
         loop {
             match self.read_ready() {
