Keep trying to resume a stream while no other instance takes it

What callers saw: a stream that had begun, at an instance that lost all servers, ended early when the other instances refused it for a moment, for instance because all engines asked for a pause.

Cause: a peer's refusal of a resumed stream (503) was taken for a broken answer, which used up the attempts, and with no peer left the stream was refused, although nothing can be refused once it has begun. Found while reading the relays of a service, which would have done the same for a stream at an instance that is not isolated.

Ruled out: that a refusal of a peer stands for a request that ran. Instances answer 408, 421, 429 and 503 only if it did not.

--- a/crates/gateway/src/reception.rs
+++ b/crates/gateway/src/reception.rs
@@ -29,6 +29,7 @@
 use crate::outcome::Outcome;
 use crate::port::Verdict;
 use crate::reachability;
+use crate::refusal;
 use crate::registration::Registration;
 use crate::relay::Answer;
 use crate::relay::State;
@@ -129,6 +130,10 @@
         matches!(self, Self::Server(..)) && exchange.last_event.is_none()
     }
 
+    fn is_peer(self) -> bool {
+        matches!(self, Self::Peer(_))
+    }
+
     /// Records that the server is not read until the caller reads, so that its silence shows nothing.
     fn stopped(self) {
         self.progress().set(NEVER_SILENT);
@@ -199,7 +204,9 @@
                 let stream = &mut self.connection.stream;
                 events.relay(node, exchange, stream, answer, source).await
             }
-            Stage::Head | Stage::Whole(_) => self.receive_whole(node, exchange, answer).await,
+            Stage::Head | Stage::Whole(_) => {
+                self.receive_whole(node, exchange, answer, source).await
+            }
         };
         let mut completion = completion?;
         completion.reuse = completion.reuse.filter(|_| self.writing.is_finished());
@@ -320,6 +327,7 @@
         node: &Rc<Node>,
         exchange: &mut Exchange,
         answer: &Answer,
+        source: Source<'_>,
     ) -> Result<Completion, Error> {
         if let Stage::Whole(whole) = &mut self.stage {
             exchange.ending.framing = Some(whole.response.framing);
@@ -346,12 +354,16 @@
         } = *whole;
         let reuse = Reuse::of(&response);
         let outcome = match verdict {
-            Verdict::Ran if answer.state() != State::NotBegun => {
+            Verdict::Ran if answer.state() == State::NotBegun => Outcome::Answered(response, body),
+            // Another entry can't take the stream now.
+            Verdict::Ran if source.is_peer() && refusal::promises_not_run(response.status) => {
+                Outcome::NotRun
+            }
+            Verdict::Ran => {
                 return Err(Error::Malformed(
                     "the server answered a resumed request without a stream",
                 ));
             }
-            Verdict::Ran => Outcome::Answered(response, body),
             Verdict::NotRun { helper_address } => {
                 if let Some(address) = helper_address {
                     checkup::start_at(node, address);
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use admission::RetryTime;
+use rand::RngExt;
 
 /// The retry time while no configuration is loaded: about the time that the first read takes after
 /// a restart.
@@ -114,3 +115,8 @@
 pub fn promises_not_run(status: u16) -> bool {
     matches!(status, 408 | 421 | 429 | 503)
 }
+
+/// Draws the delay after which a caller may retry.
+pub fn draw_delay(time: Option<RetryTime>) -> Option<Duration> {
+    time.map(|it| it.delay(rand::rng().random()))
+}
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -3,7 +3,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use admission::RetryTime;
 use async_io::Timer;
 use cost::Extent;
 use domain::Moment;
@@ -12,7 +11,6 @@
 use h1::Response;
 use h1::Stream;
 use placement::Server;
-use rand::RngExt;
 use web::stream::within;
 
 use crate::Node;
@@ -99,7 +97,7 @@
     let mut exchange = match admitted {
         Ok(exchange) => exchange,
         Err((refusal, meta)) => {
-            let retry_after = draw_delay(refusal.retry_time());
+            let retry_after = refusal::draw_delay(refusal.retry_time());
             return refuse(node, answer, refusal, retry_after, &meta, "", arrived).await;
         }
     };
@@ -166,7 +164,7 @@
             Some(End::Attempted(Err(refusal))) => {
                 let refusal = proxy::refusal_for(self.requester, refusal);
                 if answer.state() == State::NotBegun {
-                    let retry_after = draw_delay(self.retry_time(node, refusal));
+                    let retry_after = refusal::draw_delay(self.retry_time(node, refusal));
                     if let Some(delay) = retry_after {
                         let digest = self.fingerprint.request;
                         rejections::record(node, clock::now(), digest, delay);
@@ -228,7 +226,7 @@
             Some(_) => Refusal::Failed,
             None => refusal,
         };
-        let retry_after = draw_delay(refusal.retry_time());
+        let retry_after = refusal::draw_delay(refusal.retry_time());
         let (metadata, route) = (&self.metadata, &self.route.name);
         let arrived = self.arrived;
         refuse(node, answer, refusal, retry_after, metadata, route, arrived).await
@@ -299,6 +297,10 @@
         if node.isolation.is_set() {
             match proxy::run(node, self, answer).await {
                 proxy::Outcome::Ended(outcome) => return Step::Ended(Ok(outcome)),
+                proxy::Outcome::Refused(Refusal::NoServer) if answer.state() == State::Begun => {
+                    Timer::after(ROOM_CHECK_INTERVAL).await;
+                    return Step::Next;
+                }
                 proxy::Outcome::Refused(refusal) => {
                     return Step::Ended(self.give_up(answer, failure.take(), refusal).await);
                 }
@@ -467,11 +469,6 @@
     }
 }
 
-/// Draws the delay after which a caller may retry.
-fn draw_delay(time: Option<RetryTime>) -> Option<Duration> {
-    time.map(|it| it.delay(rand::rng().random()))
-}
-
 async fn refuse(
     node: &Node,
     answer: Answer,
