--- a/crates/h1/tests/stream.rs
+++ b/crates/h1/tests/stream.rs
@@ -9,6 +9,7 @@
 use async_io::Async;
 use futures_lite::future;
 use h1::Stream;
+use socket2::SockRef;
 
 /// The most that is read in a turn, in bytes.
 const TURN_LIMIT: usize = 16 * 1024;
@@ -44,3 +45,20 @@
     }
     assert!(turns >= WAITING / TURN_LIMIT);
 }
+
+/// Guards against an idle connection whose peer is gone and that is kept longer by the number of its probes.
+#[test]
+fn new_probes_end_with_the_timeout() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let peer = TcpStream::connect(listener.local_addr().expect("an address"));
+    let socket = peer.expect("a connection");
+    let options = socket.try_clone().expect("the same socket");
+    let timeout = Duration::from_secs(4);
+    let _stream = Stream::new(Async::new(socket).expect("a socket"), timeout).expect("a stream");
+    let options = SockRef::from(&options);
+    assert_eq!(options.tcp_user_timeout().expect("a time"), Some(timeout));
+    let idle = options.tcp_keepalive_time().expect("a time");
+    let interval = options.tcp_keepalive_interval().expect("a time");
+    let probes = options.tcp_keepalive_retries().expect("a number");
+    assert_eq!(idle + probes * interval, timeout);
+}
