--- a/crates/h1/src/stream.rs
+++ b/crates/h1/src/stream.rs
@@ -132,7 +132,8 @@
         let interval = ack_timeout / PROBE_INTERVALS;
         let keepalive = TcpKeepalive::new()
             .with_time(interval)
-            .with_interval(interval);
+            .with_interval(interval)
+            .with_retries(PROBE_INTERVALS - 1);
         options.set_tcp_keepalive(&keepalive)?;
         Ok(Self {
             socket: Rc::new(socket),
