Look up whether a retry is left in one place

The watchdog and the relays asked the retry budget with the same lines, and two methods of Exchange began with the same condition. No change of behaviour.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -211,19 +211,12 @@
 
     /// Returns whether the request may be retried, without taking a retry from the budget.
     pub fn may_retry(&self, node: &Node) -> bool {
-        if self.attempts >= self.route.attempts || !self.can_resume {
-            return false;
-        }
-        let policy = node.settings().retry_budget;
-        let now = clock::now();
-        let mut state = node.state.borrow_mut();
-        let (budget, entries) = state.retry_budget(now, &policy, &self.service.name);
-        budget.has_left(now, &policy, entries)
+        self.has_attempt_left() && node.has_retry(clock::now(), &self.service.name)
     }
 
     /// Returns whether the request may be retried, and takes one retry from the budget if so.
     pub fn take_retry(&self, node: &Node) -> bool {
-        if self.attempts >= self.route.attempts || !self.can_resume {
+        if !self.has_attempt_left() {
             return false;
         }
         let policy = node.settings().retry_budget;
@@ -239,6 +232,11 @@
         is_allowed
     }
 
+    /// Returns whether its route and what the caller has received allow another attempt.
+    fn has_attempt_left(&self) -> bool {
+        self.attempts < self.route.attempts && self.can_resume
+    }
+
     /// Returns what decides on the cost of the request; `None` if that can't be told: a request without a
     /// prompt on an engine.
     pub fn cost_request(&self) -> Option<cost::Request<'_>> {
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -245,6 +245,14 @@
         }
     }
 
+    /// Returns whether the retry budget of a service permits a retry.
+    pub fn has_retry(&self, now: Moment, service: &str) -> bool {
+        let policy = self.settings().retry_budget;
+        let mut state = self.state.borrow_mut();
+        let (budget, entries) = state.retry_budget(now, &policy, service);
+        budget.has_left(now, &policy, entries)
+    }
+
     /// Signals that a request waits, or that the workload has changed, so that waiting requests are
     /// planned again soon. Costs little while none waits.
     pub fn notify_waiting(&self) {
--- a/crates/gateway/src/watchdog.rs
+++ b/crates/gateway/src/watchdog.rs
@@ -113,7 +113,7 @@
             });
             let is_silent = silence > limit;
             let is_over = is_silent || stall.as_ref().is_some_and(Stall::is_due);
-            if !is_over || !self.has_retry(node, now) {
+            if !is_over || !node.has_retry(now, &self.service) {
                 continue;
             }
             if let Some(stall) = stall.filter(|_| !hears_nothing) {
@@ -204,11 +204,4 @@
         let backlog_ms = queue.map_or(0.0, |it| it.backlog_ms(now, Timeliness::Late));
         ENGINE_SILENCE + first + Duration::from_secs_f64(backlog_ms * FORECAST_FACTOR / 1e3)
     }
-
-    fn has_retry(&self, node: &Node, now: Moment) -> bool {
-        let policy = node.settings().retry_budget;
-        let mut state = node.state.borrow_mut();
-        let (budget, entries) = state.retry_budget(now, &policy, &self.service);
-        budget.has_left(now, &policy, entries)
-    }
 }
