--- a/crates/gateway/src/checkup.rs
+++ b/crates/gateway/src/checkup.rs
@@ -20,9 +20,6 @@
 use crate::dial;
 use crate::reachability;
 
-/// The time for which a server may answer nothing before it is excluded. A healthy one may be silent for 2 s.
-/// Meanwhile its circuit breaker keeps further parts away.
-const CHECK_TIME: Duration = Duration::from_secs(2);
 /// The interval between two queries of a check.
 const CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -61,7 +58,8 @@
 }
 
 async fn check(node: Rc<Node>, server: Rc<Server>) {
-    let deadline = clock::now() + CHECK_TIME;
+    // Meanwhile, its circuit breaker keeps further parts away.
+    let deadline = clock::now() + dial::HEALTHY_SILENCE;
     let answered = loop {
         let answered = within(dial::CONNECT_TIMEOUT, query(&node, &server)).await;
         if is_conclusive(answered.as_ref()) || clock::now() >= deadline {
--- a/crates/gateway/src/crash.rs
+++ b/crates/gateway/src/crash.rs
@@ -29,14 +29,11 @@
 const FIRST_CHECK_DELAY: Duration = Duration::from_millis(50);
 /// The interval between two checks of a server that does not respond.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
-/// The time for which a server may not respond before it counts as crashed. A healthy one may be silent for 2 s.
-const SILENCE_LIMIT: Duration = Duration::from_secs(2);
 /// A server that crashes under a request does so at the beginning of the answer. If it has sent more
 /// events than this, the request is not a suspect.
 const BEGINNING_EVENTS: u64 = 2;
 /// The number of entries that get a summary of the suspects at a time.
 const SUMMARY_PEERS: usize = 3;
-
 /// The longest wait for the check of whether a server has crashed, before a retry. A crashed server
 /// refuses connections at the first try.
 const CRASH_CHECK_WAIT: Duration = Duration::from_millis(100);
@@ -163,7 +160,7 @@
 }
 
 async fn probe(address: SocketAddr) -> Listener {
-    let deadline = clock::now() + SILENCE_LIMIT;
+    let deadline = clock::now() + dial::HEALTHY_SILENCE;
     Timer::after(FIRST_CHECK_DELAY).await;
     loop {
         let connect = Stream::connect(address, dial::ACK_TIMEOUT);
--- a/crates/gateway/src/dial.rs
+++ b/crates/gateway/src/dial.rs
@@ -21,6 +21,8 @@
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// The time after which a connection fails if the server acknowledges nothing.
 pub const ACK_TIMEOUT: Duration = h1::stream::SHORTEST_ACK_TIMEOUT;
+/// The time for which a healthy server may be silent. One that has not answered for longer is gone.
+pub const HEALTHY_SILENCE: Duration = Duration::from_secs(2);
 /// The memory that the kernel uses for what a server sent and was not read yet, in bytes. This is the
 /// kernel's initial size; it would grow with the server's rate.
 pub const RECEIVED_LIMIT: usize = 128 * 1024;
--- a/crates/gateway/src/reception.rs
+++ b/crates/gateway/src/reception.rs
@@ -309,7 +309,7 @@
         response: &Response,
         source: Source<'_>,
     ) -> Result<(), Error> {
-        let may_be_earlier = self.connection.is_reused && matches!(source, Source::Server(..));
+        let may_be_earlier = self.connection.is_reused && !source.is_peer();
         let expected = exchange.metadata.id.as_deref();
         match (expected, node.protocol.response_id(response)) {
             (Some(expected), Some(found)) if expected != found => Err(Error::Malformed(
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -14,6 +14,7 @@
 use async_executor::LocalExecutor;
 use async_io::Async;
 use async_io::Timer;
+use domain::Moment;
 
 use crate::Decoder;
 use crate::Node;
@@ -211,13 +212,15 @@
         accept.cancel().await;
     }
     node.close_callers();
-    while node.running_requests.get() > 0 && clock::now() < deadline {
-        Timer::after(SIGNAL_CHECK_INTERVAL).await;
-    }
+    wait_for_requests(node, deadline, SIGNAL_CHECK_INTERVAL).await;
     node.ending.set();
-    let end = clock::now() + ANSWER_TIME;
+    wait_for_requests(node, clock::now() + ANSWER_TIME, END_CHECK_INTERVAL).await;
+    log::info!(target: "run", busy = node.running_requests.get(); "stopped");
+}
+
+/// Completes once no request is in progress, at `end` at the latest.
+async fn wait_for_requests(node: &Node, end: Moment, interval: Duration) {
     while node.running_requests.get() > 0 && clock::now() < end {
-        Timer::after(END_CHECK_INTERVAL).await;
+        Timer::after(interval).await;
     }
-    log::info!(target: "run", busy = node.running_requests.get(); "stopped");
 }
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -37,7 +37,7 @@
 
 /// Bytes of a pipelined request that are buffered while the current one is being answered.
 const PIPELINE_LIMIT: usize = 64 * 1024;
-/// The delay after a reservation of engine memory was refused. Several requests end within it.
+/// The delay before another attempt if none can be made now. Several requests end within it.
 const ROOM_CHECK_INTERVAL: Duration = Duration::from_millis(80);
 /// The number of servers that a stream which has begun may be sent to before the request fails.
 const RESUME_LIMIT: usize = 5;
@@ -68,6 +68,12 @@
     Silent(Box<Attempt<'a>>),
 }
 
+/// Returns the step to another attempt, after a pause.
+async fn next_after_pause<'a>() -> Step<'a> {
+    Timer::after(ROOM_CHECK_INTERVAL).await;
+    Step::Next
+}
+
 /// Serves one request and returns whether the caller's connection stays open.
 pub async fn run(
     node: &Rc<Node>,
@@ -298,8 +304,7 @@
             match proxy::run(node, self, answer).await {
                 proxy::Outcome::Ended(outcome) => return Step::Ended(Ok(outcome)),
                 proxy::Outcome::Refused(Refusal::NoServer) if answer.state() == State::Begun => {
-                    Timer::after(ROOM_CHECK_INTERVAL).await;
-                    return Step::Next;
+                    return next_after_pause().await;
                 }
                 proxy::Outcome::Refused(refusal) => {
                     return Step::Ended(self.give_up(answer, failure.take(), refusal).await);
@@ -347,8 +352,7 @@
             _ => false,
         };
         if is_waiting {
-            Timer::after(ROOM_CHECK_INTERVAL).await;
-            return Step::Next;
+            return next_after_pause().await;
         }
         Step::Ended(self.give_up(answer, failure.take(), refusal).await)
     }
@@ -402,8 +406,7 @@
             Outcome::NoRoom => {
                 let is_begun = answer.state() == State::Begun;
                 if is_begun || self.may_wait_for_room() || reachability::is_isolated(node).await {
-                    Timer::after(ROOM_CHECK_INTERVAL).await;
-                    return Step::Next;
+                    return next_after_pause().await;
                 }
                 Refusal::NoRoom
             }
@@ -420,8 +423,7 @@
                 }
                 if answer.state() == State::Begun {
                     // Nothing can be refused any more. The caller waits as long as it is worth it.
-                    Timer::after(ROOM_CHECK_INTERVAL).await;
-                    return Step::Next;
+                    return next_after_pause().await;
                 }
                 Refusal::NoServer
             }
--- a/crates/h1/src/stream.rs
+++ b/crates/h1/src/stream.rs
@@ -23,9 +23,6 @@
 
 /// The number of bytes requested in each read.
 const READ_SIZE: usize = 16 * 1024;
-/// The number of reads after which a connection that always has more to read yields to other tasks. What is
-/// read in a turn is also processed in it, and a read may hold thousands of the shortest events.
-const READS_PER_TURN: u32 = 1;
 /// The number of bytes that the kernel keeps beyond those that the peer has room for. It would otherwise
 /// keep up to 4 MiB for a peer that reads slowly.
 const UNSENT_LIMIT: u32 = 64 * 1024;
@@ -54,8 +51,8 @@
     /// The time after which the connection fails if the peer acknowledges nothing.
     ack_timeout: Rc<Cell<Duration>>,
     buffer: Vec<u8>,
-    /// The number of reads since other tasks could run.
-    reads: u32,
+    /// Whether there was a read since other tasks could run.
+    has_read: bool,
 }
 
 /// The writing side of a connection.
@@ -139,7 +136,7 @@
             socket: Rc::new(socket),
             ack_timeout: Rc::new(Cell::new(ack_timeout)),
             buffer: Vec::new(),
-            reads: 0,
+            has_read: false,
         })
     }
 
@@ -169,16 +166,16 @@
     /// Reads more bytes into the buffer. Returns the number of bytes, which is 0 at the end of the
     /// connection. No byte is lost if the future is dropped before it completes.
     pub async fn fill(&mut self) -> Result<usize, Error> {
-        self.reads += 1;
-        if self.reads > READS_PER_TURN {
-            self.reads = 0;
+        if self.has_read {
+            // What is read is processed before the next read, and a read may hold thousands of the shortest events.
+            self.has_read = false;
             futures_lite::future::yield_now().await;
-            self.reads = 1;
         }
+        self.has_read = true;
         loop {
             match self.read_ready() {
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
-                    self.reads = 0;
+                    self.has_read = false;
                     self.socket.readable().await?;
                 }
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
