--- a/review/standin.rs
+++ b/review/standin.rs
@@ -921,9 +921,10 @@
         for (index, node) in rig.nodes.iter().enumerate() {
             let (name, ip) = (&node.name, &node.ip);
             write_settings(&node.settings, name, ip, machines, node.ports, moved.address)?;
-            // The last machine's file changes without a signal.
-            if index + 1 < rig.nodes.len() {
+            // The files of the others change without a signal.
+            if index == 0 {
                 node.signal("HUP")?;
+                record.line(format!("SIGHUP to {name}"));
             }
         }
         record.line(format!("the settings name the store at {}, no longer {}", moved.address, rig.store.address));
