--- a/review/standin.rs
+++ b/review/standin.rs
@@ -854,6 +854,7 @@
     match case {
         "upload" => upload(record),
         "move" => store_moves(record),
+        "garble" => garbled_answers(record),
         _ => Err("no such case".to_owned()),
     }
 }
@@ -953,3 +954,86 @@
     }
     Ok(is_broken)
 }
+
+/// One runner of three hands out wrong bytes for 5.5 s: in each sixtieth answer, one bit of the name of the field with
+/// the MAC is wrong.
+fn garbled_answers(record: &Record) -> Result<bool> {
+    let rig = Rig::start(record.clone(), 3, &config(1, &format!("\"{KEY}\"")))?;
+    let is_garbling = Arc::new(AtomicU64::new(0));
+    let garbled = Arc::new(Mutex::new(Vec::new()));
+    for index in 0..3 {
+        let (is_garbling, garbled) = (is_garbling.clone(), garbled.clone());
+        let count = AtomicU64::new(0);
+        let id = format!("i-{index}");
+        Runner::start(record, &rig.store, &rig.ips[100 + index], &id, "app", move |runner, request, stream| {
+            thread::sleep(ms(20));
+            let is_faulty = index == 0 && is_garbling.load(Ordering::Relaxed) == 1;
+            if is_faulty && count.fetch_add(1, Ordering::Relaxed) % 60 == 20 {
+                let id = request.header("X-Request-Id").unwrap_or("-").to_owned();
+                runner.record.line(format!("runner {} spoils a byte of its answer to {id}", runner.id));
+                let headers = format!("X-Request-Id: {id}\r\nY-Server-Stamp: {}.{id}\r\n", runner.id);
+                let body = format!("answer to {id}");
+                garbled.lock().unwrap().push(id);
+                return respond(stream, "200 OK", &headers, body.as_bytes());
+            }
+            answer_whole(runner, request, stream)
+        })?;
+    }
+    rig.wait_until_ready()?;
+    thread::sleep(ms(3_500));
+    is_garbling.store(u64::from(rig.has_trouble), Ordering::Relaxed);
+    record.line("consumers begin to send");
+    let wrong = Mutex::new(0);
+    let end = Instant::now() + ms(5_500);
+    thread::scope(|scope| {
+        for consumer in 0..12 {
+            let (rig, wrong) = (&rig, &wrong);
+            scope.spawn(move || {
+                let front = rig.nodes[consumer % rig.nodes.len()].front;
+                let Ok(mut stream) = connect(front) else {
+                    return;
+                };
+                while Instant::now() < end {
+                    let id = rig.id();
+                    let (method, path) = [("POST", "/book/"), ("GET", "/look/")][consumer / 3 % 2];
+                    let length = if method == "POST" { "Content-Length: 4\r\n" } else { "" };
+                    let body = if method == "POST" { "seat" } else { "" };
+                    let request = format!(
+                        "{method} {path}2f HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: {id}\r\n\
+                         X-Deadline-Ms: 3000\r\nAuthorization: Bearer {KEY}\r\n{length}\r\n{body}"
+                    );
+                    let mut answer = Answer::default();
+                    if stream.write_all(request.as_bytes()).is_ok() {
+                        answer = read_answer(&mut stream);
+                    }
+                    let is_success = (200..300).contains(&answer.status) && answer.is_complete;
+                    if is_success && answer.header("X-Server-Stamp").is_none() {
+                        *wrong.lock().unwrap() += 1;
+                        let body = String::from_utf8_lossy(&answer.body).into_owned();
+                        record.line(format!(
+                            "the consumer of {id} ({method} {path}) gets {}, without X-Server-Stamp, with the body {body:?}",
+                            answer.text()
+                        ));
+                    } else if !is_success {
+                        record.line(format!("the consumer of {id} ({method} {path}) gets {}", answer.text()));
+                    }
+                    let closes = answer.header("Connection").is_some();
+                    if !answer.is_complete || closes {
+                        match connect(front) {
+                            Ok(anew) => stream = anew,
+                            Err(_) => return,
+                        }
+                    }
+                    thread::sleep(ms(60));
+                }
+            });
+        }
+    });
+    let sent = rig.next_id.load(Ordering::Relaxed) - 1;
+    let (garbled, wrong) = (garbled.lock().unwrap().len(), *wrong.lock().unwrap());
+    record.line(format!("{sent} requests, {garbled} answers with a wrong byte, {wrong} successes without X-Server-Stamp"));
+    if rig.has_trouble && garbled == 0 {
+        return Err("no answer was garbled".to_owned());
+    }
+    Ok(wrong > 0)
+}
