--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -5,7 +5,7 @@
 folder=$(cd "$(dirname "$0")" && pwd)
 cd "$folder/../.." || exit 2
 [ -x target/review/standin ] && [ -x target/release/coriander-node ] || exit 2
-timeout -k 5 110 target/review/standin upload "$folder/record.txt"
+timeout -k 5 110 target/review/standin ids "$folder/record.txt"
 code=$?
 [ "$code" -le 2 ] || code=2
 exit "$code"
--- a/review/standin.rs
+++ b/review/standin.rs
@@ -757,6 +757,16 @@
 
 impl Rig {
     fn start(record: Record, count: usize, config: &str) -> Result<Self> {
+        Self::start_at(record, count, config, |store, _| Ok(store.address))
+    }
+
+    /// The same with an address of the store that `choose` returns, for which it gets a free loopback address.
+    fn start_at(
+        record: Record,
+        count: usize,
+        config: &str,
+        choose: impl FnOnce(&Store, &str) -> Result<SocketAddr>,
+    ) -> Result<Self> {
         let pid = std::process::id();
         let folder = std::env::temp_dir().join(format!("review-{pid}"));
         std::fs::create_dir_all(&folder).map_err(|it| it.to_string())?;
@@ -766,7 +776,8 @@
         store.put("keyed.op", "config", config);
         let ports = Ports::choose(&ips[0])?;
         let machines = &ips[..count];
-        let nodes = (0..count).map(|it| Node::start(&folder, it, machines, ports, store.address));
+        let address = choose(&store, &ips[211])?;
+        let nodes = (0..count).map(|it| Node::start(&folder, it, machines, ports, address));
         let nodes: Result<Vec<Node>> = nodes.collect();
         let has_trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
         record.line(format!("{count} processes of the system started; trouble: {has_trouble}"));
@@ -856,6 +867,7 @@
         "move" => store_moves(record),
         "garble" => garbled_answers(record),
         "ids" => garbled_ids(record),
+        "silent" => silent_connections(record),
         _ => Err("no such case".to_owned()),
     }
 }
@@ -1126,3 +1138,112 @@
     }
     Ok(wrong > 0)
 }
+
+/// A proxy whose open connections can fall silent for good, while new ones work.
+struct Proxy {
+    address: SocketAddr,
+    /// The connections with lower numbers are silent.
+    silent_below: Arc<AtomicU64>,
+    count: Arc<AtomicU64>,
+}
+
+impl Proxy {
+    fn start(ip: &str, to: SocketAddr) -> Result<Self> {
+        let listener = listen(ip)?;
+        let address = listener.local_addr().map_err(|it| it.to_string())?;
+        let silent_below = Arc::new(AtomicU64::new(0));
+        let count = Arc::new(AtomicU64::new(0));
+        let (silent, numbers) = (silent_below.clone(), count.clone());
+        serve(listener, move |near| {
+            let number = numbers.fetch_add(1, Ordering::Relaxed);
+            let Ok(far) = TcpStream::connect(to) else {
+                return;
+            };
+            let (Ok(near_again), Ok(far_again)) = (near.try_clone(), far.try_clone()) else {
+                return;
+            };
+            let silent_again = silent.clone();
+            thread::spawn(move || forward(far_again, near_again, number, &silent_again));
+            forward(near, far, number, &silent);
+        });
+        Ok(Self {
+            address,
+            silent_below,
+            count,
+        })
+    }
+
+    /// Silences the connections that are open, and returns how many were opened so far.
+    fn silence(&self) -> u64 {
+        let count = self.count.load(Ordering::Relaxed);
+        self.silent_below.store(count, Ordering::Relaxed);
+        count
+    }
+}
+
+/// Forwards what one side sends. Discards it once the connection is silent.
+fn forward(mut from: TcpStream, mut to: TcpStream, number: u64, silent_below: &AtomicU64) {
+    let mut bytes = [0; 16 * 1024];
+    let is_silent = || number < silent_below.load(Ordering::Relaxed);
+    while let Ok(length) = from.read(&mut bytes) {
+        if length == 0 {
+            break;
+        }
+        if !is_silent() && to.write_all(&bytes[..length]).is_err() {
+            break;
+        }
+    }
+    if !is_silent() {
+        let _ = to.shutdown(Shutdown::Both);
+    }
+}
+
+/// The open connections of all machines to the store fall silent, then a key is withdrawn.
+fn silent_connections(record: &Record) -> Result<bool> {
+    let both = format!("\"{KEY}\",\"{OTHER_KEY}\"");
+    let mut proxy = None;
+    let rig = Rig::start_at(record.clone(), 3, &config(1, &both), |store, ip| {
+        let started = Proxy::start(ip, store.address)?;
+        let address = started.address;
+        proxy = Some(started);
+        Ok(address)
+    })?;
+    let proxy = proxy.ok_or("no proxy")?;
+    let _runner = Runner::start(record, &rig.store, &rig.ips[100], "i-app", "app", answer_whole)?;
+    rig.wait_until_ready()?;
+    thread::sleep(ms(5_000));
+    rig.store.put("keyed.op", "config", &config(2, &both));
+    record.line("the store has acknowledged version 2");
+    thread::sleep(ms(1_000));
+    if rig.has_trouble {
+        let count = proxy.silence();
+        record.line(format!("the open connections to the store fall silent, of {count} that were opened; new ones work"));
+    }
+    thread::sleep(ms(1_000));
+    rig.store.put("keyed.op", "config", &config(3, &format!("\"{KEY}\"")));
+    record.line("the store has acknowledged version 3, which withdraws a key");
+    let acknowledged = Instant::now();
+    thread::sleep(ms(3_500));
+    let mut is_broken = false;
+    for _ in 0..6 {
+        for node in &rig.nodes {
+            let id = rig.id();
+            let elapsed = acknowledged.elapsed().as_secs_f64();
+            let answer = ask(
+                node.front,
+                &format!(
+                    "GET /look/2f HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: {id}\r\nX-Deadline-Ms: 3000\r\n\
+                     Authorization: Bearer {OTHER_KEY}\r\n\r\n"
+                ),
+            );
+            record.line(format!(
+                "{id} with the withdrawn key, sent to {} {elapsed:.1} s after the acknowledgement: {}",
+                node.name,
+                answer.text()
+            ));
+            is_broken |= answer.status == 200;
+        }
+        thread::sleep(ms(1_000));
+    }
+    Ok(is_broken)
+}
