--- a/review/standin.rs
+++ b/review/standin.rs
@@ -13,6 +13,7 @@
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::net::TcpStream;
+use std::os::unix::process::CommandExt;
 use std::path::PathBuf;
 use std::process::Child;
 use std::process::Command;
@@ -579,6 +580,18 @@
     TcpListener::bind((ip, 0)).map_err(|error| format!("can't listen on {ip}: {error}"))
 }
 
+const SIGHUP: i32 = 1;
+const SIGKILL: u64 = 9;
+const SIGTERM: i32 = 15;
+const PR_SET_PDEATHSIG: i32 = 1;
+
+unsafe extern "C" {
+    /// Sends a signal to a process.
+    fn kill(pid: i32, signal: i32) -> i32;
+    /// Sets an attribute of the calling process.
+    fn prctl(option: i32, ...) -> i32;
+}
+
 /// A process of the system on its own loopback address.
 pub struct Node {
     pub name: String,
@@ -630,7 +643,15 @@
         write_settings(&settings, &name, &ip, ips, ports, store)?;
         let log = File::create(folder.join(format!("{name}.log"))).map_err(|it| it.to_string())?;
         let address = |port: u16| format!("{ip}:{port}").parse::<SocketAddr>().unwrap();
-        let child = Command::new("target/release/coriander-node")
+        let mut command = Command::new("target/release/coriander-node");
+        // Sound: the call allocates nothing between fork and exec. The process ends if this one is ended.
+        unsafe {
+            command.pre_exec(|| {
+                prctl(PR_SET_PDEATHSIG, SIGKILL);
+                Ok(())
+            });
+        }
+        let child = command
             .env_clear()
             .env("CORIANDERARCH_NODE_FILE", &settings)
             .stdin(Stdio::null())
@@ -650,20 +671,14 @@
         })
     }
 
-    fn signal(&self, name: &str) -> Result<()> {
-        let status = Command::new("kill")
-            .args([&format!("-{name}"), &self.child.id().to_string()])
-            .status();
-        match status {
-            Ok(status) if status.success() => Ok(()),
-            _ => Err(format!("can't send {name} to {}", self.name)),
+    fn signal(&self, signal: i32) -> Result<()> {
+        // Sound: the call takes no pointers, and the process has not been waited for.
+        match unsafe { kill(self.child.id() as i32, signal) } {
+            0 => Ok(()),
+            _ => Err(format!("can't send signal {signal} to {}", self.name)),
         }
     }
 
-    fn is_running(&mut self) -> bool {
-        matches!(self.child.try_wait(), Ok(None))
-    }
-
     fn is_ready(&self) -> bool {
         ask(self.ready, "GET /api/readyz HTTP/1.1\r\nHost: ready\r\n\r\n").status == 200
     }
@@ -893,7 +908,7 @@
         return Err("the directory does not name the machine".to_owned());
     }
     if rig.has_trouble {
-        node.signal("TERM")?;
+        node.signal(SIGTERM)?;
         record.line(format!("SIGTERM to {}", node.name));
     }
     let stopped = Instant::now();
@@ -937,7 +952,7 @@
             write_settings(&node.settings, name, ip, machines, node.ports, moved.address)?;
             // The files of the others change without a signal.
             if index == 0 {
-                node.signal("HUP")?;
+                node.signal(SIGHUP)?;
                 record.line(format!("SIGHUP to {name}"));
             }
         }
