--- a/review/standin.rs
+++ b/review/standin.rs
@@ -1030,6 +1030,7 @@
                         "{method} {path}2f HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: {id}\r\n\
                          X-Deadline-Ms: 3000\r\nAuthorization: Bearer {KEY}\r\n{length}\r\n{body}"
                     );
+                    record.line(format!("a consumer sends {id} ({method} {path}) to {front}"));
                     let mut answer = Answer::default();
                     if stream.write_all(request.as_bytes()).is_ok() {
                         answer = read_answer(&mut stream);
@@ -1042,7 +1043,7 @@
                             "the consumer of {id} ({method} {path}) gets {}, without X-Server-Stamp, with the body {body:?}",
                             answer.text()
                         ));
-                    } else if !is_success {
+                    } else {
                         record.line(format!("the consumer of {id} ({method} {path}) gets {}", answer.text()));
                     }
                     let closes = answer.header("Connection").is_some();
@@ -1128,6 +1129,7 @@
                          X-Token-Count: 1000,700\r\nX-Prompt-Prefix: 5c1e07a2:40,{id}:960\r\nX-Deadline-Ms: 10000\r\n\
                          Authorization: Bearer {KEY}\r\nContent-Length: 6\r\n\r\nprompt"
                     );
+                    record.line(format!("a consumer sends {id} ({path}) to {front}"));
                     let answer = ask(front, &request);
                     let text = String::from_utf8_lossy(&answer.body).into_owned();
                     let count = text.matches("data: piece ").count() as u64;
@@ -1137,8 +1139,8 @@
                             "the consumer of {id} ({path}) gets {}, with {count} of {PIECES} pieces",
                             answer.text()
                         ));
-                    } else if answer.status != 200 || !answer.is_complete {
-                        record.line(format!("the consumer of {id} ({path}) gets {}", answer.text()));
+                    } else {
+                        record.line(format!("the consumer of {id} ({path}) gets {}, with {count} pieces", answer.text()));
                     }
                     thread::sleep(ms(20));
                 }
