Pass on a success only if it carries the server's signature

Such a success doesn't count and must not be repeated. Calls, calls that may not be repeated and streams alike.

Cause: the head of a response was checked for its request id only. `Protocol::verdict` took every response for the server's own that neither says that the request was not run nor comes from another server. Ruled out: that the gateway loses the field; `forward_target_and_body_are_unchanged` finds it in the caller's answer.

Change: the verdict fails for a success without a signature or with a content coding, which no caller asks for. The attempt counts as broken, so it is retried where the route allows it and answered with 502 otherwise. Same cause on a related path: the response of a server that goes on after a silence was not checked before it ended the retry that had replaced it; the two paths share one check now, of the request id too. coriander-entry has no signatures in its interface.

Tests: platform/tests/damaged.rs, 5 tests; on all 5 failed (200 "lost" instead of 200 "done", 502 or the stream), now all pass. The fake servers of repeated_refusals, requests and silence sign their successes now, as servers do; their checks are unchanged.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -176,7 +176,8 @@
     /// Completes once the server goes on, with a whole answer or an event. Fails if its connection ends or fails
     /// before.
     pub async fn heard(&mut self) -> Result<(), Error> {
-        self.reception.answered(self.node).await?;
+        let source = Source::Server(&self.target.server, &self.registration);
+        self.reception.answered(self.node, source).await?;
         self.registration.progress.set(clock::now());
         Ok(())
     }
@@ -262,7 +263,7 @@
         Outcome::Delivered => exchange.ending.event_count > 0,
         Outcome::Answered(response, body) => {
             let is_empty_stream = exchange.route.kind.is_stream() && body.bytes.is_empty();
-            (200..300).contains(&response.status) && !is_empty_stream
+            response.is_success() && !is_empty_stream
         }
         _ => false,
     }
--- a/crates/gateway/src/notice.rs
+++ b/crates/gateway/src/notice.rs
@@ -23,7 +23,7 @@
         Some(per_s) => Some(Statement::Limited(per_s)),
         None => sent_at.map(Statement::Unlimited),
     };
-    let is_own = node.protocol.verdict(response) != Verdict::OtherServer;
+    let is_own = !matches!(node.protocol.verdict(response), Ok(Verdict::OtherServer));
     if let Some(statement) = statement.filter(|_| is_own) {
         record_limit(node, server, statement);
     }
--- a/crates/gateway/src/port.rs
+++ b/crates/gateway/src/port.rs
@@ -137,8 +137,9 @@
     /// this one.
     fn relay(&self, request: &Request, time_left: Duration, last_event: Option<u64>) -> Request;
 
-    /// Reads from a backend server's response whether it ran the request.
-    fn verdict(&self, response: &Response) -> Verdict;
+    /// Reads from a backend server's response whether it ran the request. Fails if the response can't be what the
+    /// server meant to send; the request may have run then.
+    fn verdict(&self, response: &Response) -> Result<Verdict, h1::Error>;
 
     /// Reads from a backend server's response what it says about further work.
     fn notice(&self, response: &Response) -> Notice;
--- a/crates/gateway/src/reception.rs
+++ b/crates/gateway/src/reception.rs
@@ -45,6 +45,8 @@
 pub struct Reception {
     connection: Connection,
     method: String,
+    /// The id of the request, which the response repeats.
+    request_id: Option<String>,
     /// Writes the request. A server may respond before it has read the body. The rest is written
     /// nevertheless, so that the server does not take other bytes for it, and reading the response does not
     /// wait for it.
@@ -180,6 +182,7 @@
         Self {
             connection,
             method: head.method,
+            request_id: exchange.metadata.id.clone(),
             writing,
             expects_stream: exchange.route.kind.is_stream(),
             stage: Stage::Head,
@@ -215,8 +218,8 @@
 
     /// Completes once something has arrived that can be passed on: a whole answer, or an event. Fails if the
     /// connection ends or fails before.
-    pub async fn answered(&mut self, node: &Node) -> Result<(), Error> {
-        while !self.has_answer(node)? {
+    pub async fn answered(&mut self, node: &Node, source: Source<'_>) -> Result<(), Error> {
+        while !self.has_answer(node, source)? {
             if self.connection.stream.fill().await? == 0 && !self.is_whole_at_end() {
                 return Err(Error::Truncated);
             }
@@ -225,7 +228,7 @@
     }
 
     /// Returns whether what has arrived and was not received yet completes the answer or an event.
-    fn has_answer(&self, node: &Node) -> Result<bool, Error> {
+    fn has_answer(&self, node: &Node, source: Source<'_>) -> Result<bool, Error> {
         let bytes = self.connection.stream.buffered();
         if bytes.len() > ANSWER_CHECK_LIMIT {
             return Ok(true);
@@ -235,7 +238,7 @@
                 let Some((response, length)) = Response::parse(bytes, &self.method)? else {
                     return Ok(false);
                 };
-                let verdict = node.protocol.verdict(&response);
+                let verdict = self.check_head(node, &response, source)?;
                 let is_stream = self.is_stream(&response, &verdict);
                 let splitter = is_stream.then(Splitter::default);
                 let decoder = Decoder::new(response.framing);
@@ -277,9 +280,8 @@
             .read_response(&self.method, RESPONSE_HEAD_LIMIT)
             .await?;
         exchange.ending.framing = Some(response.framing);
-        self.check_id(node, exchange, &response, source)?;
+        let verdict = self.check_head(node, &response, source)?;
         source.record_response(node, &response, exchange.sent_at);
-        let verdict = node.protocol.verdict(&response);
         if self.is_stream(&response, &verdict) {
             let events = Events::new(exchange, response, source);
             return Ok(Stage::Events(Box::new(events)));
@@ -300,17 +302,22 @@
         self.expects_stream && is_served && !is_empty
     }
 
-    /// Fails if the response may belong to another request. Without an id, only its place on the connection
-    /// says which request it answers, and a faulty server may repeat an earlier response there.
-    fn check_id(
+    /// Returns whether the request ran. Fails if the response may belong to another request, or is damaged.
+    fn check_head(
         &self,
         node: &Node,
-        exchange: &Exchange,
         response: &Response,
         source: Source<'_>,
-    ) -> Result<(), Error> {
+    ) -> Result<Verdict, Error> {
+        self.check_id(node, response, source)?;
+        node.protocol.verdict(response)
+    }
+
+    /// Fails if the response may belong to another request. Without an id, only its place on the connection
+    /// says which request it answers, and a faulty server may repeat an earlier response there.
+    fn check_id(&self, node: &Node, response: &Response, source: Source<'_>) -> Result<(), Error> {
         let may_be_earlier = self.connection.is_reused && !source.is_peer();
-        let expected = exchange.metadata.id.as_deref();
+        let expected = self.request_id.as_deref();
         match (expected, node.protocol.response_id(response)) {
             (Some(expected), Some(found)) if expected != found => Err(Error::Malformed(
                 "the response carries the id of another request",
--- a/crates/h1/src/head.rs
+++ b/crates/h1/src/head.rs
@@ -150,6 +150,11 @@
         Ok(Some((response, length)))
     }
 
+    /// Returns whether the request was served.
+    pub fn is_success(&self) -> bool {
+        (200..300).contains(&self.status)
+    }
+
     /// Returns whether this is an interim response, after which another head follows for the same
     /// request.
     pub fn is_interim(&self) -> bool {
