Reject responses with a status outside 100 to 599

Cause: the parser takes any three digits for a status. Change: others than those of RFC 9110 make the head malformed, so that the attempt counts as broken.

--- a/crates/h1/src/head.rs
+++ b/crates/h1/src/head.rs
@@ -1,5 +1,6 @@
 //! Parsing and encoding of the heads of requests and responses.
 
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
 use crate::Error;
@@ -8,6 +9,8 @@
 
 /// The status of a server that turns a request away.
 const SERVICE_UNAVAILABLE: u16 = 503;
+/// The statuses of RFC 9110, section 15. Callers could not tell the class of another one.
+const VALID_STATUSES: RangeInclusive<u16> = 100..=599;
 /// The maximum number of header fields of a message.
 const FIELD_LIMIT: usize = 128;
 
@@ -137,6 +140,9 @@
             Err(_) => return Err(Error::Malformed("head")),
         };
         let status = parsed.code.unwrap_or_default();
+        if !VALID_STATUSES.contains(&status) {
+            return Err(Error::Malformed("status"));
+        }
         let headers = copy_fields(parsed.headers);
         let framing = Framing::of_response(method, status, &headers)?;
         let version = parsed.version.unwrap_or_default();
--- a/crates/h1/tests/messages.rs
+++ b/crates/h1/tests/messages.rs
@@ -61,6 +61,24 @@
     assert!(parse("GET / HTTP/1.1\r\nHost : a\r\n\r\n").is_err());
 }
 
+/// Guards against a damaged status that is passed on, such as 000.
+#[test]
+fn response_with_invalid_status_is_rejected() {
+    for (status, is_valid) in [
+        ("000", false),
+        ("020", false),
+        ("099", false),
+        ("100", true),
+        ("599", true),
+        ("600", false),
+        ("999", false),
+    ] {
+        let text = format!("HTTP/1.1 {status} x\r\nContent-Length: 0\r\n\r\n");
+        let parsed = Response::parse(text.as_bytes(), "GET");
+        assert_eq!(parsed.is_ok(), is_valid, "{status}");
+    }
+}
+
 #[test]
 fn response_body_depends_on_method_and_status() {
     let framing = |method: &str, text: &str| {
