Leave out no event of a stream for its id, and resume only after a certain one

Cause: the events that a resumed stream repeats are dropped by their ids. The comparison was with the last event that was passed on, so it also dropped new events of the same answer after an id that was too high, or the event itself if its id was too low. Ruled out: a resumption after 90; the log has one attempt, `delivered`, with 16 events.

Change: only events at the start of a resumed stream are dropped. `numbering` tracks which ids are certain. After a gap the stream goes on, but can be resumed only once the next id has confirmed the gap; an id at or below a certain one ends the attempt, which is resumed after the last certain one. Streams that can't be resumed are passed on whatever their ids. Same cause on related paths: a resumption after a damaged id skipped events, one after an event whose id field was damaged repeated it.

--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -3,6 +3,9 @@
 use h1::Error;
 use h1::Framing;
 
+use crate::numbering::Event;
+use crate::numbering::Numbering;
+
 /// The maximum length of an event, in bytes.
 const EVENT_LIMIT: usize = 256 * 1024;
 
@@ -10,18 +13,13 @@
 #[derive(Clone, Debug, Default)]
 pub struct Splitter {
     pending: Vec<u8>,
-    /// The id of the last event that was passed on.
-    last_id: Option<u64>,
-    /// The highest id in this stream.
-    highest_id: Option<u64>,
-    /// The id of the event after which the stream is resumed.
-    resumed_after: Option<u64>,
+    numbering: Numbering,
+    /// Whether events are passed on whatever their ids.
+    ignores_ids: bool,
     /// The number of whole events, without comments.
     event_count: u64,
     /// The number of those that the caller already had.
     known_count: u64,
-    /// Whether events without an id were passed on.
-    has_unnumbered: bool,
     /// Whether an earlier attempt has begun the event after the last one.
     expects_event: bool,
 }
@@ -31,20 +29,27 @@
     /// already has.
     pub fn after(last_id: Option<u64>) -> Self {
         Self {
-            pending: Vec::new(),
-            last_id,
-            highest_id: None,
-            resumed_after: last_id,
-            event_count: 0,
-            known_count: 0,
-            has_unnumbered: false,
-            expects_event: false,
+            numbering: Numbering::after(last_id),
+            ..Self::default()
+        }
+    }
+
+    /// Returns a splitter for a stream that is never resumed, so that its ids don't matter.
+    pub fn ignoring_ids() -> Self {
+        Self {
+            ignores_ids: true,
+            ..Self::default()
         }
     }
 
     /// Returns the id of the last event that was passed on.
     pub fn last_id(&self) -> Option<u64> {
-        self.last_id
+        self.numbering.last()
+    }
+
+    /// Returns whether an event has a damaged id.
+    pub fn has_damaged_id(&self) -> bool {
+        self.numbering.is_damaged()
     }
 
     /// Declares the stream incomplete until another event arrives.
@@ -54,14 +59,13 @@
 
     /// Returns whether an event after the last one has begun, here or in an earlier attempt.
     pub fn expects_event(&self) -> bool {
-        let is_known = self.highest_id < self.resumed_after;
-        self.expects_event || !(self.pending.is_empty() || is_known)
+        self.expects_event || !(self.pending.is_empty() || self.numbering.may_repeat())
     }
 
-    /// Returns whether another stream can go on with this one: it has an event to resume after, or the caller has
-    /// no events.
+    /// Returns whether another stream can go on with this one: it is known which event was the last one, or the
+    /// caller has no events.
     pub fn can_resume(&self) -> bool {
-        self.last_id.is_some() || !self.has_unnumbered
+        self.numbering.can_resume()
     }
 
     /// Returns the number of whole events in this stream, including those that were dropped.
@@ -75,7 +79,7 @@
     }
 
     /// Adds bytes and returns the events that they complete. Fails if the next event is too long, if they are
-    /// no events, or if it is unknown whether an event goes on with the stream that is resumed.
+    /// no events, or if it is unknown whether the caller has one of them.
     pub fn push(&mut self, bytes: &[u8]) -> Result<Vec<u8>, Error> {
         self.pending.extend_from_slice(bytes);
         let mut out = Vec::new();
@@ -84,24 +88,15 @@
             let event = &self.pending[start..start + length];
             start += length;
             let block = Block::of(event)?;
-            if let Block::Numbered(id) = block {
-                self.highest_id = self.highest_id.max(Some(id));
-            }
             let is_event = !matches!(block, Block::Comment);
             self.event_count += u64::from(is_event);
-            match block {
-                Block::Numbered(id) if self.last_id.is_some_and(|it| id <= it) => {
-                    self.known_count += 1;
-                    continue;
-                }
-                Block::Numbered(id) => self.last_id = Some(id),
-                Block::Unnumbered if self.is_behind() => {
-                    return Err(Error::Malformed(
-                        "an event without an id in a resumed stream",
-                    ));
-                }
-                Block::Unnumbered => self.has_unnumbered = true,
-                Block::Comment => {}
+            let place = match self.ignores_ids {
+                true => Event::New,
+                false => block.take(&mut self.numbering)?,
+            };
+            if place == Event::Known {
+                self.known_count += 1;
+                continue;
             }
             self.expects_event &= !is_event;
             out.extend_from_slice(event);
@@ -123,17 +118,12 @@
     /// resumed stream may begin again with events that the caller has, but not end among them.
     pub fn finish(&self, framing: Framing) -> Result<(), Error> {
         let is_empty = framing == Framing::UntilClose && self.event_count == 0;
-        let ends_early = self.highest_id.is_some() && self.highest_id < self.resumed_after;
+        let ends_early = self.numbering.ends_early();
         if is_empty || ends_early || self.expects_event || !self.pending.is_empty() {
             return Err(Error::Truncated);
         }
         Ok(())
     }
-
-    /// Returns whether the stream is resumed and no event has followed the last one yet.
-    fn is_behind(&self) -> bool {
-        self.resumed_after.is_some() && self.resumed_after == self.last_id
-    }
 }
 
 /// What the lines before a blank line are.
@@ -162,6 +152,15 @@
         }
         Err(Error::Malformed("text in a stream of events"))
     }
+
+    /// Returns whether the caller has it. Comments are always passed on.
+    fn take(&self, numbering: &mut Numbering) -> Result<Event, Error> {
+        match self {
+            Self::Numbered(id) => numbering.take(*id),
+            Self::Unnumbered => numbering.take_unnumbered(),
+            Self::Comment => Ok(Event::New),
+        }
+    }
 }
 
 /// Returns the length of the event at the start of `bytes`, including its blank line.
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -106,6 +106,8 @@
     pub framing: Option<Framing>,
     /// The number of whole events that the server sent.
     pub event_count: u64,
+    /// Whether an id of its events was damaged, so that it can't be resumed.
+    pub has_damaged_id: bool,
     /// The number of bytes after the last complete event of a stream that ended.
     pub partial_event_bytes: usize,
 }
@@ -340,6 +342,7 @@
             elapsed_ms = clock::now().since(self.arrived).as_millis() as u64,
             framing = self.ending.framing.map_or("-", Framing::name),
             events = self.ending.event_count,
+            damaged_id = self.ending.has_damaged_id,
             partial_event_bytes = self.ending.partial_event_bytes,
             last_event = self.last_event.unwrap_or_default(),
             outcome;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod metrics;
 pub mod node;
 pub mod notice;
+pub mod numbering;
 pub mod observe;
 pub mod on_time;
 pub mod outbox;
--- a/crates/gateway/src/reception.rs
+++ b/crates/gateway/src/reception.rs
@@ -240,7 +240,7 @@
                 };
                 let verdict = self.check_head(node, &response, source)?;
                 let is_stream = self.is_stream(&response, &verdict);
-                let splitter = is_stream.then(Splitter::default);
+                let splitter = is_stream.then(Splitter::ignoring_ids);
                 let decoder = Decoder::new(response.framing);
                 (decoder, splitter, &bytes[length..])
             }
@@ -386,7 +386,11 @@
 impl Events {
     fn new(exchange: &Exchange, response: Response, source: Source<'_>) -> Self {
         let is_counted = exchange.passes > 0 || source.counts_first_pass(exchange);
-        let mut splitter = Splitter::after(exchange.last_event);
+        let is_resumable = exchange.route.kind.is_retryable() || exchange.last_event.is_some();
+        let mut splitter = match is_resumable {
+            true => Splitter::after(exchange.last_event),
+            false => Splitter::ignoring_ids(),
+        };
         if exchange.expects_event {
             splitter.expect_event();
         }
@@ -417,6 +421,7 @@
             let has_more = stream.read_body(&mut self.decoder, &mut bytes).await?;
             let ready = self.splitter.push(&bytes)?;
             exchange.ending.event_count = self.splitter.event_count();
+            exchange.ending.has_damaged_id = self.splitter.has_damaged_id();
             if let Some(earlier) = self.earlier_passes {
                 exchange.passes = earlier + self.splitter.new_event_count();
             }
--- a/crates/gateway/tests/events.rs
+++ b/crates/gateway/tests/events.rs
@@ -187,6 +187,70 @@
     assert_eq!((splitter.event_count(), splitter.new_event_count()), (5, 3));
 }
 
+/// Guards against events that are dropped since an id before them was too high.
+#[test]
+fn push_events_after_damaged_id_are_passed_on() {
+    for (last, first) in [(None, 0), (None, 1), (Some(3), 4)] {
+        let ids = [first, first + 1, 90, first + 3, first + 4];
+        let text: String = ids.map(event).concat();
+        let mut splitter = Splitter::after(last);
+        let passed_on = splitter.push(text.as_bytes()).expect("events");
+        assert_eq!(String::from_utf8(passed_on).expect("text"), text);
+        assert!(splitter.finish(Framing::Chunked).is_ok());
+        assert!(splitter.has_damaged_id() && !splitter.can_resume());
+    }
+}
+
+/// Guards against an event that is dropped since its own id was too low.
+#[test]
+fn push_event_with_id_of_earlier_one_is_rejected() {
+    for id in [0, 1, 3] {
+        let mut splitter = Splitter::after(None);
+        let text: String = (1..=3).map(event).collect();
+        splitter.push(text.as_bytes()).expect("events");
+        assert!(splitter.push(event(id).as_bytes()).is_err(), "{id}");
+    }
+}
+
+/// Guards against a gap in a resumed stream whose first event has the id of one that the caller has.
+#[test]
+fn push_resumed_stream_with_gap_after_known_event_is_rejected() {
+    for first in [0, 12] {
+        let text = [event(first), event(14), event(15)].concat();
+        let mut splitter = Splitter::after(Some(12));
+        assert!(splitter.push(text.as_bytes()).is_err(), "{first}");
+    }
+}
+
+#[test]
+fn push_unresumable_stream_is_passed_on_unchanged() {
+    let text = [event(1), event(90), event(3), event(3), event(0)].concat();
+    let mut splitter = Splitter::ignoring_ids();
+    let passed_on = splitter.push(text.as_bytes()).expect("events");
+    assert_eq!(String::from_utf8(passed_on).expect("text"), text);
+    assert!(splitter.finish(Framing::Chunked).is_ok());
+}
+
+/// Guards against a resumption after an event whose place in the stream is in doubt.
+#[test]
+fn can_resume_after_gap_needs_next_event() {
+    let mut splitter = Splitter::after(None);
+    for (id, can_resume) in [
+        (1, true),
+        (2, true),
+        (9, false),
+        (10, true),
+        (20, false),
+        (35, true),
+        (50, true),
+    ] {
+        splitter.push(event(id).as_bytes()).expect("an event");
+        assert_eq!(splitter.can_resume(), can_resume, "{id}");
+    }
+    splitter.push(b"jd: 21\ndata: d\n\n").expect("an event");
+    assert!(!splitter.can_resume(), "the last event has no id");
+}
+
 #[test]
 fn push_event_without_end_is_rejected() {
     let mut splitter = Splitter::after(None);
@@ -196,6 +260,34 @@
 }
 
 proptest! {
+    /// Guards against pieces that are lost or come twice, whatever id is damaged and wherever the stream breaks off.
+    #[test]
+    fn push_damaged_id_loses_no_event(
+        (count, resumed, index) in (2_u64..40).prop_flat_map(|count| (Just(count), 0..count, 0..count)),
+        damaged in 0_u64..100,
+    ) {
+        let index = resumed + 1 + index % (count - resumed);
+        prop_assume!(damaged != index);
+        prop_assume!(damaged != resumed || resumed == 0 || index < count);
+        let mut splitter = Splitter::after((resumed > 0).then_some(resumed));
+        let mut passed_on = resumed;
+        for number in resumed + 1..=count {
+            let id = if number == index { damaged } else { number };
+            let event = format!("id: {id}\ndata: d{number}\n\n");
+            let Ok(bytes) = splitter.push(event.as_bytes()) else {
+                return Ok(());
+            };
+            if bytes.is_empty() {
+                prop_assert!(splitter.last_id() == Some(passed_on) && resumed > 0);
+                continue;
+            }
+            prop_assert_eq!(passed_on + 1, number);
+            passed_on = number;
+            prop_assert!(!splitter.can_resume() || splitter.last_id() == Some(number));
+        }
+        prop_assert!(passed_on == count || splitter.finish(Framing::Chunked).is_err());
+    }
+
     #[test]
     fn push_piece_size_does_not_matter(count in 0_u64..20, size in 1_usize..60) {
         let text: String = (1..=count).map(event).collect();
