Fail an engine that sends more tokens than it was asked for

What callers would see: nothing at first. In coriander-entry, a faulty engine could fill the memory of the instance, and the requests of all its callers would end with the process (a report of other operators: bytes without end).

Cause: tokens ahead of a missing one were limited by their number, 4,096, and not by their size; each may take a line of 1 MiB. The number of tokens of an answer was not limited at all, and answers that are not streamed are kept whole. Found by reading every read of what servers send; in coriander-node all are bounded.

Change: the assembly of an answer knows how many tokens the request asked for, and bounds a token's text to 4 KiB. An attempt that sends or announces more fails, and is resumed on another engine.

Test: stream_longer_than_asked_for_is_rejected. The API did not exist before; without the new check the test fails at its second assertion.

--- a/crates/assembly/src/lib.rs
+++ b/crates/assembly/src/lib.rs
@@ -13,6 +13,9 @@
 /// fails.
 pub const WAITING_LIMIT: usize = 4_096;
 
+/// The maximum length of the text of a chunk, in bytes. Tokens are far shorter.
+pub const TEXT_LIMIT: usize = 4_096;
+
 /// One piece of an answer, as an engine sends it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Chunk {
@@ -34,9 +37,11 @@
 }
 
 /// The reassembly state of one answer.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Stream {
     attempt: u32,
+    /// The maximum number of tokens.
+    limit: u64,
     next: u64,
     out_of_order: BTreeMap<u64, String>,
     count: Option<u64>,
@@ -55,6 +60,12 @@
         /// The number of tokens delivered.
         sent: u64,
     },
+    /// The engine sent or announced more than was asked for. Without this check, a faulty one could fill the memory.
+    #[error("the engine sent more than the {limit} tokens asked for: resume on another engine")]
+    TooLong {
+        /// The maximum number of tokens.
+        limit: u64,
+    },
     /// Too many chunks are buffered behind a missing one.
     #[error("chunk {index} did not arrive: resume from it")]
     MissingChunk {
@@ -64,6 +75,17 @@
 }
 
 impl Stream {
+    /// Returns the state of an answer of which nothing has arrived, and which has at most `limit` tokens.
+    pub fn new(limit: u64) -> Self {
+        Self {
+            attempt: 0,
+            limit,
+            next: 0,
+            out_of_order: BTreeMap::new(),
+            count: None,
+        }
+    }
+
     /// Starts a new attempt. Returns the index that it has to resume from.
     pub fn resume(&mut self, attempt: u32) -> u64 {
         self.attempt = attempt;
@@ -77,6 +99,9 @@
         if chunk.attempt != self.attempt || chunk.index < self.next {
             return Ok(Vec::new());
         }
+        if chunk.index >= self.limit || chunk.text.len() > TEXT_LIMIT {
+            return Err(Error::TooLong { limit: self.limit });
+        }
         self.out_of_order.insert(chunk.index, chunk.text);
         let mut ready = Vec::new();
         while let Some(text) = self.out_of_order.remove(&self.next) {
@@ -100,6 +125,9 @@
                 sent: self.next,
             });
         }
+        if end.count > self.limit {
+            return Err(Error::TooLong { limit: self.limit });
+        }
         self.count = Some(end.count);
         Ok(())
     }
--- a/crates/assembly/tests/stream.rs
+++ b/crates/assembly/tests/stream.rs
@@ -7,6 +7,9 @@
 use proptest::test_runner::Config;
 use proptest::test_runner::RngSeed;
 
+/// The number of tokens that are asked for.
+const LIMIT: u64 = 10_000;
+
 /// The delivery of one attempt: the chunks that arrive, in order, stale chunks of other attempts, and
 /// whether the end arrives.
 #[derive(Clone, Debug)]
@@ -51,7 +54,7 @@
         deliveries in prop::collection::vec(delivery(20), 1..6),
     ) {
         let complete: String = (0..length).map(text).collect();
-        let mut stream = Stream::default();
+        let mut stream = Stream::new(LIMIT);
         let mut received = String::new();
         for (number, delivery) in deliveries.iter().enumerate() {
             // Current attempts start at 10, so that they differ from stale ones, which are below 8.
@@ -82,7 +85,7 @@
 
 #[test]
 fn stream_short_count_is_rejected() {
-    let mut stream = Stream::default();
+    let mut stream = Stream::new(LIMIT);
     stream.resume(1);
     stream
         .push(Chunk {
@@ -104,12 +107,37 @@
 
 #[test]
 fn stream_missing_chunk_is_an_error() {
-    let mut stream = Stream::default();
+    let mut stream = Stream::new(LIMIT);
     stream.resume(1);
-    let mut chunks = (1..10_000).map(|index| Chunk {
+    let mut chunks = (1..LIMIT).map(|index| Chunk {
         attempt: 1,
         index,
         text: String::new(),
     });
     assert!(chunks.any(|chunk| stream.push(chunk).is_err()));
 }
+
+/// Guards against an engine that fills the memory with more than it was asked for.
+#[test]
+fn stream_longer_than_asked_for_is_rejected() {
+    let push = |index, length| {
+        let mut stream = Stream::new(3);
+        stream.resume(1);
+        let text = "a".repeat(length);
+        let attempt = 1;
+        stream.push(Chunk {
+            attempt,
+            index,
+            text,
+        })
+    };
+    assert!(push(2, 1).is_ok());
+    assert!(push(3, 1).is_err());
+    assert!(push(u64::MAX, 1).is_err());
+    assert!(push(2, assembly::TEXT_LIMIT + 1).is_err());
+    let mut stream = Stream::new(3);
+    stream.resume(1);
+    let end = |count| End { attempt: 1, count };
+    assert!(stream.end(end(4)).is_err());
+    assert!(stream.end(end(3)).is_ok());
+}
--- a/crates/entry/src/chat/serve.rs
+++ b/crates/entry/src/chat/serve.rs
@@ -130,7 +130,7 @@
         self.check_quarantine(node, Execution::No)?;
         node.core.borrow_mut().budget.earn();
         node.record_step(self.id.number, "admitted");
-        let mut stream = assembly::Stream::default();
+        let mut stream = assembly::Stream::new(self.prompt.answer_tokens);
         let mut waiter = Waiter::admit(node, job.clone()).map_err(refusal_failure)?;
         for number in 1.. {
             let placement = match waiter.decision().await {
