Bound the status reports of engines that coriander-entry reads

Cause: a home asks each of its engines for its load five times a second, and kept up to 64 MiB of each answer. That limit is meant for pages of the platform's log.

Change: answers to status calls are read up to 1 MiB; only the client of the platform keeps the larger limit.

--- a/crates/harness/src/process.rs
+++ b/crates/harness/src/process.rs
@@ -53,6 +53,15 @@
         self.child.id()
     }
 
+    /// Returns the most memory that the process has used, in bytes.
+    pub fn peak_memory(&self) -> Result<u64> {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.id()))?;
+        let peak = status.lines().find_map(|it| it.strip_prefix("VmHWM:"));
+        let kilobytes = peak.and_then(|it| it.trim().strip_suffix(" kB"));
+        let kilobytes: u64 = kilobytes.context("no peak of the memory")?.trim().parse()?;
+        Ok(kilobytes * 1024)
+    }
+
     /// Sends a signal, for example `STOP`.
     pub fn signal(&self, signal: &str) -> Result<()> {
         let id = self.child.id().to_string();
--- a/crates/harness/src/raw.rs
+++ b/crates/harness/src/raw.rs
@@ -53,6 +53,8 @@
     Once(&'static str),
     /// With the first bytes, and then with the second ones until the caller closes.
     Endless(&'static str, &'static str),
+    /// The same, also for calls that bring no work.
+    EndlessStatus(&'static str, &'static str),
 }
 
 /// A server that answers all requests alike, and calls that bring no work as a healthy server does.
@@ -111,18 +113,21 @@
         let Some(request) = read(&mut stream) else {
             return;
         };
-        if CONTROL_PATHS.contains(&request.path()) {
+        let is_control = CONTROL_PATHS.contains(&request.path());
+        if is_control && !matches!(self.answer, Answer::EndlessStatus(..)) {
             let length = LOAD.len();
             let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n{LOAD}");
             let _ = stream.write_all(answer.as_bytes());
             return;
         }
-        lock(&self.arrivals).push(Instant::now());
+        if !is_control {
+            lock(&self.arrivals).push(Instant::now());
+        }
         match self.answer {
             Answer::Once(bytes) => {
                 let _ = stream.write_all(bytes.as_bytes());
             }
-            Answer::Endless(first, rest) => {
+            Answer::Endless(first, rest) | Answer::EndlessStatus(first, rest) => {
                 // Many copies at once, so that the reader always finds more to read.
                 let rest = rest.repeat(ENDLESS_WRITE / rest.len());
                 let mut written = stream.write_all(first.as_bytes());
--- a/crates/harness/tests/endless.rs
+++ b/crates/harness/tests/endless.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use async_io::block_on;
+use domain::fleet::BackendServer;
 use domain::fleet::Kind;
 use harness::Cluster;
 use harness::Customer;
@@ -19,6 +20,10 @@
 const REQUESTS: usize = 8;
 /// The time limit of a prompt, in seconds.
 const TIME_LIMIT_S: f64 = 4.0;
+/// The number of engines whose status does not end.
+const FAULTY_ENGINES: usize = 8;
+/// The memory of the smallest instance, in bytes.
+const MEMORY_LIMIT: u64 = 160_000_000;
 const OK: &str = "HTTP/1.1 200 OK\r\n\r\n";
 const CHUNKED: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 
@@ -64,6 +69,36 @@
     });
 }
 
+/// Guards against status reports that fill the memory: engines are asked for them several times a second.
+#[test]
+fn endless_status_of_engines_stays_within_memory() {
+    let cluster = Cluster::start(Options {
+        entries: 1,
+        engines: 1,
+        services: 0,
+        ..Options::default()
+    })
+    .unwrap();
+    let mut fleet = cluster.fleet();
+    let servers: Vec<Server> = (0..FAULTY_ENGINES)
+        .map(|_| Server::start(Answer::EndlessStatus(OK, "a")).unwrap())
+        .collect();
+    for (index, server) in servers.iter().enumerate() {
+        fleet.backend_servers.push(BackendServer {
+            name: format!("raw-{index}"),
+            address: server.address,
+            data_centre: "dc-0".to_owned(),
+            kind: raw::engine(),
+        });
+    }
+    cluster.publish(&fleet).unwrap();
+    thread::sleep(Duration::from_secs(5));
+    let peak = cluster.entries[0].process.peak_memory().unwrap();
+    assert!(peak < MEMORY_LIMIT, "{peak} bytes");
+    let customer = cluster.customer("forum");
+    assert!(block_on(customer.entries(cluster.entry_address(0))).is_ok());
+}
+
 #[test]
 fn endless_head_of_service_ends() {
     check(raw::service(), book, "HTTP/1.1 200 OK\r\nX-A: ", "a");
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -9,6 +9,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 use web::Client;
+use web::client::BODY_LIMIT;
 use web::client::Call;
 
 pub use web::client::Error;
@@ -107,8 +108,9 @@
     /// Reads a stream from offset `from`. Waits up to `wait` if there are no records yet.
     pub async fn read(&self, stream: &str, from: u64, wait: Duration) -> Result<Batch, Error> {
         let path = format!("/log/{stream}?from={from}&wait_ms={}", wait.as_millis());
+        let call = Call::get(self.address, path);
         self.client
-            .fetch(&Call::get(self.address, path), wait + CALL_TIMEOUT)
+            .fetch_within(&call, wait + CALL_TIMEOUT, BODY_LIMIT)
             .await
     }
 
@@ -128,8 +130,9 @@
 
     /// Reads the list of live and leaving instances.
     pub async fn instances(&self) -> Result<Vec<Instance>, Error> {
+        let call = Call::get(self.address, "/instances");
         self.client
-            .fetch(&Call::get(self.address, "/instances"), CALL_TIMEOUT)
+            .fetch_within(&call, CALL_TIMEOUT, BODY_LIMIT)
             .await
     }
 }
--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -28,7 +28,9 @@
 /// The maximum length of a line, in bytes.
 const LINE_LIMIT: usize = 1024 * 1024;
 /// The maximum length of a response body that is read completely, in bytes.
-const BODY_LIMIT: usize = 64 * 1024 * 1024;
+pub const BODY_LIMIT: usize = 64 * 1024 * 1024;
+/// The same for the answers of servers that are asked for their status several times a second, and may all be faulty.
+const STATUS_LIMIT: usize = 1024 * 1024;
 /// The time after which a connection fails if the server acknowledges nothing.
 const ACK_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -184,12 +186,22 @@
         &self,
         call: &Call,
         timeout: Duration,
+    ) -> Result<T, Error> {
+        self.fetch_within(call, timeout, STATUS_LIMIT).await
+    }
+
+    /// The same for a body of at most `limit` bytes.
+    pub async fn fetch_within<T: DeserializeOwned>(
+        &self,
+        call: &Call,
+        timeout: Duration,
+        limit: usize,
     ) -> Result<T, Error> {
         let address = call.address;
         let unanswered = |reason| Error::Unanswered { address, reason };
         let exchange = async {
             let mut answer = self.send(call, timeout).await?;
-            let body = answer.bytes().await?;
+            let body = answer.bytes_within(limit).await?;
             if !answer.is_success() {
                 let body = String::from_utf8_lossy(&body[..body.len().min(500)]).into_owned();
                 return Err(Error::Status {
