Send no request to a server that a planned stop could cut

Cause: what is read is admitted, placed and sent as if the process went on. Requests whose first bytes came before the listeners were closed can be read for 15 s more; requests also wait for their turn. Ruled out: a wrong end of the grace period; the log has 0.96 of it between `stopping` and `stopped`.

Change: `Stop` decides for each request that no server has run, whenever a server is chosen. In the 3 s in which callers are led away, the forecast of the answer has to fit; later the time limit of the request has to end before the process, so that nothing can cut it. Others get 503 at once, with a Retry-After of at most 100 ms, since other instances can serve them. A request that is still being read at the end is refused with 503; before, its connection was closed without an answer. An instance that relays to a stopping one tries a further one.

--- a/crates/gateway/src/listener.rs
+++ b/crates/gateway/src/listener.rs
@@ -150,9 +150,15 @@
         node.record_closing(held, None);
         Err(Error::NoMemory(node.memory.limit()))
     };
-    match within(BODY_TIMEOUT, future::or(whole, closing)).await {
-        Some(Ok(body)) => Ok(body),
-        Some(Err(error)) => Err(refuse_unread(node, stream, account, &error).await),
+    let read = async { Some(future::or(whole, closing).await) };
+    let ending = async {
+        node.ending.wait().await;
+        None
+    };
+    match within(BODY_TIMEOUT, future::or(read, ending)).await {
+        Some(Some(Ok(body))) => Ok(body),
+        Some(Some(Err(error))) => Err(refuse_unread(node, stream, account, &error).await),
+        Some(None) => Err(refuse(node, stream, account, 503).await),
         None => Err(refuse(node, stream, account, 408).await),
     }
 }
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -38,6 +38,7 @@
 use crate::records::Cache;
 use crate::settings::Settings;
 use crate::signal::Signal;
+use crate::stop::Stop;
 use crate::turns::Waiting;
 
 /// A gateway process.
@@ -120,8 +121,8 @@
     pub waiting: Waiting,
     /// Whether few running streams are expected to be on time.
     pub has_few_on_time: bool,
-    /// Whether the process is stopping.
-    pub is_stopping: bool,
+    /// The planned stop of the process, once it has begun.
+    pub stop: Option<Stop>,
 }
 
 impl Node {
@@ -169,7 +170,7 @@
                 retry_budgets: HashMap::new(),
                 waiting: Waiting::default(),
                 has_few_on_time: false,
-                is_stopping: false,
+                stop: None,
             }),
             connections: RefCell::default(),
             metrics: Metrics::default(),
@@ -276,7 +277,7 @@
     /// Returns whether this instance serves callers.
     pub fn is_ready(&self) -> bool {
         let state = self.state.borrow();
-        state.can_serve() && !state.is_stopping
+        state.can_serve() && state.stop.is_none()
     }
 }
 
@@ -288,7 +289,7 @@
 
     /// Returns the phase of this entry.
     pub fn phase(&self) -> Phase {
-        match (self.can_serve(), self.is_stopping) {
+        match (self.can_serve(), self.stop.is_some()) {
             (_, true) => Phase::Leaving,
             (true, false) if self.reach.is_isolated() => Phase::Isolated,
             (true, false) => Phase::Ready,
--- a/crates/gateway/src/placing.rs
+++ b/crates/gateway/src/placing.rs
@@ -43,6 +43,7 @@
         let now = clock::now();
         let mut state = node.state.borrow_mut();
         let state = &mut *state;
+        self.check_stop(now, state, Duration::ZERO)?;
         let members = &state.members;
         let decision = state
             .quarantine
@@ -60,10 +61,49 @@
         cold::count_held(node, state, now, &self.service.name);
         let request = self.cost_request();
         let estimate = request.and_then(|it| state.costs.estimator.estimate(&it));
-        let (Some(_), Some(prompt)) = (&self.service.engine, self.metadata.prompt) else {
-            return self.place_call(now, state, standing, estimate);
+        let turn = match (&self.service.engine, self.metadata.prompt) {
+            (Some(_), Some(prompt)) => self.place_prompt(now, state, prompt, standing, estimate),
+            _ => self.place_call(now, state, standing, estimate),
+        }?;
+        if let Turn::Place(target) = &turn {
+            self.check_stop(now, state, self.forecast(target))?;
+        }
+        Ok(turn)
+    }
+
+    /// Fails if no server has run the request and a planned stop of this instance could cut its answer, which is
+    /// expected after this time.
+    pub fn check_stop(
+        &self,
+        now: Moment,
+        state: &State,
+        expected: Duration,
+    ) -> Result<(), Refusal> {
+        let stop = state.stop.filter(|_| !self.may_have_run);
+        match stop.is_none_or(|it| it.permits(now, self.deadline(), expected)) {
+            true => Ok(()),
+            false => Err(Refusal::Stopping),
+        }
+    }
+
+    /// Returns the time after which the whole answer of a target is expected, which few answers exceed.
+    fn forecast(&self, target: &Target) -> Duration {
+        let upper_cost = target.estimate.map(|it| it.upper);
+        let answer_ms = match (&self.service.engine, self.metadata.prompt) {
+            (Some(engine), Some(prompt)) => {
+                let declared = self.declared_answer_tokens().unwrap_or_default();
+                let passes =
+                    upper_cost.unwrap_or(declared as f64) / f64::from(engine.steps_per_pass.max(1));
+                // An engine without other work has no measured pass.
+                let own_pass_ms = engine.pass_ms(1, prompt.tokens);
+                passes * target.load.pass_ms.max(own_pass_ms)
+            }
+            _ => upper_cost.unwrap_or_default(),
         };
-        self.place_prompt(now, state, prompt, standing, estimate)
+        let answer_time = Duration::try_from_secs_f64(answer_ms / 1e3);
+        target
+            .first_token
+            .saturating_add(answer_time.unwrap_or(Duration::MAX))
     }
 
     /// Chooses the server for a call to a plain service.
--- a/crates/gateway/src/proxy.rs
+++ b/crates/gateway/src/proxy.rs
@@ -63,6 +63,10 @@
     if exchange.sent_at.is_some() && !exchange.route.kind.is_retryable() {
         return Outcome::Refused(Refusal::NotRun);
     }
+    let checked = exchange.check_stop(clock::now(), &node.state.borrow(), Duration::ZERO);
+    if let Err(refusal) = checked {
+        return Outcome::Refused(refusal);
+    }
     let mut tried: Vec<Incarnation> = Vec::new();
     while node.isolation.is_set() {
         let peer = {
@@ -279,7 +283,7 @@
 /// Returns the refusal as it is told to the requester. Another entry is told that it may try a further one.
 pub fn refusal_for(requester: Requester, refusal: Refusal) -> Refusal {
     match (requester, refusal) {
-        (Requester::Peer, Refusal::NoServer) => Refusal::Isolated,
+        (Requester::Peer, Refusal::NoServer | Refusal::Stopping) => Refusal::Isolated,
         _ => refusal,
     }
 }
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -12,6 +12,9 @@
 /// the circuit breakers reflect a change.
 const NO_SERVER_RETRY: Duration = Duration::from_millis(600);
 
+/// The retry time while the process stops. Other instances serve the callers, which come back spread over this time.
+const STOPPING_RETRY: Duration = Duration::from_millis(100);
+
 /// Why a request was refused, for logs and metrics.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Refusal {
@@ -97,14 +100,12 @@
     pub fn retry_time(self) -> Option<RetryTime> {
         let (earliest, spread) = match self {
             Self::Unconfigured => (UNCONFIGURED_RETRY, UNCONFIGURED_RETRY),
+            Self::Stopping => (Duration::ZERO, STOPPING_RETRY),
             Self::Paused(left) => (left, NO_SERVER_RETRY),
             Self::TooLate(room) => (room, Duration::ZERO),
-            Self::NoServer
-            | Self::NoHomeServer
-            | Self::NoRoom
-            | Self::NoMemory
-            | Self::Stopping
-            | Self::NotRun => (NO_SERVER_RETRY, NO_SERVER_RETRY),
+            Self::NoServer | Self::NoHomeServer | Self::NoRoom | Self::NoMemory | Self::NotRun => {
+                (NO_SERVER_RETRY, NO_SERVER_RETRY)
+            }
             _ => return None,
         };
         Some(RetryTime { earliest, spread })
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -29,6 +29,7 @@
 use crate::listener;
 use crate::peers;
 use crate::reachability;
+use crate::stop::Stop;
 use crate::waiting;
 
 /// The interval between checks for a signal to stop, and for the end of the last request.
@@ -37,12 +38,6 @@
 const RELOAD_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 /// The interval between two reads of the settings, which may change without a signal.
 const SETTINGS_INTERVAL: Duration = Duration::from_secs(10);
-/// Callers may use an answer to an address query for this multiple of its lifetime, as the
-/// platform documents.
-const MAX_LIFETIMES: u32 = 3;
-/// The fraction of the grace period after which requests in progress are abandoned, so that the
-/// process ends before it is killed.
-const GRACE_FRACTION: f64 = 0.96;
 /// The time in which callers whose requests are abandoned get an answer.
 const ANSWER_TIME: Duration = Duration::from_millis(150);
 /// The interval between checks for the end of the last of these.
@@ -200,19 +195,23 @@
 /// Stops gracefully: first callers get only the addresses of other instances, then the listeners are
 /// closed, then requests in progress are awaited. Those that take too long are refused.
 async fn stop(node: &Node, accepts: Vec<async_executor::Task<()>>) {
-    let started = clock::now();
-    let settings = node.settings();
-    let deadline = started + settings.grace_period.mul_f64(GRACE_FRACTION);
-    node.state.borrow_mut().is_stopping = true;
+    let now = clock::now();
+    let stop = Stop::begin(now, &node.settings());
+    node.state.borrow_mut().stop = Some(stop);
     datagrams::announce_phase(node);
-    let drain_time = settings.address_lifetime * MAX_LIFETIMES;
-    log::info!(target: "run", busy = node.running_requests.get(), lead_away_ms = drain_time.as_millis() as u64; "stopping");
-    clock::wait_until((started + drain_time).min(deadline)).await;
+    log::info!(
+        target: "run",
+        busy = node.running_requests.get(),
+        lead_away_ms = stop.closing.since(now).as_millis() as u64,
+        end_ms = stop.ending.since(now).as_millis() as u64;
+        "stopping"
+    );
+    clock::wait_until(stop.closing).await;
     for accept in accepts {
         accept.cancel().await;
     }
     node.close_callers();
-    wait_for_requests(node, deadline, SIGNAL_CHECK_INTERVAL).await;
+    wait_for_requests(node, stop.ending, SIGNAL_CHECK_INTERVAL).await;
     node.ending.set();
     wait_for_requests(node, clock::now() + ANSWER_TIME, END_CHECK_INTERVAL).await;
     log::info!(target: "run", busy = node.running_requests.get(); "stopped");
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -88,7 +88,7 @@
         node.metrics.relays_received.inc();
     }
     let meta = node.protocol.metadata(&request);
-    let is_persistent = request.is_persistent && !node.state.borrow().is_stopping;
+    let is_persistent = request.is_persistent && node.state.borrow().stop.is_none();
     let answer = Answer::new(Rc::new(outbox), is_persistent);
     let table = {
         let state = node.state.borrow();
@@ -230,7 +230,7 @@
         answer.close_after();
         let refusal = match self.sent_at {
             Some(_) => Refusal::Failed,
-            None => refusal,
+            None => proxy::refusal_for(self.requester, refusal),
         };
         let retry_after = refusal::draw_delay(refusal.retry_time());
         let (metadata, route) = (&self.metadata, &self.route.name);
