Close the listener of coriander-entry when it stops

What callers would see: in a planned stop, requests that came late were taken and passed on, and cut when the platform ended the process (a report of other operators).

Cause: the server went on accepting connections after the time in which callers are led away. A connection whose request was there at once was served, so the process did not end while requests kept coming, and the platform killed it in the end. The idle connections were closed, the listener was not.

Change: the accept loop ends when the server stops, which closes the listener, so that callers go elsewhere at once. The requests in progress are completed as before.

Test: entry_that_stops_accepts_no_callers_while_it_finishes_requests, which failed before (a connection was accepted).

--- a/crates/harness/tests/leaving.rs
+++ b/crates/harness/tests/leaving.rs
@@ -186,6 +186,33 @@
     count
 }
 
+/// Guards against requests that are taken for as long as others run, so that the process never ends by itself and cuts
+/// them when the platform ends it.
+#[test]
+fn entry_that_stops_accepts_no_callers_while_it_finishes_requests() {
+    let mut cluster = Cluster::start(Options {
+        entries: 2,
+        services: 0,
+        ..Options::default()
+    })
+    .unwrap();
+    let entry = cluster.entry_address(0);
+    let prompt = Prompt::new(1_000, 1_500, 1);
+    let asked = prompt.clone();
+    let ask = move || block_on(Customer::new(secret("forum")).prompt(entry, &asked));
+    let running = std::thread::spawn(ask);
+    std::thread::sleep(Duration::from_millis(500));
+    cluster.entries[0].process.signal("TERM").unwrap();
+    // Callers are led away for 0.6 s.
+    std::thread::sleep(Duration::from_millis(1_500));
+    assert!(!running.is_finished());
+    assert!(std::net::TcpStream::connect(entry).is_err());
+    let received = running.join().expect("a caller").unwrap();
+    assert!(received.is_complete(&prompt), "{:?}", received.result);
+    let exit = cluster.entries[0].process.wait(Duration::from_secs(5));
+    assert!(exit.unwrap().success());
+}
+
 #[test]
 fn rolling_restart_interrupts_no_request() {
     let mut cluster = Cluster::start(Options {
--- a/crates/web/src/server.rs
+++ b/crates/web/src/server.rs
@@ -179,7 +179,8 @@
     Ok((listener, address))
 }
 
-/// Accepts connections for as long as the future is polled, and serves their requests with `handler`.
+/// Accepts connections until the server stops, and serves their requests with `handler`. The listener is closed then, so
+/// that callers go elsewhere while the last requests are completed.
 pub async fn serve<F, Fut>(
     executor: Rc<LocalExecutor<'static>>,
     listener: Async<TcpListener>,
@@ -190,8 +191,15 @@
     Fut: Future<Output = Reply> + 'static,
 {
     loop {
-        let stream = Stream::new(accept(&listener, "web").await);
-        let connection = serve_connection(stream, handle.clone(), handler.clone());
+        let accepted = async { Some(accept(&listener, "web").await) };
+        let stopped = async {
+            handle.stopped().await;
+            None
+        };
+        let Some(socket) = future::or(stopped, accepted).await else {
+            return;
+        };
+        let connection = serve_connection(Stream::new(socket), handle.clone(), handler.clone());
         executor.spawn(connection).detach();
     }
 }
