--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -26,11 +26,11 @@
 use crate::reachability;
 use crate::reception::Completion;
 use crate::reception::Reception;
-use crate::reception::Source;
 use crate::registration::Registration;
 use crate::relay::Answer;
 use crate::reserve;
 use crate::reserve::Lease;
+use crate::source::Source;
 use crate::target::Target;
 use crate::watchdog::Watchdog;
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -55,6 +55,7 @@
 pub mod settings;
 pub mod signal;
 mod silent;
+pub mod source;
 pub mod stop;
 pub mod target;
 pub mod turns;
--- a/crates/gateway/src/proxy.rs
+++ b/crates/gateway/src/proxy.rs
@@ -25,10 +25,10 @@
 use crate::exchange::Requester;
 use crate::reception::Completion;
 use crate::reception::Reception;
-use crate::reception::Source;
 use crate::refusal::Refusal;
 use crate::relay::Answer;
 use crate::relay::State;
+use crate::source::Source;
 
 /// The number of other entries to which a request that none has run is sent before it is refused. A
 /// caller that retries is directed to other entries by then.
--- a/crates/gateway/src/reception.rs
+++ b/crates/gateway/src/reception.rs
@@ -3,18 +3,15 @@
 //! Receiving can be interrupted at any moment and go on later without a loss, so that a server that falls silent
 //! can be left for another one and still be heard if it goes on.
 
-use std::cell::Cell;
 use std::io::IoSlice;
 use std::rc::Rc;
 
 use async_executor::Task;
-use domain::Moment;
 use h1::Error;
 use h1::Framing;
 use h1::Response;
 use h1::Stream;
 use h1::body::Decoder;
-use placement::Server;
 
 use crate::Node;
 use crate::checkup;
@@ -25,21 +22,17 @@
 use crate::exchange::Exchange;
 use crate::held;
 use crate::held::Kind;
-use crate::notice;
 use crate::outcome::Outcome;
 use crate::port::Verdict;
-use crate::reachability;
 use crate::refusal;
-use crate::registration::Registration;
 use crate::relay::Answer;
 use crate::relay::State;
+use crate::source::Source;
 
 /// The size limit of a response head, in bytes.
 const RESPONSE_HEAD_LIMIT: usize = 64 * 1024;
 /// The number of bytes that have arrived after which an answer counts as there, without a look at them.
 const ANSWER_CHECK_LIMIT: usize = 64 * 1024;
-/// The last activity of a server that is not read.
-const NEVER_SILENT: Moment = Moment::from_micros(u64::MAX);
 
 /// A request that was sent over a connection, and what has arrived of its response.
 pub struct Reception {
@@ -93,74 +86,6 @@
     pub reuse: Option<Reuse>,
 }
 
-/// Whom an answer comes from.
-#[derive(Clone, Copy)]
-pub enum Source<'a> {
-    /// A backend server, with the registration of the attempt.
-    Server(&'a Server, &'a Registration<'a>),
-    /// Another entry, which registers its attempts itself, with the moment of the last event.
-    Peer(&'a Cell<Moment>),
-}
-
-impl Source<'_> {
-    /// Records that the head of a response arrived.
-    fn record_response(self, node: &Node, response: &Response, sent_at: Option<Moment>) {
-        if let Self::Server(server, _) = self {
-            reachability::record_answer(node);
-            notice::record(node, server, response, sent_at);
-        }
-    }
-
-    /// Records that events arrived.
-    fn record_events(self, node: &Node, exchange: &Exchange, is_first: bool) {
-        let now = clock::now();
-        match self {
-            Self::Server(_, registration) => {
-                if is_first {
-                    registration.started();
-                }
-                reachability::record_answer(node);
-                registration.progressed(now, exchange.service.engine.as_ref());
-            }
-            Self::Peer(progress) => progress.set(now),
-        }
-    }
-
-    /// Returns whether this entry counts the passes of an answer that is about to begin. Another entry that
-    /// serves it from its first event observes it itself.
-    fn counts_first_pass(self, exchange: &Exchange) -> bool {
-        matches!(self, Self::Server(..)) && exchange.last_event.is_none()
-    }
-
-    fn is_peer(self) -> bool {
-        matches!(self, Self::Peer(_))
-    }
-
-    /// Records that the server is not read until the caller reads, so that its silence shows nothing.
-    fn stopped(self) {
-        self.progress().set(NEVER_SILENT);
-    }
-
-    /// Records that the server is read again.
-    fn resumed(self) {
-        self.progress().set(clock::now());
-    }
-
-    fn progress(&self) -> &Cell<Moment> {
-        match self {
-            Self::Server(_, registration) => &registration.progress,
-            Self::Peer(progress) => progress,
-        }
-    }
-
-    /// Records that events were passed on to the caller.
-    fn passed_on(self) {
-        if let Self::Server(_, registration) = self {
-            registration.passed_on();
-        }
-    }
-}
-
 impl Reception {
     /// Sends a request over a connection.
     pub fn send(
