Take a success that ends with its connection before its body for truncated

Callers saw: a 200 with an empty body, framed as whole, from a server that closed the connection right after its head (a report of other operators: a server stopped in the middle of its answer's head).

Cause: a head without a length and without chunks says that the body ends with the connection, and that end was taken for the end of the answer even before its first byte. Ruled out: heads that break off before their blank line; they are errors at every byte in both programs.

Change: such a success needs at least one byte of body; without one it is truncated.

--- a/crates/gateway/src/reception.rs
+++ b/crates/gateway/src/reception.rs
@@ -274,6 +274,7 @@
                 usize::MAX,
             );
             read.await?;
+            check_body(&whole.response, &whole.body)?;
         }
         let Stage::Whole(whole) = std::mem::replace(&mut self.stage, Stage::Head) else {
             return Err(Error::Closed);
@@ -308,6 +309,16 @@
     }
 }
 
+/// Fails if the body of a success may have broken off before its first byte. The end of a connection shows only that the
+/// server sends no more.
+fn check_body(response: &Response, body: &held::Body) -> Result<(), Error> {
+    let has_no_end = response.framing == Framing::UntilClose;
+    match response.is_success() && has_no_end && body.bytes.is_empty() {
+        true => Err(Error::Truncated),
+        false => Ok(()),
+    }
+}
+
 impl Events {
     fn new(exchange: &Exchange, response: Response, source: Source<'_>) -> Self {
         let is_counted = exchange.passes > 0 || source.counts_first_pass(exchange);
--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -283,7 +283,7 @@
 
     /// Returns whether the status code is a success.
     pub fn is_success(&self) -> bool {
-        (200..300).contains(&self.response.status)
+        self.response.is_success()
     }
 
     /// Returns the first value of a header.
@@ -333,6 +333,13 @@
                 return Err(self.unanswered(h1::Error::BodyTooLong(limit)));
             }
         }
+        if self.is_success()
+            && self.response.framing == Framing::UntilClose
+            && self.buffer.is_empty()
+        {
+            // The end of a connection shows only that the server sends no more.
+            return Err(self.unanswered(h1::Error::Truncated));
+        }
         Ok(std::mem::take(&mut self.buffer))
     }
 
--- a/crates/web/tests/client.rs
+++ b/crates/web/tests/client.rs
@@ -97,6 +97,23 @@
     check(&format!("{head}who"), End::Reset, None);
 }
 
+/// Guards against a server that stops after or within its head, whose answer is taken for an empty one.
+#[test]
+fn body_of_answer_that_stops_in_its_head_is_error() {
+    let head = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 5\r\n\r\n";
+    for length in 0..head.len() {
+        check(&head[..length], End::Close, None);
+    }
+    check("HTTP/1.1 200 OK\r\n\r\n", End::Close, None);
+    check(
+        "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+        End::Close,
+        Some(""),
+    );
+    check("HTTP/1.1 204 No Content\r\n\r\n", End::Close, Some(""));
+    check("HTTP/1.1 404 Not Found\r\n\r\n", End::Close, Some(""));
+}
+
 #[test]
 fn body_longer_than_limit_is_error() {
     let address = serve(
