Keep a ready answer that ends with its connection after a silence

Cause: before an attempt that was silent is followed again, its connection is checked for an answer. An answer without a length ends with its connection, and that end counted as truncation unless the head had been received before the silence; in that case the check repeated until the time limit, since a body without an end is never done.

Change: at the end of the connection, the check asks once whether what has arrived is a whole answer.

Test: silent_server_goes_on_with_answer_that_ends_with_its_connection, which failed before (502; with the first half of the fix alone 504).

--- a/crates/gateway/src/reception.rs
+++ b/crates/gateway/src/reception.rs
@@ -145,8 +145,11 @@
     /// connection ends or fails before.
     pub async fn answered(&mut self, node: &Node, source: Source<'_>) -> Result<(), Error> {
         while !self.has_answer(node, source)? {
-            if self.connection.stream.fill().await? == 0 && !self.is_whole_at_end() {
-                return Err(Error::Truncated);
+            if self.connection.stream.fill().await? == 0 {
+                return match self.is_whole_at_end(node, source)? {
+                    true => Ok(()),
+                    false => Err(Error::Truncated),
+                };
             }
         }
         Ok(())
@@ -182,9 +185,26 @@
         Ok(has_event || decoder.is_done())
     }
 
-    /// Returns whether the answer is whole when its connection ends. A stream may have been cut there.
-    fn is_whole_at_end(&self) -> bool {
-        matches!(&self.stage, Stage::Whole(whole) if whole.response.framing == Framing::UntilClose)
+    /// Returns whether the answer is whole when its connection ends: it has a body that ends with it. A stream may
+    /// have been cut there.
+    fn is_whole_at_end(&self, node: &Node, source: Source<'_>) -> Result<bool, Error> {
+        let bytes = self.connection.stream.buffered();
+        match &self.stage {
+            Stage::Head => {
+                let Some((response, length)) = Response::parse(bytes, &self.method)? else {
+                    return Ok(false);
+                };
+                let verdict = self.check_head(node, &response, source)?;
+                let is_stream = self.is_stream(&response, &verdict);
+                let has_body = bytes.len() > length;
+                Ok(response.framing == Framing::UntilClose && has_body && !is_stream)
+            }
+            Stage::Whole(whole) => {
+                let has_body = !(whole.body.bytes.is_empty() && bytes.is_empty());
+                Ok(whole.response.framing == Framing::UntilClose && has_body)
+            }
+            Stage::Events(_) => Ok(false),
+        }
     }
 
     /// Returns the connection.
