--- a/review/standin-2.rs
+++ b/review/standin-2.rs
@@ -34,6 +34,8 @@
 
 #[path = "standin-2/left_again.rs"]
 mod left_again;
+#[path = "standin-2/moved_store.rs"]
+mod moved_store;
 
 /// The exit code of a case that could not run.
 const CANNOT_RUN: i32 = 2;
@@ -57,6 +59,7 @@
     });
     let result = match case.as_str() {
         "left-again" => left_again::run(&world),
+        "moved-store" => moved_store::run(&world),
         _ => Err(format!("no case {case}")),
     };
     world.end();
@@ -301,6 +304,9 @@
     reads: Vec<AtomicU64>,
     /// Whether calls at an address get 503.
     refuses: Vec<AtomicBool>,
+    /// Whether an address is closed.
+    is_closed: Vec<AtomicBool>,
+    streams: Vec<Mutex<Vec<TcpStream>>>,
 }
 
 impl Store {
@@ -310,6 +316,8 @@
             changed: Condvar::new(),
             reads: (0..addresses).map(|_| AtomicU64::new(0)).collect(),
             refuses: (0..addresses).map(|_| AtomicBool::new(false)).collect(),
+            is_closed: (0..addresses).map(|_| AtomicBool::new(false)).collect(),
+            streams: (0..addresses).map(|_| Mutex::default()).collect(),
         });
         let listen = |index: usize| {
             let listener = TcpListener::bind((next_ip(), 0)).expect("a free port");
@@ -317,6 +325,12 @@
             let shared = shared.clone();
             thread::spawn(move || {
                 for stream in listener.incoming().flatten() {
+                    if shared.is_closed[index].load(Ordering::Relaxed) {
+                        return;
+                    }
+                    if let Ok(copy) = stream.try_clone() {
+                        shared.streams[index].lock().unwrap().push(copy);
+                    }
                     let shared = shared.clone();
                     thread::spawn(move || shared.serve(stream, index));
                 }
@@ -337,6 +351,17 @@
         self.shared.reads[index].load(Ordering::Relaxed)
     }
 
+    /// Closes an address: nothing listens there any more, and its connections end.
+    pub fn close(&self, index: usize) {
+        self.shared.is_closed[index].store(true, Ordering::Relaxed);
+        self.shared.changed.notify_all();
+        // Wakes the thread that accepts connections, which then closes the listener.
+        let _ = TcpStream::connect(self.addresses[index]);
+        for stream in self.shared.streams[index].lock().unwrap().drain(..) {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+    }
+
     /// Sets whether calls at an address are turned away.
     pub fn refuse(&self, index: usize, refuses: bool) {
         self.shared.refuses[index].store(refuses, Ordering::Relaxed);
@@ -543,6 +568,15 @@
         Ok(())
     }
 
+    /// Replaces a text in the process's settings file.
+    pub fn change_settings(&self, world: &World, from: &str, to: &str) -> Result<(), String> {
+        let path = world.folder.join(format!("{}.json", self.name));
+        let settings = fs::read_to_string(&path).map_err(|it| it.to_string())?;
+        let changed = world.folder.join(format!("{}.new", self.name));
+        fs::write(&changed, settings.replace(from, to)).map_err(|it| it.to_string())?;
+        fs::rename(&changed, &path).map_err(|it| it.to_string())
+    }
+
     /// Sends a signal to the process.
     pub fn signal(&self, name: &str) {
         let _ = Command::new("kill").args([&format!("-{name}"), &self.pid.to_string()]).status();
@@ -603,11 +637,19 @@
     format!("{:08x}{:08x}", std::process::id(), COUNT.fetch_add(1, Ordering::Relaxed) + 0x1000)
 }
 
+/// The API key of most requests.
+pub const KEY: &str = "key-one-0123456789";
+
 /// Returns a request on a route.
 pub fn request(path: &str, id: &str, deadline_ms: u64, extra: &str, body: &str) -> Vec<u8> {
+    request_with(KEY, path, id, deadline_ms, extra, body)
+}
+
+/// The same with another API key.
+pub fn request_with(key: &str, path: &str, id: &str, deadline_ms: u64, extra: &str, body: &str) -> Vec<u8> {
     let method = if body.is_empty() { "GET" } else { "POST" };
     let mut text = format!("{method} {path} HTTP/1.1\r\nHost: forum.example\r\nX-Request-Id: {id}\r\n");
-    let _ = write!(text, "X-Deadline-Ms: {deadline_ms}\r\nAuthorization: Bearer key-one-0123456789\r\n{extra}");
+    let _ = write!(text, "X-Deadline-Ms: {deadline_ms}\r\nAuthorization: Bearer {key}\r\n{extra}");
     if !body.is_empty() {
         let _ = write!(text, "Content-Length: {}\r\n", body.len());
     }
--- a/review/standin-2/left_again.rs
+++ b/review/standin-2/left_again.rs
@@ -124,6 +124,11 @@
             ));
         }
     }
+    for server in &servers {
+        for arrival in server.arrivals.lock().unwrap().iter() {
+            world.log(&format!("{} ran {} at {}", server.id, arrival.id, arrival.at_ms));
+        }
+    }
     for node in &nodes {
         for line in node.log_lines("leav") {
             world.log(&format!("log of {}: {line}", node.name));
