--- a/review/standin-2.rs
+++ b/review/standin-2.rs
@@ -34,8 +34,8 @@
 
 #[path = "standin-2/left_again.rs"]
 mod left_again;
-#[path = "standin-2/moved_store.rs"]
-mod moved_store;
+#[path = "standin-2/no_content.rs"]
+mod no_content;
 
 /// The exit code of a case that could not run.
 const CANNOT_RUN: i32 = 2;
@@ -59,7 +59,8 @@
     });
     let result = match case.as_str() {
         "left-again" => left_again::run(&world),
-        "moved-store" => moved_store::run(&world),
+        "no-content" => no_content::run(&world, no_content::Spoiled::Status),
+        "coding" => no_content::run(&world, no_content::Spoiled::Coding),
         _ => Err(format!("no case {case}")),
     };
     world.end();
@@ -238,6 +239,11 @@
         let (name, value) = line.split_once(':')?;
         message.headers.push((name.trim().to_owned(), value.trim().to_owned()));
     }
+    if is_response && message.status() == 204 {
+        // RFC 9110, section 15.3.5: it has no content, and ends with its head.
+        message.is_complete = true;
+        return Some(message);
+    }
     let is_chunked = message.header("transfer-encoding").is_some_and(|it| it == "chunked");
     if is_chunked {
         read_chunks(stream, buffer, &mut message);
@@ -304,9 +310,6 @@
     reads: Vec<AtomicU64>,
     /// Whether calls at an address get 503.
     refuses: Vec<AtomicBool>,
-    /// Whether an address is closed.
-    is_closed: Vec<AtomicBool>,
-    streams: Vec<Mutex<Vec<TcpStream>>>,
 }
 
 impl Store {
@@ -316,8 +319,6 @@
             changed: Condvar::new(),
             reads: (0..addresses).map(|_| AtomicU64::new(0)).collect(),
             refuses: (0..addresses).map(|_| AtomicBool::new(false)).collect(),
-            is_closed: (0..addresses).map(|_| AtomicBool::new(false)).collect(),
-            streams: (0..addresses).map(|_| Mutex::default()).collect(),
         });
         let listen = |index: usize| {
             let listener = TcpListener::bind((next_ip(), 0)).expect("a free port");
@@ -325,12 +326,6 @@
             let shared = shared.clone();
             thread::spawn(move || {
                 for stream in listener.incoming().flatten() {
-                    if shared.is_closed[index].load(Ordering::Relaxed) {
-                        return;
-                    }
-                    if let Ok(copy) = stream.try_clone() {
-                        shared.streams[index].lock().unwrap().push(copy);
-                    }
                     let shared = shared.clone();
                     thread::spawn(move || shared.serve(stream, index));
                 }
@@ -351,17 +346,6 @@
         self.shared.reads[index].load(Ordering::Relaxed)
     }
 
-    /// Closes an address: nothing listens there any more, and its connections end.
-    pub fn close(&self, index: usize) {
-        self.shared.is_closed[index].store(true, Ordering::Relaxed);
-        self.shared.changed.notify_all();
-        // Wakes the thread that accepts connections, which then closes the listener.
-        let _ = TcpStream::connect(self.addresses[index]);
-        for stream in self.shared.streams[index].lock().unwrap().drain(..) {
-            let _ = stream.shutdown(Shutdown::Both);
-        }
-    }
-
     /// Sets whether calls at an address are turned away.
     pub fn refuse(&self, index: usize, refuses: bool) {
         self.shared.refuses[index].store(refuses, Ordering::Relaxed);
@@ -568,15 +552,6 @@
         Ok(())
     }
 
-    /// Replaces a text in the process's settings file.
-    pub fn change_settings(&self, world: &World, from: &str, to: &str) -> Result<(), String> {
-        let path = world.folder.join(format!("{}.json", self.name));
-        let settings = fs::read_to_string(&path).map_err(|it| it.to_string())?;
-        let changed = world.folder.join(format!("{}.new", self.name));
-        fs::write(&changed, settings.replace(from, to)).map_err(|it| it.to_string())?;
-        fs::rename(&changed, &path).map_err(|it| it.to_string())
-    }
-
     /// Sends a signal to the process.
     pub fn signal(&self, name: &str) {
         let _ = Command::new("kill").args([&format!("-{name}"), &self.pid.to_string()]).status();
