--- a/review/standin-2.rs
+++ b/review/standin-2.rs
@@ -717,7 +717,8 @@
         while let Some(message) = read_message(&mut stream, &mut buffer, false) {
             let expected = message.header("X-Expect-Instance");
             if expected.is_some_and(|it| it != self.id) {
-                let answer = format!("HTTP/1.1 421 Misdirected Request\r\nX-Runner-Id: {}\r\nContent-Length: 0\r\n\r\n", self.id);
+                let fields = self.common_fields(&message);
+                let answer = format!("HTTP/1.1 421 Misdirected Request\r\n{fields}X-Runner-Id: {}\r\nContent-Length: 0\r\n\r\n", self.id);
                 if stream.write_all(answer.as_bytes()).is_err() {
                     return;
                 }
--- a/review/standin-2/left_again.rs
+++ b/review/standin-2/left_again.rs
@@ -27,14 +27,14 @@
         server.record(message, true);
         sleep_ms(WORK_MS / 2);
         if server.is_leaving.load(Ordering::Relaxed) && server.world.ms() > exits.load(Ordering::Relaxed) {
-            server.world.log("i-1 exits while it runs a request");
+            server.world.log("the leaving runner exits while it runs a request");
             server.exit();
             return Next::Close;
         }
         sleep_ms(WORK_MS / 2);
         server.answer(message, stream, "posted")
     });
-    let servers: Vec<Arc<Server>> = [("i-1", "buc-a"), ("i-2", "buc-b"), ("i-3", "buc-c")]
+    let servers: Vec<Arc<Server>> = [("i-5b4f2f01", "buc-a"), ("i-5b4f2f02", "buc-b"), ("i-5b4f2f03", "buc-c")]
         .map(|(id, zone)| Server::start(world, id, "forum-app", zone, handler.clone()))
         .into();
     for server in &servers {
@@ -86,7 +86,7 @@
         exits_after.store(left_at + 5 * DRAIN_MS / 2, Ordering::Relaxed);
         leaving.is_leaving.store(true, Ordering::Relaxed);
         leaving.report(&store);
-        world.log("i-1 leaves: the store has accepted its report, and all its answers say so");
+        world.log("the leaving runner leaves: the store has accepted its report, and all its answers say so");
     }
     for sender in senders {
         let _ = sender.join();
@@ -96,8 +96,8 @@
     world.sleep_until(left_at + SERVES_MS);
     if world.trouble {
         leaving.exit();
-        store.append("keyed.servers", "i-1", "");
-        world.log("i-1 is gone and its entry is removed");
+        store.append("keyed.servers", &leaving.id, "");
+        world.log("the leaving runner is gone and its entry is removed");
     }
     sleep_ms(1_000);
     stopped.store(true, Ordering::Relaxed);
@@ -115,7 +115,7 @@
         late += usize::from(is_late);
         if is_late || arrival.at_ms >= left_at {
             world.log(&format!(
-                "i-1 ran {} at {}, {} ms after the store had accepted its report; sent at {sent} to {}, answered {answer:?}{}",
+                "the leaving runner ran {} at {}, {} ms after the store had accepted its report; sent at {sent} to {}, answered {answer:?}{}",
                 arrival.id,
                 arrival.at_ms,
                 arrival.at_ms.saturating_sub(left_at),
@@ -134,7 +134,7 @@
             world.log(&format!("log of {}: {line}", node.name));
         }
     }
-    world.log(&format!("requests that reached i-1 too late: {late}"));
+    world.log(&format!("requests that reached the leaving runner too late: {late}"));
     Ok(late == 0)
 }
 
--- a/review/standin-2/no_content.rs
+++ b/review/standin-2/no_content.rs
@@ -112,7 +112,14 @@
         }
         Next::Keep
     });
-    let names = [("i-1", "buc-a"), ("i-2", "buc-b"), ("i-3", "buc-c"), ("e-1", "buc-a"), ("e-2", "buc-b"), ("e-3", "buc-c")];
+    let names = [
+        ("i-5b4f2f01", "buc-a"),
+        ("i-5b4f2f02", "buc-b"),
+        ("i-5b4f2f03", "buc-c"),
+        ("e-91c2aa01", "buc-a"),
+        ("e-91c2aa02", "buc-b"),
+        ("e-91c2aa03", "buc-c"),
+    ];
     let servers: Vec<Arc<Server>> = names
         .map(|(id, zone)| {
             let service = if id.starts_with('e') { "sfat-llm" } else { "forum-app" };
