Let the review's scripts read TROUBLE, and count addresses with any octet

The stand-in read TROUBLE, the scripts did not. It also took an octet of 127 in an address for another address, so that a case could not run for some process ids.

--- a/review/standin-2.rs
+++ b/review/standin-2.rs
@@ -43,12 +43,11 @@
 
 fn main() {
     let arguments: Vec<String> = std::env::args().collect();
-    let [_, case, folder] = arguments.as_slice() else {
-        eprintln!("usage: standin CASE FOLDER");
+    let [_, case, folder, trouble] = arguments.as_slice() else {
+        eprintln!("usage: standin CASE FOLDER on|off");
         std::process::exit(CANNOT_RUN);
     };
-    let trouble = std::env::var("TROUBLE").map_or(true, |it| it != "0");
-    let world = World::new(trouble);
+    let world = World::new(trouble == "on");
     // No case takes this long. The processes that it started must not stay behind.
     let watched = world.clone();
     thread::spawn(move || {
@@ -568,7 +567,7 @@
         let Ok(answer) = exchange(self.directory, request.as_bytes(), 1_000) else {
             return 0;
         };
-        String::from_utf8_lossy(&answer.body).matches("127.").count()
+        String::from_utf8_lossy(&answer.body).matches("\"127.").count()
     }
 
     /// Returns the lines of the process's log that contain a text.
