Remember that a connection has failed, so that its end passes for no answer's end

Callers saw a part of an answer as a complete 200. A server answered a long upload at once without a length, sent a part of the body and reset the connection while the upload was still being written.

Cause: the kernel reports the failure of a connection once, to the side that reads or writes next, and afterwards lets a read return 0 as if the peer had closed it. The request is written by a task of its own, so that an early answer can be read meanwhile. When that task was told of the reset, the reader found what had been sent and then an orderly end, which completes a body without a length. The same holds for a connection that is given up since its peer acknowledges nothing, and for a read after a failed one.

Ruled out: the framing (a body with a length or in chunks is truncated then), and the check of the signature, which the head of such an answer carries.

Change: both sides of a connection share its failure, and a read at the end of a failed connection fails. A broken pipe is none: it follows an orderly end of the peer. This is in h1, so it covers whole answers, streams, relays, commands to servers and calls to the store, and the client of coriander-entry.

--- a/crates/h1/src/stream.rs
+++ b/crates/h1/src/stream.rs
@@ -47,9 +47,7 @@
 /// A connection with a read buffer.
 #[derive(Debug)]
 pub struct Stream {
-    socket: Rc<Async<TcpStream>>,
-    /// The time after which the connection fails if the peer acknowledges nothing.
-    ack_timeout: Rc<Cell<Duration>>,
+    socket: Rc<Socket>,
     buffer: Vec<u8>,
     /// Whether there was a read since other tasks could run.
     has_read: bool,
@@ -58,14 +56,50 @@
 /// The writing side of a connection.
 #[derive(Clone, Debug)]
 pub struct Writer {
-    socket: Rc<Async<TcpStream>>,
-    ack_timeout: Rc<Cell<Duration>>,
+    socket: Rc<Socket>,
+}
+
+/// What both sides of a connection share.
+#[derive(Debug)]
+struct Socket {
+    io: Async<TcpStream>,
+    /// The time after which the connection fails if the peer acknowledges nothing.
+    ack_timeout: Cell<Duration>,
+    /// How the connection failed. The kernel reports a failure only once, to the side that reads or writes next. After
+    /// that, a read returns the end of the connection, as if the peer had closed it.
+    failure: Cell<Option<io::ErrorKind>>,
+}
+
+impl Socket {
+    /// Reads what is there. Returns 0 only if the peer has closed the connection.
+    fn read(&self, bytes: &mut [u8]) -> io::Result<usize> {
+        let length = self.record((&mut self.io.get_ref()).read(bytes))?;
+        match self.failure.get() {
+            Some(kind) if length == 0 => Err(kind.into()),
+            _ => Ok(length),
+        }
+    }
+
+    /// Records the error of an operation if the connection has failed. A broken pipe is no failure: this side can't
+    /// write any more, but may still read until the peer's end.
+    fn record<T>(&self, result: io::Result<T>) -> io::Result<T> {
+        if let Err(error) = &result {
+            match error.kind() {
+                io::ErrorKind::WouldBlock
+                | io::ErrorKind::Interrupted
+                | io::ErrorKind::BrokenPipe => {}
+                kind => self.failure.set(Some(kind)),
+            }
+        }
+        result
+    }
 }
 
 impl Writer {
     /// Writes all bytes.
     pub async fn write(&self, bytes: &[u8]) -> Result<(), Error> {
-        Ok((&*self.socket).write_all(bytes).await?)
+        let written = (&self.socket.io).write_all(bytes).await;
+        Ok(self.socket.record(written)?)
     }
 
     /// Writes all parts, together as far as the connection takes them.
@@ -83,7 +117,8 @@
     pub fn try_write(&self, parts: &mut &mut [IoSlice<'_>]) -> Result<(), Error> {
         IoSlice::advance_slices(parts, 0);
         while !parts.is_empty() {
-            match (&mut self.socket.get_ref()).write_vectored(parts) {
+            let written = (&mut self.socket.io.get_ref()).write_vectored(parts);
+            match self.socket.record(written) {
                 Ok(0) => return Err(Error::Io(io::ErrorKind::WriteZero.into())),
                 Ok(length) => IoSlice::advance_slices(parts, length),
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(()),
@@ -96,16 +131,16 @@
 
     /// Completes once the connection takes more bytes, or has failed.
     pub async fn writable(&self) -> Result<(), Error> {
-        Ok(self.socket.writable().await?)
+        Ok(self.socket.io.writable().await?)
     }
 
     /// Sets the time after which the connection fails if the peer acknowledges nothing or reads nothing.
     /// The time is at least [`SHORTEST_ACK_TIMEOUT`].
     pub fn set_ack_timeout(&self, timeout: Duration) {
         let timeout = timeout.max(SHORTEST_ACK_TIMEOUT);
-        if self.ack_timeout.replace(timeout) != timeout {
+        if self.socket.ack_timeout.replace(timeout) != timeout {
             // Fails only for a connection that has already ended.
-            let _ = SockRef::from(self.socket.get_ref()).set_tcp_user_timeout(Some(timeout));
+            let _ = SockRef::from(self.socket.io.get_ref()).set_tcp_user_timeout(Some(timeout));
         }
     }
 }
@@ -133,8 +168,11 @@
             .with_retries(PROBE_INTERVALS - 1);
         options.set_tcp_keepalive(&keepalive)?;
         Ok(Self {
-            socket: Rc::new(socket),
-            ack_timeout: Rc::new(Cell::new(ack_timeout)),
+            socket: Rc::new(Socket {
+                io: socket,
+                ack_timeout: Cell::new(ack_timeout),
+                failure: Cell::default(),
+            }),
             buffer: Vec::new(),
             has_read: false,
         })
@@ -144,13 +182,13 @@
     /// 32 MiB.
     pub fn limit_received(&self, bytes: usize) -> Result<(), Error> {
         // The kernel doubles the value to account for its own data.
-        Ok(SockRef::from(self.socket.get_ref()).set_recv_buffer_size(bytes / 2)?)
+        Ok(SockRef::from(self.socket.io.get_ref()).set_recv_buffer_size(bytes / 2)?)
     }
 
     /// Discards what the peer has not read yet when the connection is closed. The peer sees a reset.
     pub fn discard_on_close(&self) {
         // Fails only for a connection that has already ended.
-        let _ = SockRef::from(self.socket.get_ref()).set_linger(Some(Duration::ZERO));
+        let _ = SockRef::from(self.socket.io.get_ref()).set_linger(Some(Duration::ZERO));
     }
 
     /// Returns the number of bytes in the read buffer.
@@ -176,7 +214,7 @@
             match self.read_ready() {
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
                     self.has_read = false;
-                    self.socket.readable().await?;
+                    self.socket.io.readable().await?;
                 }
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
                 result => return Ok(result?),
@@ -187,7 +225,7 @@
     /// Reads what is there into the buffer.
     fn read_ready(&mut self) -> io::Result<usize> {
         SCRATCH.with_borrow_mut(|scratch| {
-            let length = (&mut self.socket.get_ref()).read(scratch)?;
+            let length = self.socket.read(scratch)?;
             self.buffer.extend_from_slice(&scratch[..length]);
             Ok(length)
         })
@@ -212,7 +250,7 @@
     /// anything nor closed it.
     pub fn is_quiet(&self) -> bool {
         let mut byte = [std::mem::MaybeUninit::uninit(); 1];
-        let peeked = SockRef::from(self.socket.get_ref()).peek(&mut byte);
+        let peeked = SockRef::from(self.socket.io.get_ref()).peek(&mut byte);
         let is_open = peeked.is_err_and(|it| it.kind() == io::ErrorKind::WouldBlock);
         is_open && self.buffer.is_empty()
     }
@@ -309,14 +347,13 @@
     pub fn writer(&self) -> Writer {
         Writer {
             socket: self.socket.clone(),
-            ack_timeout: self.ack_timeout.clone(),
         }
     }
 
     /// Shuts down the writing side and discards incoming bytes for up to `limit`. Closing with unread
     /// bytes would reset the connection, and the peer could lose the last response.
     pub async fn linger(&mut self, limit: Duration) {
-        if SockRef::from(self.socket.get_ref())
+        if SockRef::from(self.socket.io.get_ref())
             .shutdown(std::net::Shutdown::Write)
             .is_err()
         {
--- a/crates/web/tests/client.rs
+++ b/crates/web/tests/client.rs
@@ -97,6 +97,19 @@
     check(&format!("{head}who"), End::Reset, None);
 }
 
+/// Guards against a part of an answer that passes for whole since its server reset the connection before it had read
+/// the request.
+#[test]
+fn body_of_answer_that_is_reset_during_upload_is_error() {
+    let address = serve("HTTP/1.1 200 OK\r\n\r\npart", End::Reset);
+    let call = Call::post(address, "/", vec![b'x'; 6_000_000]);
+    let body = block_on(async {
+        let mut answer = Client::default().send(&call, TIMEOUT).await?;
+        answer.bytes().await
+    });
+    assert!(body.is_err(), "{body:?}");
+}
+
 /// Guards against a server that stops after or within its head, whose answer is taken for an empty one.
 #[test]
 fn body_of_answer_that_stops_in_its_head_is_error() {
