Take a success for broken off if its server closes before it took the request

Cause: an orderly end comes first then, as when a process is killed that had read what had arrived. The connection is reset only when more of the request reaches the server, and a body without a length ends with the orderly end. That the rest of the request could not be written was known to the task that writes it, and nobody asked.

The writer gets a broken pipe here, and a read really finds the peer's end.

Change: `upload` writes a request and knows whether the connection took it. A success that ends with its connection is whole if the request was taken, or if no reset follows within a round trip (250 ms at most, only where a request is still being written): a server that leaves the rest unread is still there, and its ready answer is delivered. It counts as truncated otherwise, so it is retried or resumed where that is allowed, and answered with 502 otherwise. The same holds for a silent server that goes on: it does not end the retry that replaced it. Other statuses are passed on as before: a refusal that closes without reading is usual, and its status is what counts.

coriander-entry writes a request before it reads, so the write fails there.

Evidence: answer_whose_server_closes_is_no_success, _is_retried and stream_whose_server_closes_is_not_complete fail without the change (1 of 1 run: 200 with the part, no retry); silent_server_goes_on_and_closes_retry_answers fails without the check of the silent server (502 instead of the retry's answer). All 9 of early_answers.rs pass with it, and so do requests, damaged, broken_streams, silence, streams and relays of adapter (1 run each).

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -59,6 +59,7 @@
 pub mod stop;
 pub mod target;
 pub mod turns;
+mod upload;
 pub mod waiting;
 pub mod watchdog;
 
--- a/crates/gateway/src/reception.rs
+++ b/crates/gateway/src/reception.rs
@@ -3,10 +3,8 @@
 //! Receiving can be interrupted at any moment and go on later without a loss, so that a server that falls silent
 //! can be left for another one and still be heard if it goes on.
 
-use std::io::IoSlice;
 use std::rc::Rc;
 
-use async_executor::Task;
 use h1::Error;
 use h1::Framing;
 use h1::Response;
@@ -28,6 +26,7 @@
 use crate::relay::Answer;
 use crate::relay::State;
 use crate::source::Source;
+use crate::upload::Upload;
 
 /// The size limit of a response head, in bytes.
 const RESPONSE_HEAD_LIMIT: usize = 64 * 1024;
@@ -40,10 +39,7 @@
     method: String,
     /// The id of the request, which the response repeats.
     request_id: Option<String>,
-    /// Writes the request. A server may respond before it has read the body. The rest is written
-    /// nevertheless, so that the server does not take other bytes for it, and reading the response does not
-    /// wait for it.
-    writing: Task<Result<(), Error>>,
+    upload: Upload,
     /// Whether a successful answer is a stream.
     expects_stream: bool,
     stage: Stage,
@@ -98,17 +94,13 @@
         if !body.bytes.is_empty() || exchange.request.framing != Framing::Empty {
             head.framing = Framing::Length(body.bytes.len() as u64);
         }
-        let bytes = head.encode();
         let writer = connection.stream.writer();
-        let writing = node.executor.spawn(async move {
-            let mut parts = [IoSlice::new(&bytes), IoSlice::new(&body.bytes)];
-            writer.write_parts(&mut parts).await
-        });
+        let upload = Upload::start(node, writer, head.encode(), body);
         Self {
             connection,
             method: head.method,
             request_id: exchange.metadata.id.clone(),
-            writing,
+            upload,
             expects_stream: exchange.route.kind.is_stream(),
             stage: Stage::Head,
         }
@@ -129,15 +121,16 @@
         let completion = match &mut self.stage {
             Stage::Events(events) => {
                 exchange.ending.framing = Some(events.framing);
-                let stream = &mut self.connection.stream;
-                events.relay(node, exchange, stream, answer, source).await
+                let (stream, upload) = (&mut self.connection.stream, &mut self.upload);
+                let relayed = events.relay(node, exchange, stream, upload, answer, source);
+                relayed.await
             }
             Stage::Head | Stage::Whole(_) => {
                 self.receive_whole(node, exchange, answer, source).await
             }
         };
         let mut completion = completion?;
-        completion.reuse = completion.reuse.filter(|_| self.writing.is_finished());
+        completion.reuse = completion.reuse.filter(|_| self.upload.is_finished());
         Ok(completion)
     }
 
@@ -146,9 +139,9 @@
     pub async fn answered(&mut self, node: &Node, source: Source<'_>) -> Result<(), Error> {
         while !self.has_answer(node, source)? {
             if self.connection.stream.fill().await? == 0 {
-                return match self.is_whole_at_end(node, source)? {
-                    true => Ok(()),
-                    false => Err(Error::Truncated),
+                return match self.is_success_at_end(node, source)? {
+                    true => self.upload.check_taken().await,
+                    false => Ok(()),
                 };
             }
         }
@@ -185,25 +178,30 @@
         Ok(has_event || decoder.is_done())
     }
 
-    /// Returns whether the answer is whole when its connection ends: it has a body that ends with it. A stream may
-    /// have been cut there.
-    fn is_whole_at_end(&self, node: &Node, source: Source<'_>) -> Result<bool, Error> {
+    /// Returns whether the answer, which is whole when its connection ends, is a success. Fails if it is not whole: its
+    /// body does not end with the connection, or is a stream, which may have been cut there.
+    fn is_success_at_end(&self, node: &Node, source: Source<'_>) -> Result<bool, Error> {
         let bytes = self.connection.stream.buffered();
+        let check = |response: &Response, has_body: bool| match response.framing
+            == Framing::UntilClose
+            && has_body
+        {
+            true => Ok(response.is_success()),
+            false => Err(Error::Truncated),
+        };
         match &self.stage {
             Stage::Head => {
-                let Some((response, length)) = Response::parse(bytes, &self.method)? else {
-                    return Ok(false);
-                };
+                let parsed = Response::parse(bytes, &self.method)?;
+                let (response, length) = parsed.ok_or(Error::Truncated)?;
                 let verdict = self.check_head(node, &response, source)?;
                 let is_stream = self.is_stream(&response, &verdict);
-                let has_body = bytes.len() > length;
-                Ok(response.framing == Framing::UntilClose && has_body && !is_stream)
+                check(&response, bytes.len() > length && !is_stream)
             }
             Stage::Whole(whole) => {
                 let has_body = !(whole.body.bytes.is_empty() && bytes.is_empty());
-                Ok(whole.response.framing == Framing::UntilClose && has_body)
+                check(&whole.response, has_body)
             }
-            Stage::Events(_) => Ok(false),
+            Stage::Events(_) => Err(Error::Truncated),
         }
     }
 
@@ -294,7 +292,10 @@
                 usize::MAX,
             );
             read.await?;
-            check_body(&whole.response, &whole.body)?;
+            if ends_with_connection(&whole.response) {
+                check_body(&whole.body)?;
+                self.upload.check_taken().await?;
+            }
         }
         let Stage::Whole(whole) = std::mem::replace(&mut self.stage, Stage::Head) else {
             return Err(Error::Closed);
@@ -329,11 +330,15 @@
     }
 }
 
-/// Fails if the body of a success may have broken off before its first byte. The end of a connection shows only that the
-/// server sends no more.
-fn check_body(response: &Response, body: &held::Body) -> Result<(), Error> {
-    let has_no_end = response.framing == Framing::UntilClose;
-    match response.is_success() && has_no_end && body.bytes.is_empty() {
+/// Returns whether a response is a success whose body ends with the connection.
+fn ends_with_connection(response: &Response) -> bool {
+    response.is_success() && response.framing == Framing::UntilClose
+}
+
+/// Fails if a body that ends with the connection may have broken off before its first byte. The end of a connection
+/// shows only that the server sends no more.
+fn check_body(body: &held::Body) -> Result<(), Error> {
+    match body.bytes.is_empty() {
         true => Err(Error::Truncated),
         false => Ok(()),
     }
@@ -367,6 +372,7 @@
         node: &Node,
         exchange: &mut Exchange,
         stream: &mut Stream,
+        upload: &mut Upload,
         answer: &mut Answer,
         source: Source<'_>,
     ) -> Result<Completion, Error> {
@@ -375,6 +381,9 @@
         loop {
             bytes.clear();
             let has_more = stream.read_body(&mut self.decoder, &mut bytes).await?;
+            if !has_more && self.framing == Framing::UntilClose {
+                upload.check_taken().await?;
+            }
             let ready = self.splitter.push(&bytes)?;
             exchange.ending.event_count = self.splitter.event_count();
             exchange.ending.has_damaged_id = self.splitter.has_damaged_id();
