--- a/crates/h1/tests/messages.rs
+++ b/crates/h1/tests/messages.rs
@@ -79,6 +79,35 @@
     }
 }
 
+/// Checks that no head whose field name has a byte in it that no name may have is parsed, wherever the byte is.
+fn check_field_names(is_checked: impl Fn(u8) -> bool) {
+    const HEAD: &str = "HTTP/1.1 200 OK\r\nA: 1\r\nContent-Length: 4\r\nX-Name-Of-Over-32-Bytes-For-A-Vector: 1\r\n\r\n";
+    let is_token = |it: u8| it.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(&it);
+    let invalid = (0..=255).filter(|it| !is_token(*it) && *it != b':' && is_checked(*it));
+    let invalid: Vec<u8> = invalid.collect();
+    let mut name_start = HEAD.find("\r\n").expect("a line") + 2;
+    while let Some(name_length) = HEAD[name_start..].find(':') {
+        for place in name_start..=name_start + name_length {
+            for byte in &invalid {
+                let mut head = HEAD.as_bytes().to_vec();
+                head.insert(place, *byte);
+                let parsed = Response::parse(&head, "GET");
+                let text = head.escape_ascii();
+                assert!(
+                    matches!(parsed, Err(Error::Malformed(_))),
+                    "{text}: {parsed:?}"
+                );
+            }
+        }
+        name_start += HEAD[name_start..].find("\r\n").expect("a line") + 2;
+    }
+}
+
+#[test]
+fn response_with_blank_or_control_byte_in_field_name_is_rejected() {
+    check_field_names(|it| it != b'\n');
+}
+
 #[test]
 fn response_body_depends_on_method_and_status() {
     let framing = |method: &str, text: &str| {
