--- a/crates/h1/tests/messages.rs
+++ b/crates/h1/tests/messages.rs
@@ -108,6 +108,28 @@
     check_field_names(|it| it != b'\n');
 }
 
+/// Guards against a head that ends in the name of a field, whose rest is taken for the body.
+#[test]
+fn response_with_line_feed_in_field_name_is_rejected() {
+    check_field_names(|it| it == b'\n');
+}
+
+#[test]
+fn response_whose_lines_end_without_carriage_return_is_rejected() {
+    for text in [
+        "HTTP/1.1 200 OK\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 0\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\n",
+        "HTTP/1.1 200 OK\n\n",
+    ] {
+        let parsed = Response::parse(text.as_bytes(), "GET");
+        assert!(
+            matches!(parsed, Err(Error::Malformed(_))),
+            "{text:?}: {parsed:?}"
+        );
+    }
+}
+
 #[test]
 fn response_body_depends_on_method_and_status() {
     let framing = |method: &str, text: &str| {
--- a/crates/harness/tests/broken_answers.rs
+++ b/crates/harness/tests/broken_answers.rs
@@ -62,6 +62,9 @@
     assert!(result.is_err(), "{bytes:?}: {result:?}");
 }
 
+/// A head that ends in the name of a field.
+const LINE_FEED: &str = "HTTP/1.1 200 OK\r\nX-A: v\r\n\nontent-Length: 2\r\n\r\n{}";
+
 #[test]
 fn answer_with_status_000_is_no_answer() {
     check(WITHOUT_STATUS);
@@ -71,3 +74,9 @@
 fn answer_with_blank_or_control_byte_in_field_name_is_no_answer() {
     INVALID_NAMES.into_iter().for_each(check);
 }
+
+/// Guards against a head that ends in the name of a field, whose rest is passed on as the body.
+#[test]
+fn answer_with_line_feed_in_field_name_is_no_answer() {
+    check(LINE_FEED);
+}
