--- a/crates/gateway/src/reception.rs
+++ b/crates/gateway/src/reception.rs
@@ -182,26 +182,24 @@
     /// body does not end with the connection, or is a stream, which may have been cut there.
     fn is_success_at_end(&self, node: &Node, source: Source<'_>) -> Result<bool, Error> {
         let bytes = self.connection.stream.buffered();
-        let check = |response: &Response, has_body: bool| match response.framing
-            == Framing::UntilClose
-            && has_body
-        {
-            true => Ok(response.is_success()),
-            false => Err(Error::Truncated),
-        };
-        match &self.stage {
+        let (framing, is_success, has_body) = match &self.stage {
             Stage::Head => {
                 let parsed = Response::parse(bytes, &self.method)?;
                 let (response, length) = parsed.ok_or(Error::Truncated)?;
                 let verdict = self.check_head(node, &response, source)?;
-                let is_stream = self.is_stream(&response, &verdict);
-                check(&response, bytes.len() > length && !is_stream)
+                let has_body = bytes.len() > length && !self.is_stream(&response, &verdict);
+                (response.framing, response.is_success(), has_body)
             }
             Stage::Whole(whole) => {
                 let has_body = !(whole.body.bytes.is_empty() && bytes.is_empty());
-                check(&whole.response, has_body)
+                let response = &whole.response;
+                (response.framing, response.is_success(), has_body)
             }
-            Stage::Events(_) => Err(Error::Truncated),
+            Stage::Events(_) => return Err(Error::Truncated),
+        };
+        match framing == Framing::UntilClose && has_body {
+            true => Ok(is_success),
+            false => Err(Error::Truncated),
         }
     }
 
