--- a/crates/gateway/src/upload.rs
+++ b/crates/gateway/src/upload.rs
@@ -14,8 +14,8 @@
 use crate::Node;
 use crate::held;
 
-/// The time within which a server that has closed a connection resets it, once more of a request reaches it. That takes
-/// a round trip.
+/// The time within which a server that has closed a connection resets it. It does so as soon as more of the request
+/// reaches it, which takes a round trip.
 const RESET_TIME: Duration = Duration::from_millis(250);
 
 /// A request that is being written. A server may respond before it has read the body. The rest is written
@@ -51,6 +51,8 @@
         if !self.is_finished() {
             let reset_time = async {
                 Timer::after(RESET_TIME).await;
+                // If this process was frozen, a reset and the end of this time are noticed together.
+                future::yield_now().await;
             };
             future::or(&mut self.task, reset_time).await;
         }
--- a/crates/h1/src/head.rs
+++ b/crates/h1/src/head.rs
@@ -139,7 +139,7 @@
             Ok(httparse::Status::Partial) => return Ok(None),
             Err(_) => return Err(Error::Malformed("head")),
         };
-        if !are_lines_whole(&bytes[..length]) {
+        if !has_crlf_line_ends(&bytes[..length]) {
             return Err(Error::Malformed("line end"));
         }
         let status = parsed.code.unwrap_or_default();
@@ -202,9 +202,9 @@
 /// The initial capacity of the buffer for an encoded head, in bytes.
 const ENCODED_CAPACITY: usize = 512;
 
-/// Returns whether each line of a head ends as RFC 9112, section 2.1, requires. Parsers may take a line feed alone for the
-/// end of a line, but one that got into the name of a field would end the head there.
-fn are_lines_whole(head: &[u8]) -> bool {
+/// Returns whether each line of a head ends with a carriage return and a line feed. RFC 9112, section 2.2, lets parsers
+/// take a line feed alone for the end of a line, but one that got into the name of a field may end the head there.
+fn has_crlf_line_ends(head: &[u8]) -> bool {
     let mut lines = head.split_inclusive(|it| *it == b'\n');
     lines.all(|it| it.ends_with(b"\r\n"))
 }
