Give the configuration's follower a module of its own

Only moves code: `configuration` follows the configuration, `follow` the lists of servers and of entries, and `lists` reads a list from the platform or from peers for both. No change of behaviour.

--- /dev/null
+++ b/crates/gateway/src/configuration.rs
@@ -0,0 +1,178 @@
+//! Follows the platform's configuration of routes, and puts each new version in force.
+//!
+//! Entries that have a version announce it to others, which fetch it from them.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_io::Timer;
+use domain::Moment;
+use futures_lite::future;
+use route::Table;
+
+use crate::Node;
+use crate::backoff::Backoff;
+use crate::calls;
+use crate::cold;
+use crate::datagrams;
+use crate::duty;
+use crate::evacuation;
+use crate::homes;
+use crate::lists;
+use crate::lists::Scope;
+use crate::on_time;
+use crate::port::Changes;
+use crate::port::Error;
+use crate::port::List;
+use crate::port::Platform;
+use crate::port::Record;
+
+/// The wait time of a long poll for a change of the configuration. A connection that stalls
+/// meanwhile does no harm, since entries whose connections work announce the change.
+const WAIT: Duration = Duration::from_secs(9);
+/// The same for an entry without peers that could announce a change. It is below the time within
+/// which a configuration must be in force, 2 s to 3 s.
+const WAIT_ALONE: Duration = Duration::from_millis(1_500);
+/// The interval between two reads of the configuration by other entries, which repair what announcements
+/// missed.
+const REPAIR_INTERVAL: Duration = Duration::from_secs(30);
+/// The time to wait for the platform's own answer after a peer has announced a change.
+const HINT_DELAY: Duration = Duration::from_millis(200);
+
+/// Follows the configuration of routes until the process ends.
+pub async fn follow<P: Platform>(node: Rc<Node>, platform: Rc<P>) {
+    let mut backoff = Backoff::default();
+    let mut next = None;
+    let mut wait = Duration::ZERO;
+    let mut read_due = clock::now();
+    loop {
+        let read = async {
+            duty::wait(&node, read_due).await;
+            Ok(lists::read(&node, &*platform, List::Routes, next, wait).await)
+        };
+        let delay = if duty::is_reader(&node) {
+            HINT_DELAY
+        } else {
+            Duration::ZERO
+        };
+        let hint = async { Err(later_configuration(&node, delay).await) };
+        match future::or(read, hint).await {
+            Ok(Ok((scope, changes))) => {
+                backoff.succeeded("routes");
+                let from = next.filter(|_| scope == Scope::Changed);
+                let is_complete = evacuation::apply_read(&node, from, &changes);
+                next = is_complete.then_some(changes.next);
+                read_due = clock::now() + REPAIR_INTERVAL;
+                apply(&node, &changes);
+                wait = wait_time(&node);
+            }
+            Ok(Err(Error::Gone)) => next = None,
+            Ok(Err(error)) => {
+                if config_version(&node) == 0 {
+                    fetch_from_any_peer(&node).await;
+                }
+                let retry_at = backoff.failed(&node, "routes", &error);
+                follow_peers_until(&node, retry_at).await;
+            }
+            Err(peer) => {
+                let before = config_version(&node);
+                fetch(&node, peer).await;
+                if config_version(&node) == before {
+                    // The peer did not deliver it. Read from the platform at once.
+                    wait = Duration::ZERO;
+                    read_due = clock::now();
+                }
+            }
+        }
+    }
+}
+
+/// Fetches the configurations that peers announce until `end`, while the platform does not answer.
+async fn follow_peers_until(node: &Node, end: Moment) {
+    loop {
+        let ended = async {
+            clock::wait_until(end).await;
+            None
+        };
+        let announced = async { Some(later_configuration(node, Duration::ZERO).await) };
+        match future::or(ended, announced).await {
+            Some(peer) => fetch(node, peer).await,
+            None => return,
+        }
+    }
+}
+
+/// Fetches a configuration from random peers, since this entry has none.
+async fn fetch_from_any_peer(node: &Node) {
+    if let Some((_, changes)) = lists::fetch_from_peers(node, List::Routes, |_| true).await {
+        apply(node, &changes);
+    }
+}
+
+async fn fetch(node: &Node, peer: SocketAddr) {
+    log::info!(target: "config", peer:% = peer; "a peer has a later configuration");
+    if let Some(snapshot) = calls::fetch(node, peer, List::Routes).await {
+        apply(node, &lists::into_changes(snapshot));
+    }
+}
+
+/// Completes once a peer has had a later configuration for `delay`, and returns that peer.
+async fn later_configuration(node: &Node, delay: Duration) -> SocketAddr {
+    loop {
+        let Ok((peer, version)) = node.config_hints.1.recv().await else {
+            return future::pending().await;
+        };
+        Timer::after(delay).await;
+        if config_version(node) < version {
+            return peer;
+        }
+    }
+}
+
+fn config_version(node: &Node) -> u64 {
+    let state = node.state.borrow();
+    state.table.as_ref().map_or(0, |it| it.version())
+}
+
+fn wait_time(node: &Node) -> Duration {
+    if node.state.borrow().members.alive().count() > 1 {
+        WAIT
+    } else {
+        WAIT_ALONE
+    }
+}
+
+fn apply(node: &Node, changes: &Changes) {
+    for record in &changes.records {
+        match node.decoder.table(record) {
+            Some(Ok(table)) => adopt(node, table, record, changes.next),
+            Some(Err(error)) => {
+                log::error!(target: "config", key = record.key.as_str(), error:% = error; "can't decode a configuration; the previous one stays in force");
+            }
+            None => {}
+        }
+    }
+}
+
+/// Puts a configuration in force, unless the same or a later one is in force.
+fn adopt(node: &Node, table: Table, record: &Record, next: u64) {
+    let mut state = node.state.borrow_mut();
+    let before = state.table.as_ref().map_or(0, |it| it.version());
+    if table.version() <= before {
+        return;
+    }
+    let version = table.version();
+    log::info!(target: "config", version, before; "new configuration in force");
+    node.metrics.config_version.set(version as i64);
+    state.records.store_routes(record, next);
+    state.table = Some(Rc::new(table));
+    cold::adopt(&mut state, clock::now());
+    homes::check(node, &state);
+    on_time::adopt(&mut state);
+    state.members.set_config_next(version);
+    let phase = state.phase();
+    state.members.set_phase(phase);
+    drop(state);
+    datagrams::announce_configuration(node);
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -1,8 +1,8 @@
 //! The gateway: forwards callers' requests to backend servers, according to configured routes.
 //!
 //! [`listener`] reads a request, [`exchange`] admits and places it, [`attempt`] sends it to a
-//! backend server, and [`relay`] writes the answer to the caller. [`follow`] reads the platform's
-//! lists, and [`peers`] receives datagrams of other entries. [`port`] declares the interfaces to
+//! backend server, and [`relay`] writes the answer to the caller. [`configuration`] and [`follow`] read the
+//! platform's lists, and [`peers`] receives datagrams of other entries. [`port`] declares the interfaces to
 //! the platform; no name of the platform appears in this crate.
 //!
 //! Architecture invariant: no borrow of [`node::State`] lasts across an await.
@@ -13,6 +13,7 @@
 mod checkup;
 pub mod cold;
 mod command;
+pub mod configuration;
 pub mod connections;
 pub mod costs;
 pub mod crash;
@@ -29,6 +30,7 @@
 pub mod held;
 pub mod homes;
 pub mod listener;
+pub mod lists;
 pub mod logs;
 pub mod metrics;
 pub mod node;
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -22,6 +22,7 @@
 use crate::Protocol;
 use crate::Settings;
 use crate::calls;
+use crate::configuration;
 use crate::datagrams;
 use crate::endpoints;
 use crate::exchange::Requester;
@@ -98,7 +99,7 @@
     spawner.spawn(waiting::run(node.clone())).detach();
     spawner.spawn(calls::serve(node.clone(), calls)).detach();
     spawner
-        .spawn(follow::routes(node.clone(), platform.clone()))
+        .spawn(configuration::follow(node.clone(), platform.clone()))
         .detach();
     spawner
         .spawn(follow::servers(node.clone(), platform.clone()))
