Log and measure how old the knowledge of the configuration is

The logs did not tell the hypotheses of docs/incidents/configuration.md apart: neither where a version came from, nor at which position, nor since when the instance had not heard of the store.

- a new configuration is logged with its source, era, offset and age
- a refused request is logged with the age of the configuration it was judged by
- a position from which the store has no changes is logged
- coriander_config_age_ms

--- a/crates/gateway/src/configuration.rs
+++ b/crates/gateway/src/configuration.rs
@@ -21,12 +21,14 @@
 use crate::homes;
 use crate::lists;
 use crate::lists::Scope;
+use crate::lists::Source;
 use crate::on_time;
 use crate::port::Changes;
 use crate::port::Error;
 use crate::port::List;
 use crate::port::Platform;
 use crate::port::Record;
+use crate::position;
 
 /// The wait time of a long poll for a change of the configuration. A connection that stalls
 /// meanwhile does no harm, since entries whose connections work announce the change.
@@ -64,21 +66,25 @@
                 let is_complete = evacuation::apply_read(&node, from, &changes);
                 next = is_complete.then_some(changes.next);
                 read_due = clock::now() + REPAIR_INTERVAL;
-                apply(&node, &changes);
+                apply(&node, Source::Platform, &changes);
+                record_read(&node);
                 wait = wait_time(&node);
             }
-            Ok(Err(Error::Gone)) => next = None,
+            Ok(Err(Error::Gone)) => {
+                log::info!(target: "config", position:? = next; "the store has no changes from this position on; reading the whole configuration");
+                next = None;
+            }
             Ok(Err(error)) => {
-                if config_version(&node) == 0 {
+                if node.state.borrow().config_version() == 0 {
                     fetch_from_any_peer(&node).await;
                 }
                 let retry_at = backoff.failed(&node, "routes", &error);
                 follow_peers_until(&node, retry_at).await;
             }
             Err(peer) => {
-                let before = config_version(&node);
+                let before = node.state.borrow().config_version();
                 fetch(&node, peer).await;
-                if config_version(&node) == before {
+                if node.state.borrow().config_version() == before {
                     // The peer did not deliver it. Read from the platform at once.
                     wait = Duration::ZERO;
                     read_due = clock::now();
@@ -105,15 +111,15 @@
 
 /// Fetches a configuration from random peers, since this entry has none.
 async fn fetch_from_any_peer(node: &Node) {
-    if let Some((_, changes)) = lists::fetch_from_peers(node, List::Routes, |_| true).await {
-        apply(node, &changes);
+    if let Some((peer, changes)) = lists::fetch_from_peers(node, List::Routes, |_| true).await {
+        apply(node, Source::Peer(peer), &changes);
     }
 }
 
 async fn fetch(node: &Node, peer: SocketAddr) {
     log::info!(target: "config", peer:% = peer; "a peer has a later configuration");
     if let Some(snapshot) = calls::fetch(node, peer, List::Routes).await {
-        apply(node, &lists::into_changes(snapshot));
+        apply(node, Source::Peer(peer), &lists::into_changes(snapshot));
     }
 }
 
@@ -124,15 +130,15 @@
             return future::pending().await;
         };
         Timer::after(delay).await;
-        if config_version(node) < version {
+        if node.state.borrow().config_version() < version {
             return peer;
         }
     }
 }
 
-fn config_version(node: &Node) -> u64 {
-    let state = node.state.borrow();
-    state.table.as_ref().map_or(0, |it| it.version())
+fn record_read(node: &Node) {
+    let mut state = node.state.borrow_mut();
+    state.records.record_routes_read(clock::now());
 }
 
 fn wait_time(node: &Node) -> Duration {
@@ -143,10 +149,10 @@
     }
 }
 
-fn apply(node: &Node, changes: &Changes) {
+fn apply(node: &Node, source: Source, changes: &Changes) {
     for record in &changes.records {
         match node.decoder.table(record) {
-            Some(Ok(table)) => adopt(node, table, record, changes.next),
+            Some(Ok(table)) => adopt(node, source, table, record, changes.next),
             Some(Err(error)) => {
                 log::error!(target: "config", key = record.key.as_str(), error:% = error; "can't decode a configuration; the previous one stays in force");
             }
@@ -156,14 +162,14 @@
 }
 
 /// Puts a configuration in force, unless the same or a later one is in force.
-fn adopt(node: &Node, table: Table, record: &Record, next: u64) {
+fn adopt(node: &Node, source: Source, table: Table, record: &Record, next: u64) {
     let mut state = node.state.borrow_mut();
-    let before = state.table.as_ref().map_or(0, |it| it.version());
+    let before = state.config_version();
     if table.version() <= before {
         return;
     }
     let version = table.version();
-    log::info!(target: "config", version, before; "new configuration in force");
+    log::info!(target: "config", version, before, source:% = source, era = position::era(next), offset = position::offset(next), age_ms = state.config_age_ms(clock::now()); "new configuration in force");
     node.metrics.config_version.set(version as i64);
     state.records.store_routes(record, next);
     state.table = Some(Rc::new(table));
--- a/crates/gateway/src/endpoints.rs
+++ b/crates/gateway/src/endpoints.rs
@@ -108,6 +108,8 @@
 pub fn metrics(node: &Node, _: &Request) -> Reply {
     node.metrics.running.set(node.running_requests.get() as i64);
     evacuation::record_running(node);
+    let config_age_ms = node.state.borrow().config_age_ms(clock::now());
+    node.metrics.config_age_ms.set(config_age_ms as i64);
     for kind in Kind::ALL {
         let labels = BufferLabels { kind: kind.name() };
         let gauge = node.metrics.buffered_bytes.get_or_create(&labels);
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -327,7 +327,7 @@
             helpers = target.helper_ids(),
             parts = target.parts.len(),
             forecast_ms = target.first_token.as_millis() as u64,
-            config = node.state.borrow().table.as_ref().map_or(0, |it| it.version()),
+            config = node.state.borrow().config_version(),
             attempt = self.attempts,
             tokens = self.metadata.prompt.map_or(0, |it| it.tokens),
             loss = target.loss,
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -78,6 +78,8 @@
     pub running: Gauge,
     /// The version of the configuration in force.
     pub config_version: Gauge,
+    /// The milliseconds since the platform last answered a read of the configuration.
+    pub config_age_ms: Gauge,
     /// Backend servers that accept work.
     pub servers: Gauge,
     /// When this entry learned of each evacuation that it acts on, in seconds since the Unix epoch.
@@ -154,6 +156,7 @@
             silences: Family::default(),
             running: Gauge::default(),
             config_version: Gauge::default(),
+            config_age_ms: Gauge::default(),
             servers: Gauge::default(),
             evacuated_since: Family::default(),
             evacuated_running: Family::default(),
@@ -259,6 +262,11 @@
             "Version of the configuration in force",
             self.config_version.clone(),
         );
+        registry.register(
+            "config_age_ms",
+            "Milliseconds since the platform last answered a read of the configuration",
+            self.config_age_ms.clone(),
+        );
         registry.register(
             "servers",
             "Backend servers that accept work",
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -287,6 +287,18 @@
         self.table.is_some() && self.records.servers_position().is_some()
     }
 
+    /// Returns the version of the configuration in force; 0 if there is none.
+    pub fn config_version(&self) -> u64 {
+        self.table.as_ref().map_or(0, |it| it.version())
+    }
+
+    /// Returns the milliseconds since the platform last answered a read of the configuration; 0 if it never
+    /// has.
+    pub fn config_age_ms(&self, now: Moment) -> u64 {
+        let age = self.records.routes_age(now);
+        age.map_or(0, |it| it.as_millis() as u64)
+    }
+
     /// Returns the phase of this entry.
     pub fn phase(&self) -> Phase {
         match (self.can_serve(), self.stop.is_some()) {
--- a/crates/gateway/src/records.rs
+++ b/crates/gateway/src/records.rs
@@ -49,6 +49,8 @@
     routes: Option<Record>,
     /// The position from which to read changes of routes.
     routes_position: u64,
+    /// When the platform last answered a read of the configuration.
+    routes_read: Option<Moment>,
     servers: BTreeMap<String, Vec<u8>>,
     /// The position from which to read changes of servers; absent if no list was read.
     servers_position: Option<u64>,
@@ -90,6 +92,17 @@
         self.routes_position = next;
     }
 
+    /// Records that the platform has answered a read of the configuration.
+    pub fn record_routes_read(&mut self, now: Moment) {
+        self.routes_read = Some(now);
+    }
+
+    /// Returns the time since the platform last answered a read of the configuration; `None` if it never
+    /// has.
+    pub fn routes_age(&self, now: Moment) -> Option<Duration> {
+        self.routes_read.map(|it| now.since(it))
+    }
+
     /// Returns when an entry of this rank has to read the list of servers itself: at once if changes
     /// are known to be missing.
     pub fn next_read(&self, rank: usize) -> Moment {
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -489,7 +489,8 @@
         status = refusal.status(),
         elapsed_ms = clock::now().since(arrived).as_millis() as u64,
         retry_after_ms = retry_after.map_or(0, |it| it.as_millis() as u64),
-        config = node.state.borrow().table.as_ref().map_or(0, |it| it.version()),
+        config = node.state.borrow().config_version(),
+        config_age_ms = node.state.borrow().config_age_ms(clock::now()),
         reason = refusal.name();
         "request refused"
     );
