Wait for a change of the configuration only from a confirmed position

Callers got answers by an older version of the configuration up to 9 s after a later one had been acknowledged, at all instances at once.

Cause: a long poll of 9 s was the only way to learn that the knowledge of the list was out of date, and it began at positions that nothing confirmed. If the store came back from an older copy, and its list had grown again to the position that was read last, the poll waited there, although the records before it were others now. The era that shows it is in the answer, which came with the next change.

Ruled out: lost announcements. A peer's version is in each probe and each answer to one, so a lost one is repeated within a second.

Change: a poll waits for 0.8 s at most, so that with the timeout of a call it ends within the 2 s of the bound, and after a call without an answer the next one does not wait. What a call may wait for follows from what is known of the position.

--- a/crates/gateway/src/configuration.rs
+++ b/crates/gateway/src/configuration.rs
@@ -30,27 +30,60 @@
 use crate::port::Record;
 use crate::position;
 
-/// The wait time of a long poll for a change of the configuration. A connection that stalls
-/// meanwhile does no harm, since entries whose connections work announce the change.
-const WAIT: Duration = Duration::from_secs(9);
-/// The same for an entry without peers that could announce a change. It is below the time within
-/// which a configuration must be in force, 2 s to 3 s.
-const WAIT_ALONE: Duration = Duration::from_millis(1_500);
+/// The wait time of a long poll for a change of the configuration. The store may come back from an older
+/// copy, or the connection fall silent, while a poll waits, and only its end shows that. Together with the
+/// timeout of a call, this is less than the 2 s within which a configuration must be in force.
+const WAIT: Duration = Duration::from_millis(800);
 /// The interval between two reads of the configuration by other entries, which repair what announcements
 /// missed.
 const REPAIR_INTERVAL: Duration = Duration::from_secs(30);
 /// The time to wait for the platform's own answer after a peer has announced a change.
 const HINT_DELAY: Duration = Duration::from_millis(200);
 
+/// How far the list was read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Progress {
+    /// It has to be read as a whole.
+    Unread,
+    /// The records before this position were read, but a call has failed since. The store may have come back
+    /// from an older copy meanwhile, with other records there.
+    Unconfirmed(u64),
+    /// The last call read up to this position.
+    Confirmed(u64),
+}
+
+impl Progress {
+    /// Returns the position from which to read; `None` if the list has to be read as a whole.
+    fn next(self) -> Option<u64> {
+        match self {
+            Self::Unread => None,
+            Self::Unconfirmed(next) | Self::Confirmed(next) => Some(next),
+        }
+    }
+
+    /// Returns how long the next call may wait for a change.
+    fn wait(self) -> Duration {
+        match self {
+            Self::Confirmed(_) => WAIT,
+            Self::Unread | Self::Unconfirmed(_) => Duration::ZERO,
+        }
+    }
+
+    /// Returns the progress after a call without an answer.
+    fn unconfirmed(self) -> Self {
+        self.next().map_or(Self::Unread, Self::Unconfirmed)
+    }
+}
+
 /// Follows the configuration of routes until the process ends.
 pub async fn follow<P: Platform>(node: Rc<Node>, platform: Rc<P>) {
     let mut backoff = Backoff::default();
-    let mut next = None;
-    let mut wait = Duration::ZERO;
+    let mut progress = Progress::Unread;
     let mut read_due = clock::now();
     loop {
         let read = async {
             duty::wait(&node, read_due).await;
+            let (next, wait) = (progress.next(), progress.wait());
             Ok(lists::read(&node, &*platform, List::Routes, next, wait).await)
         };
         let delay = if duty::is_reader(&node) {
@@ -62,22 +95,25 @@
         match future::or(read, hint).await {
             Ok(Ok((scope, changes))) => {
                 backoff.succeeded("routes");
-                let from = next.filter(|_| scope == Scope::Changed);
+                let from = progress.next().filter(|_| scope == Scope::Changed);
                 let is_complete = evacuation::apply_read(&node, from, &changes);
-                next = is_complete.then_some(changes.next);
+                progress = match is_complete {
+                    true => Progress::Confirmed(changes.next),
+                    false => Progress::Unread,
+                };
                 read_due = clock::now() + REPAIR_INTERVAL;
                 apply(&node, Source::Platform, &changes);
                 record_read(&node);
-                wait = wait_time(&node);
             }
             Ok(Err(Error::Gone)) => {
-                log::info!(target: "config", position:? = next; "the store has no changes from this position on; reading the whole configuration");
-                next = None;
+                log::info!(target: "config", position:? = progress.next(); "the store has no changes from this position on; reading the whole configuration");
+                progress = Progress::Unread;
             }
             Ok(Err(error)) => {
                 if node.state.borrow().config_version() == 0 {
                     fetch_from_any_peer(&node).await;
                 }
+                progress = progress.unconfirmed();
                 let retry_at = backoff.failed(&node, "routes", &error);
                 follow_peers_until(&node, retry_at).await;
             }
@@ -86,7 +122,7 @@
                 fetch(&node, peer).await;
                 if node.state.borrow().config_version() == before {
                     // The peer did not deliver it. Read from the platform at once.
-                    wait = Duration::ZERO;
+                    progress = progress.unconfirmed();
                     read_due = clock::now();
                 }
             }
@@ -141,14 +177,6 @@
     state.records.record_routes_read(clock::now());
 }
 
-fn wait_time(node: &Node) -> Duration {
-    if node.state.borrow().members.alive().count() > 1 {
-        WAIT
-    } else {
-        WAIT_ALONE
-    }
-}
-
 fn apply(node: &Node, source: Source, changes: &Changes) {
     for record in &changes.records {
         match node.decoder.table(record) {
