Close the idle connections to an address after a call without an answer

When the connections to the log fell silent while new ones worked, callers with keys of their own got 503 for up to 9.5 s, and a published change was not in force on an entry after 16 s, its target.

Cause: connections to an address fall silent together, but each call that got no answer only dropped its own. The next one took another idle connection from the pool, which held one for each shard of claims that had called the log at the same time, and waited for its whole timeout again: 7 s for a read of the configuration.

Ruled out: calls between entries. There is one connection to each peer, which a call without an answer already replaces (trial: 3 calls to a silent peer used 3). The wait of a read alone: it ends after 7 s, below the target (by the code, not run alone).

Change: when a connection delivers no whole response, the client closes the idle ones to the same address.

--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -198,7 +198,6 @@
         limit: usize,
     ) -> Result<T, Error> {
         let address = call.address;
-        let unanswered = |reason| Error::Unanswered { address, reason };
         let exchange = async {
             let mut answer = self.send(call, timeout).await?;
             let body = answer.bytes_within(limit).await?;
@@ -210,10 +209,15 @@
                     body,
                 });
             }
-            serde_json::from_slice(&body).map_err(|error| unanswered(error.to_string()))
+            serde_json::from_slice(&body).map_err(|error| Error::Unanswered {
+                address,
+                reason: error.to_string(),
+            })
         };
         let fetched = within(timeout, exchange).await;
-        fetched.unwrap_or_else(|| Err(unanswered(format!("not within {timeout:?}"))))
+        fetched.unwrap_or_else(|| {
+            Err(self.fail_connection(address, format!("not within {timeout:?}")))
+        })
     }
 
     async fn exchange(
@@ -223,7 +227,7 @@
         timeout: Duration,
     ) -> Result<Answer, Error> {
         let address = call.address;
-        let unanswered = |reason| Error::Unanswered { address, reason };
+        let unanswered = |reason| self.fail_connection(address, reason);
         let request = call.encode()?;
         let exchange = async {
             stream.writer().write(&request).await?;
@@ -242,6 +246,13 @@
         })
     }
 
+    /// Returns the error of a connection that did not deliver a whole response. What ended it may have ended the idle
+    /// ones to the same address too, without a sign of it, so these are closed.
+    fn fail_connection(&self, address: SocketAddr, reason: String) -> Error {
+        self.idle.borrow_mut().remove(&address);
+        Error::Unanswered { address, reason }
+    }
+
     fn take_idle(&self, address: SocketAddr) -> Option<Stream> {
         let mut idle = self.idle.borrow_mut();
         let streams = idle.get_mut(&address)?;
@@ -349,7 +360,10 @@
             return Ok(false);
         };
         let read = stream.read_body(&mut self.decoder, &mut self.buffer).await;
-        let has_more = read.map_err(|error| self.unanswered(error))?;
+        let has_more = read.map_err(|error| {
+            let reason = error.to_string();
+            self.client.fail_connection(self.address, reason)
+        })?;
         if !has_more {
             self.finish();
         }
--- a/crates/web/tests/client.rs
+++ b/crates/web/tests/client.rs
@@ -5,10 +5,14 @@
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::Barrier;
 use std::thread;
 use std::time::Duration;
 
 use async_io::block_on;
+use futures_lite::future::zip;
+use serde_json::Value;
 use socket2::SockRef;
 use web::client::Answer;
 use web::client::Call;
@@ -16,6 +20,10 @@
 use web::client::Error;
 
 const TIMEOUT: Duration = Duration::from_secs(20);
+/// The timeout of a call that gets no answer.
+const SILENCE: Duration = Duration::from_millis(100);
+/// The number of connections that fall silent.
+const SILENT: usize = 2;
 
 /// How a server ends a connection after its answer.
 #[derive(Clone, Copy)]
@@ -209,3 +217,45 @@
     check_endless(chunked, "1");
     check_endless(chunked, "4\r\naaaa\r\n");
 }
+
+/// Starts a server whose first connections are open at the same time, answer once and then fall silent.
+fn serve_falling_silent() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    let barrier = Arc::new(Barrier::new(SILENT));
+    thread::spawn(move || {
+        for number in 0.. {
+            let (mut stream, _) = listener.accept().expect("a connection");
+            let barrier = barrier.clone();
+            thread::spawn(move || {
+                read_request(&mut stream);
+                if number < SILENT {
+                    barrier.wait();
+                }
+                let answer = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n1";
+                stream.write_all(answer).expect("an answer");
+                // Reads on, so that what is sent later is acknowledged but not answered.
+                let _ = std::io::copy(&mut stream, &mut std::io::sink());
+            });
+        }
+    });
+    address
+}
+
+/// Guards against calls that wait for their whole timeout one after another, since each of them uses another one of the
+/// connections that have fallen silent together.
+#[test]
+fn fetch_after_a_silent_connection_uses_no_other_idle_one() {
+    let client = Client::default();
+    let call = Call::get(serve_falling_silent(), "/");
+    let fetch = |timeout| client.fetch::<Value>(&call, timeout);
+    let (first, second) = block_on(zip(fetch(TIMEOUT), fetch(TIMEOUT)));
+    assert!(first.is_ok() && second.is_ok(), "{first:?} {second:?}");
+    let silent = block_on(fetch(SILENCE));
+    assert!(
+        matches!(silent, Err(Error::Unanswered { .. })),
+        "{silent:?}"
+    );
+    let next = block_on(fetch(TIMEOUT));
+    assert!(next.is_ok(), "{next:?}");
+}
