Read the log without a wait after a failed read

Operators saw `The log is available again.` 5.1 s after the end of an outage (3 of 3), although docs/OPERATIONS.md says to publish when it is back. Until then the entry would also fetch the configuration from peers that were ahead. Callers saw nothing of it: the claims have a state of their own.

Cause: the first read after a failed one was a long poll of up to 5 s, whose answer was also the only sign that the log was back.

Ruled out: a late change. The poll ends with the next record, and with the timeout of a call it lasts 7 s, below the 16 s of the target.

Change: as long as the last read failed, the next one does not wait.

--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -88,7 +88,9 @@
 async fn follow(node: &Node) -> Result<(), Error> {
     let next = node.core.borrow().fold.next();
     let is_configured = node.core.borrow().is_configured;
-    let wait = if is_configured {
+    // After a failed read, the answer shows that the log is available again, so it must not wait for records.
+    let is_confirmed = is_configured && !node.is_log_failing.get();
+    let wait = if is_confirmed {
         READ_WAIT
     } else {
         Duration::ZERO
--- a/crates/harness/tests/silent_log.rs
+++ b/crates/harness/tests/silent_log.rs
@@ -1,4 +1,4 @@
-//! Entries whose connections to the log fall silent.
+//! Entries whose connections to the log fall silent, or whose reads of it fail.
 
 use std::io::Read;
 use std::io::Write;
@@ -21,6 +21,8 @@
 
 /// The time within which a change must be in effect on all entries.
 const EFFECT_LIMIT: Duration = Duration::from_secs(16);
+/// The time within which what has no stated target must happen.
+const WAIT_LIMIT: Duration = Duration::from_secs(20);
 /// The additional time of each call to the log while its connections are opened, so that calls overlap.
 const LOG_DELAY_MS: u64 = 150;
 /// The number of bookings at the same time. Each shard of their keys calls the log on its own.
@@ -44,6 +46,8 @@
     silent: Vec<TcpStream>,
     /// Raised each time that the connections fall silent.
     generation: u32,
+    /// The first lines of the reads of the configuration.
+    reads: Vec<String>,
 }
 
 impl Relay {
@@ -83,6 +87,11 @@
     fn connections(&self) -> usize {
         self.state.lock().expect("a lock").open.len() / 2
     }
+
+    /// Returns the first lines of the reads of the configuration so far.
+    fn reads(&self) -> Vec<String> {
+        self.state.lock().expect("a lock").reads.clone()
+    }
 }
 
 /// Forwards bytes in one direction until the connection ends or falls silent.
@@ -90,9 +99,15 @@
     let mut bytes = [0; 16 * 1024];
     loop {
         let length = from.read(&mut bytes).unwrap_or(0);
-        if state.lock().expect("a lock").generation != generation {
+        let mut state = state.lock().expect("a lock");
+        if state.generation != generation {
             return;
         }
+        if bytes[..length].starts_with(b"GET /log/config?") {
+            let text = String::from_utf8_lossy(&bytes[..length]);
+            state.reads.extend(text.lines().next().map(str::to_owned));
+        }
+        drop(state);
         if length == 0 || to.write_all(&bytes[..length]).is_err() {
             break;
         }
@@ -176,3 +191,34 @@
     relay.silence();
     check_change(&cluster, 5);
 }
+
+/// Guards against a log that counts as unavailable for as long as a long poll lasts after it is back.
+#[test]
+fn read_after_a_failed_one_does_not_wait_for_records() {
+    let (cluster, relay) = start(1);
+    let platform = cluster.platform.address;
+    cluster
+        .set_faults(platform, &json!({ "log_outage_ms": 600_000 }))
+        .unwrap();
+    let first = relay.reads().len();
+    // The first one may have begun before the outage.
+    let has_retried = || relay.reads().len() >= first + 3;
+    cluster
+        .wait_until(WAIT_LIMIT, "the entry reads again", has_retried)
+        .unwrap();
+    let retries = relay.reads()[first + 1..].to_vec();
+    assert!(
+        retries.iter().all(|it| it.contains("&wait_ms=0 ")),
+        "{retries:?}"
+    );
+    cluster.set_faults(platform, &json!({})).unwrap();
+    let is_waiting = || {
+        relay
+            .reads()
+            .last()
+            .is_some_and(|it| it.contains("&wait_ms=5000 "))
+    };
+    cluster
+        .wait_until(WAIT_LIMIT, "a read waits again", is_waiting)
+        .unwrap();
+}
