Close a connection between entries after a call without an answer

Each freeze of an entry left 11 connections open for good on both sides. An entry whose peers freeze or fall silent again and again could run out of file descriptors (that was not run).

Cause: a call without an answer removed the connection from the pool, but the task that runs it ends only when the peer closes it. The peer waits for this side.

Ruled out: calls that wait on an old connection.

Change: the connection ends with the last call that uses it, once it has left the pool. Other calls on it that still wait are not cut off (by the code, without a test).

--- a/crates/entry/src/calls.rs
+++ b/crates/entry/src/calls.rs
@@ -3,8 +3,10 @@
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
+use async_channel::Sender;
 use async_executor::LocalExecutor;
 use capnp::message::ReaderOptions;
 use capnp_rpc::RpcSystem;
@@ -13,6 +15,7 @@
 use claim::Nonce;
 use claim::Outcome;
 use domain::Key;
+use futures_lite::future;
 use limit::Ask;
 use limit::Grant;
 use web::Stream;
@@ -27,7 +30,14 @@
 /// A pool of connections to other entries, one to each.
 #[derive(Default)]
 pub struct Pool {
-    clients: RefCell<HashMap<SocketAddr, peer::Client>>,
+    connections: RefCell<HashMap<SocketAddr, Rc<Connection>>>,
+}
+
+/// A connection, which ends once the pool and all calls have dropped it.
+struct Connection {
+    client: peer::Client,
+    /// Its drop ends the task that runs the connection.
+    _open: Sender<()>,
 }
 
 /// A failed call.
@@ -52,8 +62,8 @@
         customer: &str,
         timeout: Duration,
     ) -> Result<Decision, Error> {
-        let client = self.client(executor, peer).await?;
-        let mut request = client.claim_request();
+        let connection = self.connection(executor, peer).await?;
+        let mut request = connection.client.claim_request();
         let mut params = request.get();
         call::write_key(key, params.reborrow().init_key());
         params.set_nonce(nonce);
@@ -76,8 +86,8 @@
         nonce: Nonce,
         timeout: Duration,
     ) -> Result<(), Error> {
-        let client = self.client(executor, peer).await?;
-        let mut request = client.release_request();
+        let connection = self.connection(executor, peer).await?;
+        let mut request = connection.client.release_request();
         call::write_key(key, request.get().init_key());
         request.get().set_nonce(nonce);
         let response = within(timeout, request.send().promise).await;
@@ -94,8 +104,8 @@
         outcome: &Outcome,
         timeout: Duration,
     ) -> Result<(), Error> {
-        let client = self.client(executor, peer).await?;
-        let mut request = client.settle_request();
+        let connection = self.connection(executor, peer).await?;
+        let mut request = connection.client.settle_request();
         call::write_key(key, request.get().init_key());
         request.get().set_nonce(nonce);
         call::write_outcome(outcome, request.get().init_outcome());
@@ -111,8 +121,8 @@
         ask: &Ask,
         timeout: Duration,
     ) -> Result<Grant, Error> {
-        let client = self.client(executor, peer).await?;
-        let mut request = client.allot_request();
+        let connection = self.connection(executor, peer).await?;
+        let mut request = connection.client.allot_request();
         call::write_ask(ask, request.get().init_ask());
         let response = within(timeout, request.send().promise).await;
         let response = self.check_response(peer, response)?;
@@ -132,8 +142,8 @@
         next: u64,
         timeout: Duration,
     ) -> Result<Vec<u8>, Error> {
-        let client = self.client(executor, peer).await?;
-        let mut request = client.configuration_request();
+        let connection = self.connection(executor, peer).await?;
+        let mut request = connection.client.configuration_request();
         request.get().set_next(next);
         let response = within(timeout, request.send().promise).await;
         let response = self.check_response(peer, response)?;
@@ -152,8 +162,8 @@
         handover: &[u8],
         timeout: Duration,
     ) -> Result<(), Error> {
-        let client = self.client(executor, peer).await?;
-        let mut request = client.hand_over_request();
+        let connection = self.connection(executor, peer).await?;
+        let mut request = connection.client.hand_over_request();
         request.get().set_parcel(handover);
         let response = within(timeout, request.send().promise).await;
         self.check_response(peer, response).map(|_| ())
@@ -170,31 +180,43 @@
             Some(Err(error)) => error.to_string(),
             None => "timed out".to_owned(),
         };
-        self.clients.borrow_mut().remove(&peer);
+        self.connections.borrow_mut().remove(&peer);
         Err(Error::Unanswered(error))
     }
 
-    async fn client(
+    async fn connection(
         &self,
         executor: &LocalExecutor<'static>,
         peer: SocketAddr,
-    ) -> Result<peer::Client, Error> {
-        if let Some(client) = self.clients.borrow().get(&peer) {
-            return Ok(client.clone());
+    ) -> Result<Rc<Connection>, Error> {
+        if let Some(connection) = self.connections.borrow().get(&peer) {
+            return Ok(connection.clone());
         }
         let stream = within(CONNECT_TIMEOUT, Stream::connect(peer)).await;
         let stream = stream.and_then(Result::ok).ok_or(Error::Unreachable)?;
         let network = VatNetwork::new(stream.clone(), stream, Side::Client, ReaderOptions::new());
         let mut system = RpcSystem::new(Box::new(network), None);
         let client: peer::Client = system.bootstrap(Side::Server);
+        let (open, dropped) = async_channel::bounded::<()>(1);
         let run = async move {
-            if let Err(error) = system.await {
+            let unused = async {
+                let _ = dropped.recv().await;
+                Ok(())
+            };
+            // The system itself ends only with the connection, which a silent peer never closes.
+            if let Err(error) = future::or(system, unused).await {
                 log::debug!(target: "peers", "Connection to {peer} ended: {error}.");
             }
         };
         executor.spawn(run).detach();
-        self.clients.borrow_mut().insert(peer, client.clone());
-        Ok(client)
+        let connection = Rc::new(Connection {
+            client,
+            _open: open,
+        });
+        self.connections
+            .borrow_mut()
+            .insert(peer, connection.clone());
+        Ok(connection)
     }
 }
 
