--- a/crates/gateway/src/configuration.rs
+++ b/crates/gateway/src/configuration.rs
@@ -31,9 +31,9 @@
 use crate::position;
 
 /// The wait time of a long poll for a change of the configuration. The store may come back from an older
-/// copy, or the connection fall silent, while a poll waits, and only its end shows that. Together with the
-/// timeout of a call, this is less than the 2 s within which a configuration must be in force.
-const WAIT: Duration = Duration::from_millis(800);
+/// copy, or the connection fall silent, while a poll waits, and only its end shows that. With the timeout of a
+/// call and the first retry, this is less than the 2 s within which a configuration must be in force.
+const WAIT: Duration = Duration::from_millis(600);
 /// The interval between two reads of the configuration by other entries, which repair what announcements
 /// missed.
 const REPAIR_INTERVAL: Duration = Duration::from_secs(30);
@@ -106,7 +106,11 @@
                 record_read(&node);
             }
             Ok(Err(Error::Gone)) => {
-                log::info!(target: "config", position:? = progress.next(); "the store has no changes from this position on; reading the whole configuration");
+                let (era, offset) = progress
+                    .next()
+                    .map(|it| (position::era(it), position::offset(it)))
+                    .unwrap_or_default();
+                log::info!(target: "config", era, offset; "the store has no changes from this position on; reading the whole configuration");
                 progress = Progress::Unread;
             }
             Ok(Err(error)) => {
@@ -120,9 +124,10 @@
             Err(peer) => {
                 let before = node.state.borrow().config_version();
                 fetch(&node, peer).await;
+                // The read that this interrupted may have been without an answer.
+                progress = progress.unconfirmed();
                 if node.state.borrow().config_version() == before {
                     // The peer did not deliver it. Read from the platform at once.
-                    progress = progress.unconfirmed();
                     read_due = clock::now();
                 }
             }
@@ -132,17 +137,13 @@
 
 /// Fetches the configurations that peers announce until `end`, while the platform does not answer.
 async fn follow_peers_until(node: &Node, end: Moment) {
-    loop {
-        let ended = async {
-            clock::wait_until(end).await;
-            None
-        };
-        let announced = async { Some(later_configuration(node, Duration::ZERO).await) };
-        match future::or(ended, announced).await {
-            Some(peer) => fetch(node, peer).await,
-            None => return,
+    let fetches = async {
+        loop {
+            let peer = later_configuration(node, Duration::ZERO).await;
+            fetch(node, peer).await;
         }
-    }
+    };
+    future::or(clock::wait_until(end), fetches).await;
 }
 
 /// Fetches a configuration from random peers, since this entry has none.
