Let entries read the configuration while nobody reads it for them

In fleets of over 12 entries, 12 read the configuration for all.

Change: an entry that has to read the list of servers itself, since nobody broadcast it in time, reads the configuration too. No message between entries changes.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -55,6 +55,9 @@
             let state = node.state.borrow();
             (state.records.read_position(), state.records.is_behind())
         };
+        if !is_behind {
+            duty::record_unserved(&node);
+        }
         match lists::read(&node, &*platform, List::Servers, next, Duration::ZERO).await {
             Ok((scope, changes)) => {
                 backoff.succeeded("servers");
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -72,6 +72,9 @@
     /// Signals that the platform's store came back from an older copy, so that what this instance
     /// wrote there is written again.
     pub returns: (Sender<()>, Receiver<()>),
+    /// Signals that no entry has read the platform's lists for this one lately, so that it reads the
+    /// configuration itself.
+    pub unserved: (Sender<()>, Receiver<()>),
     /// Wakes the task that probes servers when an attempt failed.
     pub suspicions: (Sender<()>, Receiver<()>),
     /// Set while this entry reaches no backend server.
@@ -181,6 +184,7 @@
             config_hints: async_channel::bounded(1),
             gaps: async_channel::bounded(1),
             returns: async_channel::bounded(1),
+            unserved: async_channel::bounded(1),
             suspicions: async_channel::bounded(1),
             isolation: Signal::default(),
             ending: Signal::default(),
