Call the store at its new address when the settings name another one

After the settings named another address of the store, all instances went on calling the earlier one until they were restarted. Callers with a withdrawn key got 200 and callers of new routes 404, once the earlier address had stopped to serve; each later change of the configuration and of the list of servers was missed, and nothing was logged.

Cause: `Store` was made from the first settings. The gateway's settings had no address of the store, so that settings read again did not differ.

Ruled out: to only go on at the new address from the position that was read last without a wait, with the era as the guard.

Change: the gateway's settings have the address. When it changes, the client closes its idle connections to the earlier one, and the change is logged. Calls in progress are dropped, also if their answer is ready, and retries begin at once (`Moves`). The configuration and the list of servers are read as a whole: no position counts that was read at the earlier address, nor one of a peer, which may still use it, and neither does its era. A store with fewer records is treated like one that came back from an older copy. The pages of a list are always those of one address.

Not covered: evacuations. Instances merge them by position, so one that is written to another store of the same era is ignored until that store's list is longer than the earlier one's.

--- a/crates/gateway/src/configuration.rs
+++ b/crates/gateway/src/configuration.rs
@@ -80,6 +80,7 @@
     let mut backoff = Backoff::default();
     let mut progress = Progress::Unread;
     let mut read_due = clock::now();
+    let mut moves = node.moves.count();
     loop {
         let read = async {
             duty::wait(&node, read_due).await;
@@ -92,7 +93,14 @@
             Duration::ZERO
         };
         let hint = async { Err(later_configuration(&node, delay).await) };
-        match future::or(read, hint).await {
+        let event = node.moves.interrupt(moves, future::or(read, hint)).await;
+        let Some(event) = event else {
+            // The store at the new address may have other records before the position.
+            progress = Progress::Unread;
+            moves = node.moves.count();
+            continue;
+        };
+        match event {
             Ok(Ok((scope, changes))) => {
                 backoff.succeeded("routes");
                 let from = progress.next().filter(|_| scope == Scope::Changed);
@@ -119,7 +127,8 @@
                 }
                 progress = progress.unconfirmed();
                 let retry_at = backoff.failed(&node, "routes", &error);
-                follow_peers_until(&node, retry_at).await;
+                let retry = follow_peers_until(&node, retry_at);
+                node.moves.interrupt(moves, retry).await;
             }
             Err(peer) => {
                 let before = node.state.borrow().config_version();
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -58,7 +58,12 @@
         if !is_behind {
             duty::record_unserved(&node);
         }
-        match lists::read(&node, &*platform, List::Servers, next, Duration::ZERO).await {
+        let moves = node.moves.count();
+        let read = lists::read(&node, &*platform, List::Servers, next, Duration::ZERO);
+        let Some(read) = node.moves.interrupt(moves, read).await else {
+            continue;
+        };
+        match read {
             Ok((scope, changes)) => {
                 backoff.succeeded("servers");
                 let from = next.filter(|_| scope == Scope::Changed);
@@ -69,10 +74,13 @@
             }
             Err(Error::Gone) => node.state.borrow_mut().records.lose_position(),
             Err(error) => {
-                if next.is_none() || is_behind {
-                    fetch_from_peers(&node).await;
-                }
-                backoff.wait(&node, "servers", &error).await;
+                let retry = async {
+                    if next.is_none() || is_behind {
+                        fetch_from_peers(&node).await;
+                    }
+                    backoff.wait(&node, "servers", &error).await;
+                };
+                node.moves.interrupt(moves, retry).await;
             }
         }
     }
@@ -197,6 +205,12 @@
         state.servers.record_return(now);
         // The channel holds one signal. If one is already there, this one is not needed.
         let _ = node.returns.0.try_send(());
+    } else if source == Source::Platform && state.records.is_before_move(changes.next) {
+        let (era, offset) = (position::era(changes.next), position::offset(changes.next));
+        log::warn!(target: "platform", era, offset; "the store at the new address has fewer records than the earlier one; what it lacks is kept for now and written again");
+        state.servers.record_return(now);
+        // As above.
+        let _ = node.returns.0.try_send(());
     }
     let mut changed = Vec::new();
     let mut all_servers = Vec::new();
@@ -244,6 +258,9 @@
         Scope::All => {
             state.servers.replace(now, all_servers);
             records.replace_servers(now, changes.next, changed);
+            if source == Source::Platform {
+                records.record_store_read();
+            }
         }
         Scope::Changed => records.store_servers(now, from, changes.next, changed),
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod lists;
 pub mod logs;
 pub mod metrics;
+pub mod moves;
 pub mod node;
 pub mod notice;
 pub mod numbering;
--- a/crates/gateway/src/lists.rs
+++ b/crates/gateway/src/lists.rs
@@ -70,7 +70,7 @@
 
 /// Rejects a list of servers that was read before the store's last known return.
 fn check_era(node: &Node, list: List, snapshot: Snapshot) -> Result<Snapshot, Error> {
-    let position = node.state.borrow().records.servers_position();
+    let position = node.state.borrow().records.store_position();
     let known_era = position.map_or(0, position::era);
     if list == List::Servers && position::era(snapshot.next) < known_era {
         let reason = "its list is older than the store's last return";
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -33,6 +33,7 @@
 use crate::held;
 use crate::held::Kind;
 use crate::metrics::Metrics;
+use crate::moves::Moves;
 use crate::port::Decoder;
 use crate::port::Protocol;
 use crate::records::Cache;
@@ -75,6 +76,8 @@
     /// Signals that no entry has read the platform's lists for this one lately, so that it reads the
     /// configuration itself.
     pub unserved: (Sender<()>, Receiver<()>),
+    /// The moves of the platform's store to other addresses.
+    pub moves: Moves,
     /// Wakes the task that probes servers when an attempt failed.
     pub suspicions: (Sender<()>, Receiver<()>),
     /// Set while this entry reaches no backend server.
@@ -185,6 +188,7 @@
             gaps: async_channel::bounded(1),
             returns: async_channel::bounded(1),
             unserved: async_channel::bounded(1),
+            moves: Moves::default(),
             suspicions: async_channel::bounded(1),
             isolation: Signal::default(),
             ending: Signal::default(),
--- a/crates/gateway/src/port.rs
+++ b/crates/gateway/src/port.rs
@@ -1,5 +1,6 @@
 //! The interfaces through which the gateway uses the platform and the protocol of callers and
-//! backend servers. An adapter implements them; it only translates, and keeps no state.
+//! backend servers. An adapter implements them; it only translates, and keeps no state but the store's address
+//! and idle connections.
 
 use std::future::Future;
 use std::net::SocketAddr;
@@ -26,6 +27,9 @@
         wait: Duration,
     ) -> impl Future<Output = Result<Changes, Error>>;
 
+    /// Sends all further calls to the store at `address`, and closes the idle connections to the earlier one.
+    fn move_to(&self, address: SocketAddr);
+
     /// Adds this instance to the list of entries.
     fn announce(
         &self,
--- a/crates/gateway/src/records.rs
+++ b/crates/gateway/src/records.rs
@@ -61,6 +61,9 @@
     /// Whether the platform has no changes from the cached position on, so that the whole list has to
     /// be read.
     is_position_lost: bool,
+    /// Whether the store has moved to another address, and the whole list was not read there yet. The cached
+    /// position is one of the earlier store then.
+    has_store_moved: bool,
     /// The latest changes. Each range starts where the previous one ends, and the last one ends at
     /// the cached position.
     recent: VecDeque<Range>,
@@ -80,10 +83,15 @@
         self.servers_position
     }
 
+    /// Returns the same position if it is one of the store at its present address.
+    pub fn store_position(&self) -> Option<u64> {
+        self.servers_position.filter(|_| !self.has_store_moved)
+    }
+
     /// Returns the position from which to read changes of servers from the platform; absent if the
     /// whole list has to be read.
     pub fn read_position(&self) -> Option<u64> {
-        self.servers_position.filter(|_| !self.is_position_lost)
+        self.store_position().filter(|_| !self.is_position_lost)
     }
 
     /// Stores the record of the configuration in force.
@@ -162,6 +170,23 @@
         self.is_position_lost = true;
     }
 
+    /// Records that the store has moved to another address. The store there may have other records before the
+    /// cached position.
+    pub fn move_store(&mut self) {
+        self.has_store_moved = true;
+    }
+
+    /// Records that the whole list was read from the store at its present address.
+    pub fn record_store_read(&mut self) {
+        self.has_store_moved = false;
+    }
+
+    /// Returns whether a list that is complete up to `next`, the first one that was read since the store moved,
+    /// shows that the store lacks records of the earlier one.
+    pub fn is_before_move(&self, next: u64) -> bool {
+        self.has_store_moved && self.servers_position.is_some_and(|it| next < it)
+    }
+
     /// Returns whether a list that is complete up to `next` shows that the store came back from an
     /// older copy since the cached list was read.
     pub fn is_before_return(&self, next: u64) -> bool {
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -105,7 +105,7 @@
         .spawn(follow::servers(node.clone(), platform.clone()))
         .detach();
     spawner
-        .spawn(follow::entries(node.clone(), platform))
+        .spawn(follow::entries(node.clone(), platform.clone()))
         .detach();
     let endpoint_handlers = [
         (directory, endpoints::addresses as endpoints::Handler),
@@ -118,7 +118,7 @@
             spawner.spawn(serve).detach();
         }
     }
-    let watch = watch_settings(node.clone(), signals.clone(), reload);
+    let watch = watch_settings(node.clone(), platform, signals.clone(), reload);
     spawner.spawn(watch).detach();
     spawner.spawn(reachability::watch(node.clone())).detach();
     let accept = listener::accept(node.clone(), callers, Requester::Caller);
@@ -169,7 +169,12 @@
 }
 
 /// Reads the settings again after a signal, and periodically, since they may change without one.
-async fn watch_settings(node: Rc<Node>, signals: Signals, reload: impl Fn() -> Result<Settings>) {
+async fn watch_settings<P: Platform>(
+    node: Rc<Node>,
+    platform: Rc<P>,
+    signals: Signals,
+    reload: impl Fn() -> Result<Settings>,
+) {
     loop {
         let due = clock::now() + SETTINGS_INTERVAL;
         while clock::now() < due && !signals.reload.load(Ordering::Relaxed) {
@@ -180,7 +185,11 @@
             Ok(settings) if settings != *node.settings() => {
                 log::info!(target: "run", is_told = is_signalled; "settings changed");
                 datagrams::join(&node, &settings.seeds);
+                let (from, to) = (node.settings().store_address, settings.store_address);
                 node.adopt_settings(settings);
+                if from != to {
+                    move_store(&node, &*platform, from, to);
+                }
             }
             Ok(_) if is_signalled => {
                 log::info!(target: "run", is_told = is_signalled; "settings read again; nothing has changed")
@@ -193,6 +202,14 @@
     }
 }
 
+/// Lets all calls go to the store at its new address. Answers of the earlier one do not count any more.
+fn move_store<P: Platform>(node: &Node, platform: &P, from: SocketAddr, to: SocketAddr) {
+    log::info!(target: "platform", from:% = from, to:% = to; "the address of the store has changed; all lists are read at the new one");
+    platform.move_to(to);
+    node.state.borrow_mut().records.move_store();
+    node.moves.record();
+}
+
 /// Stops gracefully: first callers get only the addresses of other instances, then the listeners are
 /// closed, then requests in progress are awaited. Those that take too long are refused.
 async fn stop(node: &Node, accepts: Vec<async_executor::Task<()>>) {
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -36,6 +36,8 @@
     pub relay_address: Option<SocketAddr>,
     /// The address at which metrics are served.
     pub metrics_address: Option<SocketAddr>,
+    /// The address of the platform's store.
+    pub store_address: SocketAddr,
     /// The peer addresses of entries that may be running.
     pub seeds: Vec<SocketAddr>,
     /// The lifetime of an answer to an address query.
--- a/crates/gateway/tests/records.rs
+++ b/crates/gateway/tests/records.rs
@@ -140,6 +140,26 @@
     assert!(cache.is_before_return(at(2, 0)));
 }
 
+#[test]
+fn read_position_after_a_move_needs_a_list_of_the_moved_store() {
+    let at = position::encode;
+    let mut cache = Cache::default();
+    cache.store_servers(START, at(3, 0), at(3, 5), Vec::new());
+    cache.move_store();
+    assert!(!cache.is_continued_by(&delta(at(3, 5), at(3, 9))));
+    // A list of a peer, which may use the earlier store.
+    cache.replace_servers(START, at(3, 9), vec![record("a")]);
+    assert_eq!(
+        (cache.store_position(), cache.read_position()),
+        (None, None)
+    );
+    assert!(cache.is_before_move(at(0, 4)) && !cache.is_before_move(at(3, 9)));
+    cache.replace_servers(START, at(0, 4), vec![record("b")]);
+    cache.record_store_read();
+    assert_eq!(cache.read_position(), Some(at(0, 4)));
+    assert!(!cache.is_before_move(at(0, 3)));
+}
+
 #[test]
 fn next_read_missing_changes_are_read_at_once() {
     let mut cache = Cache::default();
