Name changed settings that need a restart, and keep the bound addresses

After the settings named other ports, the instance went on listening at the earlier ones, said nothing of it, and announced itself in the list of entries at the new one, where nothing listens. Other instances that start later get that address.

Cause: settings read again were put in force as a whole, although the name, the data centre, the addresses, the processor share and the log level are used at the start only.

Ruled out: other settings that may change are ignored. The bounds, memory, seeds, regions and the store's address take effect; the rest of the file is not read.

Change: these settings keep their values until a restart, and a line names those that differ, once for each change of the file.

reload_with_other_ports_announces_the_bound_address failed before (the record had the new port), 1 of 1 runs, and passes now, 1 of 1 runs. settings_that_need_a_restart_are_kept passes.

--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -206,7 +206,7 @@
         self.settings.borrow().clone()
     }
 
-    /// Puts changed settings in force. Bound addresses only change with a restart.
+    /// Puts changed settings in force, except those that change only with a restart.
     pub fn adopt_settings(&self, settings: Settings) {
         self.memory.set_limit(settings.buffer_limit());
         *self.settings.borrow_mut() = Rc::new(settings);
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -175,6 +175,7 @@
     signals: Signals,
     reload: impl Fn() -> Result<Settings>,
 ) {
+    let mut last_read = (*node.settings()).clone();
     loop {
         let due = clock::now() + SETTINGS_INTERVAL;
         while clock::now() < due && !signals.reload.load(Ordering::Relaxed) {
@@ -182,8 +183,13 @@
         }
         let is_signalled = signals.reload.swap(false, Ordering::Relaxed);
         match reload() {
-            Ok(settings) if settings != *node.settings() => {
+            Ok(mut settings) if settings != last_read => {
                 log::info!(target: "run", is_told = is_signalled; "settings changed");
+                last_read = settings.clone();
+                let kept = settings.keep_fixed(&node.settings());
+                if !kept.is_empty() {
+                    log::warn!(target: "run", settings = kept.join(" "); "these settings change only with a restart; the earlier values stay in force");
+                }
                 datagrams::join(&node, &settings.seeds);
                 let (from, to) = (node.settings().store_address, settings.store_address);
                 node.adopt_settings(settings);
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -58,6 +58,48 @@
 }
 
 impl Settings {
+    /// Keeps the values `in_force` of the settings that change only with a restart. Returns the names of those
+    /// that differed.
+    pub fn keep_fixed(&mut self, in_force: &Self) -> Vec<&'static str> {
+        let kept = [
+            keep("name", &mut self.name, &in_force.name),
+            keep("data_centre", &mut self.data_centre, &in_force.data_centre),
+            keep(
+                "caller_address",
+                &mut self.caller_address,
+                &in_force.caller_address,
+            ),
+            keep(
+                "directory_address",
+                &mut self.directory_address,
+                &in_force.directory_address,
+            ),
+            keep(
+                "readiness_address",
+                &mut self.readiness_address,
+                &in_force.readiness_address,
+            ),
+            keep(
+                "peer_address",
+                &mut self.peer_address,
+                &in_force.peer_address,
+            ),
+            keep(
+                "relay_address",
+                &mut self.relay_address,
+                &in_force.relay_address,
+            ),
+            keep(
+                "metrics_address",
+                &mut self.metrics_address,
+                &in_force.metrics_address,
+            ),
+            keep("capacity", &mut self.capacity, &in_force.capacity),
+            keep("log_level", &mut self.log_level, &in_force.log_level),
+        ];
+        kept.into_iter().flatten().collect()
+    }
+
     /// Returns the memory that all that is kept for callers and servers may use, in bytes.
     pub fn buffer_limit(&self) -> usize {
         self.memory_limit / MEMORY_PARTS * BUFFER_PARTS
@@ -68,3 +110,16 @@
         self.memory_limit / MEMORY_PARTS * BODY_PARTS
     }
 }
+
+/// Sets a value to the one in force. Returns its name if they differed.
+fn keep<T: Clone + PartialEq>(
+    name: &'static str,
+    value: &mut T,
+    in_force: &T,
+) -> Option<&'static str> {
+    if value == in_force {
+        return None;
+    }
+    *value = in_force.clone();
+    Some(name)
+}
