Put only the latest configuration of a read in force, and log an older one

A version that is lower than the one in force was ignored without a trace. After a return of the store, that would be all that operators see of a lost version which is not written again. Each record of a read was also put in force and announced in turn, although only the last counts.

--- a/crates/gateway/src/configuration.rs
+++ b/crates/gateway/src/configuration.rs
@@ -187,15 +187,17 @@
     state.records.record_routes_read(clock::now());
 }
 
+/// Applies what was read of the list. Only the latest of its configurations comes into force.
 fn apply(node: &Node, source: Source, changes: &Changes) {
-    for record in &changes.records {
-        match node.decoder.table(record) {
-            Some(Ok(table)) => adopt(node, source, table, record, changes.next),
-            Some(Err(error)) => {
-                log::error!(target: "config", key = record.key.as_str(), error:% = error; "can't decode a configuration; the previous one stays in force");
-            }
-            None => {}
-        }
+    let tables = changes.records.iter().filter_map(|record| {
+        let decoded = node.decoder.table(record)?;
+        let table = decoded.inspect_err(|error| {
+            log::error!(target: "config", key = record.key.as_str(), error:% = error; "can't decode a configuration; the previous one stays in force");
+        });
+        Some((table.ok()?, record))
+    });
+    if let Some((table, record)) = tables.max_by_key(|it| it.0.version()) {
+        adopt(node, source, table, record, changes.next);
     }
 }
 
@@ -204,6 +206,9 @@
     let mut state = node.state.borrow_mut();
     let before = state.config_version();
     if table.version() <= before {
+        if table.version() < before && source == Source::Platform {
+            log::warn!(target: "config", version = table.version(), before, era = position::era(next), offset = position::offset(next); "the store has an older configuration; the later one stays in force");
+        }
         return;
     }
     let version = table.version();
