Pass on what the list says of servers, also what the reading entry knew before

One entry reads the list of servers and broadcasts its changes, with the positions between which they are complete. It left out records that were not new to itself (`Servers::add`), also if it knew of them from elsewhere: here from the server's own answer. The others went past the record, and had only a rumour, which excludes a server for 10 s. The list that is cached for instances which start without the store lacked the record too. Class: a range claims to be complete, but was filtered by what its sender knows rather than by what the list had said up to there.

The same class, mended with it, by reading: - slots and data centre of a server that changed were never passed on, as they did not count as a change; - a cold period was not passed on if the sender read the record before the configuration with the cold start of the service, and one that ends over a second earlier than stated was not either; - an unreadable record of a listed server was not passed on if the sender had removed the server before (grace after an outage).

Change: `placement::Listed` is what the list says of a server, apart from what an entry knows from elsewhere. The cache of records compares each record with it, and passes on those that say something else. Nothing that the configuration, answers, rumours or the entry's own removals say counts. The wire format is the same.

Ruled out: a lost broadcast (the range arrived, without the record); the 10 s of the rumour as the cause (with the record, nothing rests on them). Looked at without finding the class: evacuations (whole sets, as of a position), the configuration (whole records), costs (samples), and coriander-entry (whole folds, load reports repeated every 200 ms; claims are read by each entry itself).

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -8,7 +8,9 @@
 use std::time::Duration;
 
 use async_io::Timer;
+use domain::Moment;
 use futures_lite::future;
+use placement::Servers;
 use wire::Delta;
 
 use crate::Node;
@@ -19,13 +21,16 @@
 use crate::lists::Scope;
 use crate::lists::Source;
 use crate::metrics::DeltaLabels;
+use crate::node::State;
 use crate::on_time;
 use crate::port::Changes;
 use crate::port::Error;
 use crate::port::List;
 use crate::port::Platform;
+use crate::port::Record;
 use crate::position;
 use crate::records;
+use crate::records::Update;
 
 /// The interval between two reads of the list of entries, which only repair what gossip missed.
 const ENTRIES_INTERVAL: Duration = Duration::from_secs(20);
@@ -67,7 +72,7 @@
             Ok((scope, changes)) => {
                 backoff.succeeded("servers");
                 let from = next.filter(|_| scope == Scope::Changed);
-                apply_servers(&node, Source::Platform, scope, from, &changes);
+                apply_servers(&node, Source::Platform, scope, from, changes);
                 if !is_behind && records::is_broadcaster(rank) {
                     datagrams::broadcast_delta(&node);
                 }
@@ -103,7 +108,7 @@
         Source::Peer(peer),
         Scope::Changed,
         Some(delta.from),
-        &changes,
+        changes,
     );
 }
 
@@ -131,7 +136,7 @@
     let position = node.state.borrow().records.servers_position();
     let is_later = |it: &Changes| position.is_none_or(|position| it.next > position);
     if let Some((peer, changes)) = lists::fetch_from_peers(node, List::Servers, is_later).await {
-        apply_servers(node, Source::Peer(peer), Scope::All, None, &changes);
+        apply_servers(node, Source::Peer(peer), Scope::All, None, changes);
     }
 }
 
@@ -193,7 +198,7 @@
 }
 
 /// Applies records of servers: the whole list, or the changes from position `from` on.
-fn apply_servers(node: &Node, source: Source, scope: Scope, from: Option<u64>, changes: &Changes) {
+fn apply_servers(node: &Node, source: Source, scope: Scope, from: Option<u64>, changes: Changes) {
     let now = clock::now();
     let mut state = node.state.borrow_mut();
     let state = &mut *state;
@@ -212,57 +217,35 @@
         // As above.
         let _ = node.returns.0.try_send(());
     }
-    let mut changed = Vec::new();
-    let mut all_servers = Vec::new();
-    for record in &changes.records {
-        if state.records.contains(record) {
-            continue;
-        }
-        let decoded = record.value.is_some().then(|| node.decoder.server(record));
-        let table = state.table.as_deref();
-        let has_new_fault = state.faults.check(table, &record.key, decoded.as_ref());
-        let is_changed = match decoded {
-            Some(Ok(server)) if scope == Scope::All => {
-                all_servers.push(server);
-                true
-            }
-            Some(Ok(server)) => {
-                let is_leaving = server.is_leaving;
-                let is_changed = state.servers.add(now, server);
-                if is_changed && is_leaving {
-                    log::info!(target: "server", server = record.key.as_str(), source:% = source; "a server is listed as leaving");
-                }
-                is_changed
-            }
-            Some(Err(_)) => {
-                let is_removed = state.servers.remove(now, &record.key);
-                is_removed || has_new_fault || scope == Scope::All
-            }
-            None => {
-                if state.servers.remove(now, &record.key) {
-                    log::info!(target: "server", server = record.key.as_str(); "a server was removed from the list");
-                }
-                true
-            }
-        };
-        if is_changed {
-            changed.push(record.clone());
+    let mut updates = Vec::new();
+    for record in changes.records {
+        if !state.records.contains(&record) {
+            updates.push(read_record(node, state, record));
         }
     }
-    let from = from.unwrap_or(changes.next);
-    if !changed.is_empty() {
-        log::info!(target: "server", source:% = source, scope:? = scope, from, to = changes.next, records = changes.records.len(), changed = changed.len(); "the list of servers has changed");
-    }
-    let records = &mut state.records;
-    match scope {
+    let (from, to) = (from.unwrap_or(changes.next), changes.next);
+    let records = updates.len();
+    let changed = match scope {
         Scope::All => {
-            state.servers.replace(now, all_servers);
-            records.replace_servers(now, changes.next, changed);
+            let servers = updates.iter().filter_map(|it| it.server.clone());
+            state.servers.replace(now, servers.collect());
+            state.records.replace_servers(now, to, &updates);
             if source == Source::Platform {
-                records.record_store_read();
+                state.records.record_store_read();
+            }
+            records
+        }
+        Scope::Changed => {
+            for update in &updates {
+                apply_update(&mut state.servers, now, update);
             }
+            let changes = state.records.store_servers(now, from, to, updates);
+            log_leaving(source, &changes);
+            changes.len()
         }
-        Scope::Changed => records.store_servers(now, from, changes.next, changed),
+    };
+    if changed > 0 {
+        log::info!(target: "server", source:% = source, scope:? = scope, from, to, records, changed; "the list of servers has changed");
     }
     on_time::adopt(state);
     let usable = state.servers.all().filter(|it| !it.server.is_leaving);
@@ -270,3 +253,34 @@
     let phase = state.phase();
     state.members.set_phase(phase);
 }
+
+/// Decodes a record of the list of servers, and reports its fault if it has one.
+fn read_record(node: &Node, state: &mut State, record: Record) -> Update {
+    let decoded = record.value.is_some().then(|| node.decoder.server(&record));
+    let table = state.table.as_deref();
+    let is_new_fault = state.faults.check(table, &record.key, decoded.as_ref());
+    let server = decoded.and_then(Result::ok);
+    Update {
+        is_new_fault: is_new_fault && server.is_none(),
+        record,
+        server,
+    }
+}
+
+fn apply_update(servers: &mut Servers, now: Moment, update: &Update) {
+    if let Some(server) = &update.server {
+        servers.add(now, server.clone());
+        return;
+    }
+    let Record { key, value, .. } = &update.record;
+    if servers.remove(now, key) && value.is_none() {
+        log::info!(target: "server", server = key.as_str(); "a server was removed from the list");
+    }
+}
+
+fn log_leaving(source: Source, changes: &[Update]) {
+    let servers = changes.iter().filter_map(|it| it.server.as_ref());
+    for server in servers.filter(|it| it.is_leaving) {
+        log::info!(target: "server", server = server.id.as_str(), source:% = source; "a server is listed as leaving");
+    }
+}
--- a/crates/gateway/src/records.rs
+++ b/crates/gateway/src/records.rs
@@ -10,6 +10,8 @@
 use std::time::Duration;
 
 use domain::Moment;
+use placement::Listed;
+use placement::Server;
 use wire::Delta;
 use wire::Record;
 
@@ -42,7 +44,18 @@
     RANK_DELAY.saturating_mul(rank).min(MAX_DELAY)
 }
 
-/// The records of the platform's lists, undecoded.
+/// A record of the list of servers, and what it was decoded to.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Update {
+    /// The record.
+    pub record: Record,
+    /// The server; `None` if the record removes it or can't be decoded.
+    pub server: Option<Server>,
+    /// Whether it can't be decoded, and this entry has not reported that before. Other entries report it too.
+    pub is_new_fault: bool,
+}
+
+/// The records of the platform's lists.
 #[derive(Debug, Default)]
 pub struct Cache {
     /// The record with the configuration of routes.
@@ -51,7 +64,7 @@
     routes_position: u64,
     /// When the platform last answered a read of the configuration.
     routes_read: Option<Moment>,
-    servers: BTreeMap<String, Vec<u8>>,
+    servers: BTreeMap<String, Entry>,
     /// The position from which to read changes of servers; absent if no list was read.
     servers_position: Option<u64>,
     /// When the list of servers was last up to date.
@@ -69,6 +82,23 @@
     recent: VecDeque<Range>,
 }
 
+/// The latest record of a server that says something new.
+#[derive(Debug)]
+struct Entry {
+    value: Vec<u8>,
+    /// What it says; `None` if it can't be decoded.
+    listed: Option<Listed>,
+}
+
+impl Entry {
+    fn new(now: Moment, value: &[u8], server: Option<&Server>) -> Self {
+        Self {
+            value: value.to_vec(),
+            listed: server.map(|it| Listed::new(now, it.clone())),
+        }
+    }
+}
+
 /// All changes of the list of servers from a position up to the next range.
 #[derive(Debug)]
 struct Range {
@@ -122,41 +152,67 @@
         })
     }
 
-    /// Stores the records that were new to this entry in the positions `from` to `next`, which have
-    /// to include the cached position.
-    pub fn store_servers(&mut self, now: Moment, from: u64, next: u64, changed: Vec<Record>) {
+    /// Stores the records of the positions `from` to `next`, which have to include the cached position. Returns those
+    /// that say something else than the list did before. Only they are passed on to other entries.
+    pub fn store_servers(
+        &mut self,
+        now: Moment,
+        from: u64,
+        next: u64,
+        updates: Vec<Update>,
+    ) -> Vec<Update> {
         self.updated = Some(now);
         self.is_behind = false;
         self.is_position_lost = false;
         self.recent.retain(|it| now.since(it.stored) < REPEAT_TIME);
         let position = self.servers_position;
         if position.is_some_and(|it| next <= it) {
-            return;
-        }
-        for record in &changed {
-            match &record.value {
-                Some(value) => self.servers.insert(record.key.clone(), value.clone()),
-                None => self.servers.remove(&record.key),
-            };
+            return Vec::new();
         }
+        let changes = updates.into_iter().filter(|it| self.store(now, it));
+        let changes: Vec<Update> = changes.collect();
         // Changes before the cached position are in earlier ranges, so this one does not cover them.
         self.recent.push_back(Range {
             from: position.map_or(from, |it| it.max(from)),
             stored: now,
-            records: changed,
+            records: changes.iter().map(|it| it.record.clone()).collect(),
         });
         while self.recent.len() > RANGES_REPEATED {
             self.recent.pop_front();
         }
         self.servers_position = Some(next);
+        changes
+    }
+
+    /// Stores a record if it says something else than the list did before. Returns whether it does.
+    fn store(&mut self, now: Moment, update: &Update) -> bool {
+        let Update { record, server, .. } = update;
+        let Some(value) = &record.value else {
+            self.servers.remove(&record.key);
+            return true;
+        };
+        let known = self.servers.get(&record.key).map(|it| &it.listed);
+        let is_change = match (known, server) {
+            (Some(Some(known)), Some(server)) => known.is_changed_by(now, server),
+            (Some(known), server) => known.is_some() != server.is_some(),
+            (None, server) => server.is_some(),
+        };
+        let is_stored = is_change || update.is_new_fault;
+        if is_stored {
+            let entry = Entry::new(now, value, server.as_ref());
+            self.servers.insert(record.key.clone(), entry);
+        }
+        is_stored
     }
 
     /// Replaces all servers by a whole list, which is complete up to `next`.
-    pub fn replace_servers(&mut self, now: Moment, next: u64, records: Vec<Record>) {
-        let values = records
-            .into_iter()
-            .filter_map(|it| Some((it.key, it.value?)));
-        self.servers = values.collect();
+    pub fn replace_servers(&mut self, now: Moment, next: u64, updates: &[Update]) {
+        let entries = updates.iter().filter_map(|it| {
+            let value = it.record.value.as_ref()?;
+            let entry = Entry::new(now, value, it.server.as_ref());
+            Some((it.record.key.clone(), entry))
+        });
+        self.servers = entries.collect();
         self.recent.clear();
         self.servers_position = Some(next);
         self.updated = Some(now);
@@ -243,9 +299,9 @@
                 records: self
                     .servers
                     .iter()
-                    .map(|(key, value)| Record {
+                    .map(|(key, entry)| Record {
                         key: key.clone(),
-                        value: Some(value.clone()),
+                        value: Some(entry.value.clone()),
                         next: 0,
                     })
                     .collect(),
--- a/crates/placement/src/cold.rs
+++ b/crates/placement/src/cold.rs
@@ -18,9 +18,6 @@
 const WINDOW: Duration = Duration::from_millis(1_050);
 /// The longest period. A malformed value must not limit a server for good.
 const LONGEST: Duration = Duration::from_secs(3_600);
-/// The extension of a known period from which on other entries have to know of it. Reports of one
-/// period differ by the time until they are read, up to 650 ms.
-const EXTENSION: Duration = Duration::from_secs(1);
 /// A record that arrives within this time after a response may be older than the response, since the
 /// list is read every 650 ms and passed on by other entries.
 const RECORD_DELAY: Duration = Duration::from_secs(1);
@@ -75,8 +72,6 @@
 pub struct Period {
     until: Option<Moment>,
     source: Source,
-    /// The end that other entries know from the list; `None` if they know the server as warm.
-    listed_until: Option<Moment>,
     /// When a response last stated the period.
     responded_at: Option<Moment>,
     /// Whether the server counted as cold when that was last observed.
@@ -84,24 +79,15 @@
 }
 
 impl Period {
-    /// Records the remaining time by a record of the list that has just arrived. Returns whether other
-    /// entries have to know: the server became cold or warm, or its period was extended.
-    pub fn record_listed(&mut self, now: Moment, left: Duration) -> bool {
+    /// Records the remaining time by a record of the list that has just arrived.
+    pub fn record_listed(&mut self, now: Moment, left: Duration) {
         let until = end(now, left);
-        let is_news = match (self.listed_until, until) {
-            (Some(known), Some(until)) => until > known + EXTENSION,
-            (known, until) => known.is_some() != until.is_some(),
-        };
-        if is_news {
-            self.listed_until = until;
-        }
         let is_outdated = self
             .responded_at
             .is_some_and(|it| now.since(it) < RECORD_DELAY);
         if !is_outdated || until > self.until {
             self.set(until, Source::Record);
         }
-        is_news
     }
 
     /// Records the remaining time by a response of the server.
@@ -143,7 +129,8 @@
     }
 }
 
-fn end(now: Moment, left: Duration) -> Option<Moment> {
+/// Returns when a period ends of which this time is left; `None` if it has ended.
+pub(crate) fn end(now: Moment, left: Duration) -> Option<Moment> {
     (!left.is_zero()).then(|| now + left.min(LONGEST))
 }
 
--- a/crates/placement/src/servers.rs
+++ b/crates/placement/src/servers.rs
@@ -68,6 +68,34 @@
     pub fn key(&self) -> u64 {
         digest::seeded(self.id.as_bytes(), self.started_ms)
     }
+
+    /// Returns whether two reports say the same, apart from their numbers and the remaining cold period.
+    pub fn is_same_statement(&self, other: &Self) -> bool {
+        self.statement() == other.statement()
+    }
+
+    fn statement(&self) -> impl PartialEq {
+        let Self {
+            id,
+            started_ms,
+            service,
+            address,
+            data_centre,
+            slots,
+            is_leaving,
+            sequence: _,
+            cold_left: _,
+        } = self;
+        (
+            id,
+            started_ms,
+            service,
+            address,
+            data_centre,
+            slots,
+            is_leaving,
+        )
+    }
 }
 
 /// The known backend servers.
@@ -157,8 +185,8 @@
         self.outage_end = Some(now);
     }
 
-    /// Adds or updates one server of the list. Returns whether anything changed.
-    pub fn add(&mut self, now: Moment, server: Server) -> bool {
+    /// Adds or updates one server of the list.
+    pub fn add(&mut self, now: Moment, server: Server) {
         let report = (server.started_ms, server.sequence);
         let cold_start = self.cold_starts.get(&server.service).copied();
         let is_loaded = self.is_loaded;
@@ -166,7 +194,7 @@
         let is_outdated =
             |it: &Removed| !it.is_expired(now) && report <= (it.started_ms, it.sequence);
         if removed.is_some_and(is_outdated) {
-            return false;
+            return;
         }
         let Some(state) = self.states.get_mut(&server.id) else {
             let same_process = removed.filter(|it| it.started_ms == server.started_ms);
@@ -185,23 +213,20 @@
             }
             state.record_cold(now);
             self.states.insert(state.server.id.clone(), state);
-            return true;
+            return;
         };
         let previous = (state.server.started_ms, state.server.sequence);
         if report < previous {
-            return false;
+            return;
         }
         if previous.0 != server.started_ms || state.server.address != server.address {
             *state = State::new(server, cold_start);
             state.begin_cold_start(now, is_loaded);
             state.record_cold(now);
-            return true;
+            return;
         }
         // A server that is leaving never becomes available again.
         let is_leaving = state.server.is_leaving || server.is_leaving;
-        let mut is_changed = state.is_lapsed
-            || state.server.is_leaving != is_leaving
-            || state.server.service != server.service;
         state.is_lapsed = false;
         state.server = Rc::new(Server {
             is_leaving,
@@ -209,9 +234,8 @@
         });
         state.cold_start = cold_start;
         if report > previous {
-            is_changed |= state.record_cold(now);
+            state.record_cold(now);
         }
-        is_changed
     }
 
     /// Removes a server that is no longer on the list. Returns whether it was listed before.
--- a/crates/placement/src/servers/state.rs
+++ b/crates/placement/src/servers/state.rs
@@ -78,13 +78,11 @@
         }
     }
 
-    /// Records what the server's report says of the time for which it is cold. Returns whether other
-    /// entries have to know.
-    pub(super) fn record_cold(&mut self, now: Moment) -> bool {
-        let left = self.server.cold_left;
-        let is_news = left.is_some_and(|it| self.cold.record_listed(now, it));
-        // The list may be read before the configuration that has the cold start.
-        is_news && self.cold_start.is_some()
+    /// Records what the server's report says of the time for which it is cold.
+    pub(super) fn record_cold(&mut self, now: Moment) {
+        if let Some(left) = self.server.cold_left {
+            self.cold.record_listed(now, left);
+        }
     }
 
     /// Returns whether the server is cold, and from where that is known, if this has changed since the last
--- a/crates/wire/src/listing.rs
+++ b/crates/wire/src/listing.rs
@@ -19,7 +19,7 @@
 }
 
 /// The changes to the list of servers between two positions. They cover the sender's latest reads,
-/// which makes up for lost datagrams, and omit records that repeat a known value.
+/// which makes up for lost datagrams, and omit records that repeat what the list has said before.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Delta {
     /// The position from which the changes are complete.
