Do not pass on reports of servers that later ones have overtaken

Only the reading entry has seen the later reports, which it does not pass on; the others would use a server that is gone until it is removed again.

Change: `Servers::add` returns whether a later report is known, which rests on the list alone, and outdated records are left out of what is stored and passed on. `Listed` no longer compares their numbers, which it knew only of records that were passed on.

The property tests also remove servers from the list.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -236,9 +236,8 @@
             records
         }
         Scope::Changed => {
-            for update in &updates {
-                apply_update(&mut state.servers, now, update);
-            }
+            // Other entries may not know the later reports by which some are outdated.
+            updates.retain(|it| apply_update(&mut state.servers, now, it));
             let changes = state.records.store_servers(now, from, to, updates);
             log_leaving(source, &changes);
             changes.len()
@@ -267,15 +266,16 @@
     }
 }
 
-fn apply_update(servers: &mut Servers, now: Moment, update: &Update) {
+/// Applies a record of the list of servers. Returns false if a later one of the same server was applied before.
+fn apply_update(servers: &mut Servers, now: Moment, update: &Update) -> bool {
     if let Some(server) = &update.server {
-        servers.add(now, server.clone());
-        return;
+        return servers.add(now, server.clone());
     }
     let Record { key, value, .. } = &update.record;
     if servers.remove(now, key) && value.is_none() {
         log::info!(target: "server", server = key.as_str(); "a server was removed from the list");
     }
+    true
 }
 
 fn log_leaving(source: Source, changes: &[Update]) {
--- a/crates/gateway/tests/records.rs
+++ b/crates/gateway/tests/records.rs
@@ -289,11 +289,14 @@
     /// Applies the records of a range of the log.
     fn apply(&mut self, from: u64, to: u64, records: Vec<Record>) {
         let records = records.into_iter().filter(|it| !self.cache.contains(it));
-        let updates: Vec<Update> = records.map(decode).collect();
-        for update in &updates {
-            self.servers
-                .add(START, update.server.clone().expect("a server"));
-        }
+        let mut updates: Vec<Update> = records.map(decode).collect();
+        updates.retain(|it| match &it.server {
+            Some(server) => self.servers.add(START, server.clone()),
+            None => {
+                self.servers.remove(START, &it.record.key);
+                true
+            }
+        });
         self.cache.store_servers(START, from, to, updates);
     }
 
@@ -341,22 +344,23 @@
 }
 
 fn decode(record: Record) -> Update {
-    let value = record.value.as_deref().expect("a value");
-    let server = Server {
+    let server = record.value.as_deref().map(|value| Server {
         slots: value[2].into(),
         ..server(&record.key, value[0].into(), value[1] == 1)
-    };
+    });
     Update {
-        server: Some(server),
+        server,
         is_new_fault: false,
         record,
     }
 }
 
-/// Returns the newest record of each server.
+/// Returns the newest record of each listed server.
 fn newest(log: &[Record]) -> BTreeMap<String, Record> {
     let records = log.iter().map(|it| (it.key.clone(), it.clone()));
-    records.collect()
+    let mut newest: BTreeMap<String, Record> = records.collect();
+    newest.retain(|_, it| it.value.is_some());
+    newest
 }
 
 /// The id of a server, whether it leaves, and its slots.
@@ -373,6 +377,8 @@
     Report(usize, u8),
     /// A server reports that it leaves.
     Leave(usize),
+    /// A server is removed from the list.
+    Remove(usize),
     /// A server that leaves says so in an answer to an entry, before or after its report.
     Answer(usize, usize),
     /// An entry reads the log, and broadcasts to the entries whose flag is set.
@@ -383,6 +389,7 @@
     prop_oneof![
         (0..SERVERS, 0..3_u8).prop_map(|(server, slots)| Step::Report(server, slots)),
         (0..SERVERS).prop_map(Step::Leave),
+        (0..SERVERS).prop_map(Step::Remove),
         (0..ENTRIES, 0..SERVERS).prop_map(|(entry, server)| Step::Answer(entry, server)),
         (0..ENTRIES, any::<[bool; ENTRIES]>()).prop_map(|(reader, to)| Step::Read(reader, to)),
     ]
@@ -394,7 +401,7 @@
     entries: [Entry; ENTRIES],
     log: Vec<Record>,
     era: u64,
-    /// The number of records so far, with those that the store has lost.
+    /// The number of reports so far, with those that the store has lost.
     count: u8,
 }
 
@@ -412,9 +419,10 @@
             Step::Report(server, slots) => {
                 let last = newest(&self.log).remove(&id_of(*server));
                 let is_leaving = last.is_some_and(|it| statement(&it).1);
-                self.append(*server, is_leaving, *slots);
+                self.report(*server, is_leaving, *slots);
             }
-            Step::Leave(server) => self.append(*server, true, 0),
+            Step::Leave(server) => self.report(*server, true, 0),
+            Step::Remove(server) => self.append(*server, None),
             Step::Answer(entry, server) => self.entries[*entry].learn_leaving(*server),
             Step::Read(reader, receivers) => {
                 let (era, log) = (self.era, &self.log);
@@ -427,11 +435,16 @@
         }
     }
 
-    fn append(&mut self, server: usize, is_leaving: bool, slots: u8) {
+    fn report(&mut self, server: usize, is_leaving: bool, slots: u8) {
         self.count += 1;
+        let value = vec![self.count, u8::from(is_leaving), slots];
+        self.append(server, Some(value));
+    }
+
+    fn append(&mut self, server: usize, value: Option<Vec<u8>>) {
         self.log.push(Record {
             key: id_of(server),
-            value: Some(vec![self.count, u8::from(is_leaving), slots]),
+            value,
             next: position::encode(self.era, self.log.len() as u64 + 1),
         });
     }
@@ -450,6 +463,7 @@
                 let log = &fleet.log[..entry.position() as usize];
                 let expected: Vec<_> = newest(log).values().map(statement).collect();
                 prop_assert_eq!(&entry.listed(), &expected);
+                prop_assert_eq!(entry.servers.all().count(), expected.len());
                 for (id, is_leaving, slots) in expected {
                     let known = entry.known(&id).expect("a server");
                     prop_assert!(known.is_leaving || !is_leaving, "{known:?} leaves");
--- a/crates/placement/src/listed.rs
+++ b/crates/placement/src/listed.rs
@@ -30,13 +30,8 @@
         Self { server, cold_until }
     }
 
-    /// Returns whether a record that has just arrived says something else. One that is older than the known record
-    /// does not.
+    /// Returns whether a record that has just arrived says something else.
     pub fn is_changed_by(&self, now: Moment, server: &Server) -> bool {
-        let report = |it: &Server| (it.started_ms, it.sequence);
-        if report(server) < report(&self.server) {
-            return false;
-        }
         !server.is_same_statement(&self.server) || self.is_period_changed_by(now, server)
     }
 
--- a/crates/placement/src/servers.rs
+++ b/crates/placement/src/servers.rs
@@ -185,8 +185,8 @@
         self.outage_end = Some(now);
     }
 
-    /// Adds or updates one server of the list.
-    pub fn add(&mut self, now: Moment, server: Server) {
+    /// Adds or updates one server of the list. Returns false if a later report of it is known already.
+    pub fn add(&mut self, now: Moment, server: Server) -> bool {
         let report = (server.started_ms, server.sequence);
         let cold_start = self.cold_starts.get(&server.service).copied();
         let is_loaded = self.is_loaded;
@@ -194,7 +194,7 @@
         let is_outdated =
             |it: &Removed| !it.is_expired(now) && report <= (it.started_ms, it.sequence);
         if removed.is_some_and(is_outdated) {
-            return;
+            return false;
         }
         let Some(state) = self.states.get_mut(&server.id) else {
             let same_process = removed.filter(|it| it.started_ms == server.started_ms);
@@ -213,17 +213,17 @@
             }
             state.record_cold(now);
             self.states.insert(state.server.id.clone(), state);
-            return;
+            return true;
         };
         let previous = (state.server.started_ms, state.server.sequence);
         if report < previous {
-            return;
+            return false;
         }
         if previous.0 != server.started_ms || state.server.address != server.address {
             *state = State::new(server, cold_start);
             state.begin_cold_start(now, is_loaded);
             state.record_cold(now);
-            return;
+            return true;
         }
         // A server that is leaving never becomes available again.
         let is_leaving = state.server.is_leaving || server.is_leaving;
@@ -236,6 +236,7 @@
         if report > previous {
             state.record_cold(now);
         }
+        true
     }
 
     /// Removes a server that is no longer on the list. Returns whether it was listed before.
--- a/crates/placement/tests/listed.rs
+++ b/crates/placement/tests/listed.rs
@@ -63,20 +63,6 @@
     check(&report(1, None), &report(2, None), false);
 }
 
-#[test]
-fn is_changed_by_older_record_is_false() {
-    let leaving = Server {
-        is_leaving: true,
-        ..report(2, Some(0))
-    };
-    check(&leaving, &report(1, Some(0)), false);
-    let restarted = Server {
-        started_ms: 2,
-        ..report(1, Some(0))
-    };
-    check(&restarted, &leaving, false);
-}
-
 /// Guards against records that are broadcast every 1,200 ms, and against transitions that are not.
 #[test]
 fn is_changed_by_transitions_of_a_cold_server_only() {
--- a/crates/placement/tests/servers.rs
+++ b/crates/placement/tests/servers.rs
@@ -91,6 +91,21 @@
     list.check(&["a"]);
 }
 
+/// Guards against outdated records that are passed on to entries which can't see that they are.
+#[test]
+fn add_outdated_report_is_false() {
+    let mut servers = Servers::default();
+    let now = Moment::from_millis(1_000);
+    let mut add = |sequence| servers.add(now, server("a", 1, sequence));
+    assert!(add(5) && add(6) && add(6));
+    assert!(!add(5));
+    servers.remove(now, "a");
+    let mut add = |started_ms, sequence| servers.add(now, server("a", started_ms, sequence));
+    assert!(!add(1, 5) && !add(1, 6));
+    assert!(add(1, 7) && add(2, 1));
+    assert!(!add(1, 8));
+}
+
 #[test]
 fn add_restarted_server_under_the_same_id_gets_work() {
     let mut list = List::new();
