--- a/crates/gateway/src/records.rs
+++ b/crates/gateway/src/records.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use domain::Moment;
-use placement::Listed;
+use placement::Listing;
 use placement::Server;
 use wire::Delta;
 use wire::Record;
@@ -64,7 +64,7 @@
     routes_position: u64,
     /// When the platform last answered a read of the configuration.
     routes_read: Option<Moment>,
-    servers: BTreeMap<String, Entry>,
+    servers: BTreeMap<String, Cached>,
     /// The position from which to read changes of servers; absent if no list was read.
     servers_position: Option<u64>,
     /// When the list of servers was last up to date.
@@ -84,17 +84,17 @@
 
 /// The latest record of a server that says something new.
 #[derive(Debug)]
-struct Entry {
+struct Cached {
     value: Vec<u8>,
     /// What it says; `None` if it can't be decoded.
-    listed: Option<Listed>,
+    listing: Option<Listing>,
 }
 
-impl Entry {
+impl Cached {
     fn new(now: Moment, value: &[u8], server: Option<&Server>) -> Self {
         Self {
             value: value.to_vec(),
-            listed: server.map(|it| Listed::new(now, it.clone())),
+            listing: server.map(|it| Listing::new(now, it.clone())),
         }
     }
 }
@@ -191,7 +191,7 @@
             self.servers.remove(&record.key);
             return true;
         };
-        let known = self.servers.get(&record.key).map(|it| &it.listed);
+        let known = self.servers.get(&record.key).map(|it| &it.listing);
         let is_change = match (known, server) {
             (Some(Some(known)), Some(server)) => known.is_changed_by(now, server),
             (Some(known), server) => known.is_some() != server.is_some(),
@@ -199,20 +199,20 @@
         };
         let is_stored = is_change || update.is_new_fault;
         if is_stored {
-            let entry = Entry::new(now, value, server.as_ref());
-            self.servers.insert(record.key.clone(), entry);
+            let cached = Cached::new(now, value, server.as_ref());
+            self.servers.insert(record.key.clone(), cached);
         }
         is_stored
     }
 
     /// Replaces all servers by a whole list, which is complete up to `next`.
     pub fn replace_servers(&mut self, now: Moment, next: u64, updates: &[Update]) {
-        let entries = updates.iter().filter_map(|it| {
+        let servers = updates.iter().filter_map(|it| {
             let value = it.record.value.as_ref()?;
-            let entry = Entry::new(now, value, it.server.as_ref());
-            Some((it.record.key.clone(), entry))
+            let cached = Cached::new(now, value, it.server.as_ref());
+            Some((it.record.key.clone(), cached))
         });
-        self.servers = entries.collect();
+        self.servers = servers.collect();
         self.recent.clear();
         self.servers_position = Some(next);
         self.updated = Some(now);
@@ -299,9 +299,9 @@
                 records: self
                     .servers
                     .iter()
-                    .map(|(key, entry)| Record {
+                    .map(|(key, cached)| Record {
                         key: key.clone(),
-                        value: Some(entry.value.clone()),
+                        value: Some(cached.value.clone()),
                         next: 0,
                     })
                     .collect(),
--- a/crates/placement/src/listed.rs
+++ b/crates/placement/src/listing.rs
@@ -17,13 +17,13 @@
 
 /// What the list says of a server.
 #[derive(Clone, Debug)]
-pub struct Listed {
+pub struct Listing {
     server: Server,
     /// Until when it is cold; `None` if it is not, or if the list does not say.
     cold_until: Option<Moment>,
 }
 
-impl Listed {
+impl Listing {
     /// Returns what a record says that has just arrived.
     pub fn new(now: Moment, server: Server) -> Self {
         let cold_until = server.cold_left.and_then(|it| cold::end(now, it));
--- a/crates/placement/tests/listed.rs
+++ b/crates/placement/tests/listing.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use domain::Moment;
-use placement::Listed;
+use placement::Listing;
 use placement::Server;
 
 fn at(millis: u64) -> Moment {
@@ -34,8 +34,8 @@
 
 /// Checks whether a record that follows another one within a second says something else.
 fn check(first: &Server, second: &Server, is_change: bool) {
-    let listed = Listed::new(at(0), first.clone());
-    let is_changed = listed.is_changed_by(at(700), second);
+    let listing = Listing::new(at(0), first.clone());
+    let is_changed = listing.is_changed_by(at(700), second);
     assert_eq!(is_changed, is_change, "{first:?} {second:?}");
 }
 
@@ -66,12 +66,12 @@
 /// Guards against records that are broadcast every 1,200 ms, and against transitions that are not.
 #[test]
 fn is_changed_by_transitions_of_a_cold_server_only() {
-    let mut listed = Listed::new(at(0), report(1, Some(0)));
+    let mut listing = Listing::new(at(0), report(1, Some(0)));
     let mut is_changed = |millis, sequence, left| {
         let server = report(sequence, Some(left));
-        let is_changed = listed.is_changed_by(at(millis), &server);
+        let is_changed = listing.is_changed_by(at(millis), &server);
         if is_changed {
-            listed = Listed::new(at(millis), server);
+            listing = Listing::new(at(millis), server);
         }
         is_changed
     };
