--- a/crates/placement/src/servers.rs
+++ b/crates/placement/src/servers.rs
@@ -71,30 +71,12 @@
 
     /// Returns whether two reports say the same, apart from their numbers and the remaining cold period.
     pub fn is_same_statement(&self, other: &Self) -> bool {
-        self.statement() == other.statement()
-    }
-
-    fn statement(&self) -> impl PartialEq {
-        let Self {
-            id,
-            started_ms,
-            service,
-            address,
-            data_centre,
-            slots,
-            is_leaving,
-            sequence: _,
-            cold_left: _,
-        } = self;
-        (
-            id,
-            started_ms,
-            service,
-            address,
-            data_centre,
-            slots,
-            is_leaving,
-        )
+        let renumbered = Self {
+            sequence: other.sequence,
+            cold_left: other.cold_left,
+            ..self.clone()
+        };
+        renumbered == *other
     }
 }
 
