--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -203,19 +203,10 @@
     let mut state = node.state.borrow_mut();
     let state = &mut *state;
     state.servers.record_read(now);
-    if state.records.is_before_return(changes.next) {
-        let era = position::era(changes.next);
-        log::warn!(target: "platform", era, source:% = source; "the store came back from an older copy; what it lost is read and written again");
-        node.metrics.store_returns.inc();
+    if has_store_lost_records(node, state, source, changes.next) {
         state.servers.record_return(now);
         // The channel holds one signal. If one is already there, this one is not needed.
         let _ = node.returns.0.try_send(());
-    } else if source == Source::Platform && state.records.is_before_move(changes.next) {
-        let (era, offset) = (position::era(changes.next), position::offset(changes.next));
-        log::warn!(target: "platform", era, offset; "the store at the new address has fewer records than the earlier one; what it lacks is kept for now and written again");
-        state.servers.record_return(now);
-        // As above.
-        let _ = node.returns.0.try_send(());
     }
     let mut updates = Vec::new();
     for record in changes.records {
@@ -253,6 +244,22 @@
     state.members.set_phase(phase);
 }
 
+/// Returns whether a list that is complete up to `next` shows that the store came back from an older copy, or moved and
+/// has fewer records at its new address.
+fn has_store_lost_records(node: &Node, state: &State, source: Source, next: u64) -> bool {
+    let (era, offset) = (position::era(next), position::offset(next));
+    if state.records.is_before_return(next) {
+        log::warn!(target: "platform", era, source:% = source; "the store came back from an older copy; what it lost is read and written again");
+        node.metrics.store_returns.inc();
+        return true;
+    }
+    let is_before_move = source == Source::Platform && state.records.is_before_move(next);
+    if is_before_move {
+        log::warn!(target: "platform", era, offset; "the store at the new address has fewer records than the earlier one; what it lacks is kept for now and written again");
+    }
+    is_before_move
+}
+
 /// Decodes a record of the list of servers, and reports its fault if it has one.
 fn read_record(node: &Node, state: &mut State, record: Record) -> Update {
     let decoded = record.value.is_some().then(|| node.decoder.server(&record));
